--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH = src:.
+
+.PHONY: install demo test lint format unit check-model
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt -c constraints.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e . \
+		|| $(BIN)/pip install --quiet --no-deps -e .
+	touch $@
+
+demo: install
+	$(BIN)/python -m tools.demo
+
+lint: install
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
+	$(BIN)/flake8 src tests tools
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff format src tests tools
+	$(BIN)/ruff check --fix src tests tools
+
+unit: install
+	$(BIN)/python -m pytest
+
+test: lint unit
--- /dev/null
+++ b/src/carawaystep/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for latency-critical and batch work on the same few VMs."""
--- /dev/null
+++ b/src/carawaystep/availability_zone/__init__.py
@@ -0,0 +1,1 @@
+"""The availability zone aggregate: loads of entries and the VM list."""
--- /dev/null
+++ b/src/carawaystep/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Errors that stop a process."""
--- /dev/null
+++ b/src/carawaystep/job/__init__.py
@@ -0,0 +1,1 @@
+"""The job aggregate: attempts, evictions and ends of batch work."""
--- /dev/null
+++ b/src/carawaystep/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The membership aggregate: live entries and owners of workers."""
--- /dev/null
+++ b/src/carawaystep/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry processes."""
--- /dev/null
+++ b/src/carawaystep/platform/object_store.py
@@ -0,0 +1,24 @@
+"""Port to the platform's object store."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.platform.table_failure import TableFailure
+
+
+class ObjectStore(ABC):
+    """Named byte strings."""
+
+    @abstractmethod
+    async def put(self, key: str, body: bytes) -> Result[None, TableFailure]:
+        """Store an object, replacing an earlier one."""
+
+    @abstractmethod
+    async def get(self, key: str) -> Result[bytes | None, TableFailure]:
+        """Read an object, None when it does not exist."""
--- /dev/null
+++ b/src/carawaystep/platform/row.py
@@ -0,0 +1,22 @@
+"""A row of the platform's table service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One version of a row.
+
+    :param key: key within the table
+    :param value: JSON value, None for a deleted row
+    :param version: rises by one with each write of this row, from 1
+    :param revision: position of the write in the whole table service
+    """
+
+    key: str
+    value: Any
+    version: int
+    revision: int
--- /dev/null
+++ b/src/carawaystep/platform/vm_directory.py
@@ -0,0 +1,21 @@
+"""Port to the platform's list of target VMs."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.platform.vm import Vm
+
+
+class VmDirectory(ABC):
+    """The lagging list of live and leaving target VMs."""
+
+    @abstractmethod
+    async def vms(self) -> Result[tuple[Vm, ...], TableFailure]:
+        """Read the whole list."""
--- /dev/null
+++ b/src/carawaystep/request/__init__.py
@@ -0,0 +1,1 @@
+"""The request aggregate: outcomes, admission, retries and duplicates."""
--- /dev/null
+++ b/src/carawaystep/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the settings files."""
--- /dev/null
+++ b/src/carawaystep/settings/standin_platform_settings.py
@@ -0,0 +1,34 @@
+"""Settings of the stand-in platform."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from carawaystep.settings.entry_settings import ListenSettings
+from carawaystep.settings.entry_settings import NAME_PATTERN
+from carawaystep.settings.settings_model import SettingsModel
+
+
+class StandinVmSettings(SettingsModel):
+    """A VM in the stand-in platform's list."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    availability_zone: str = Field(pattern=NAME_PATTERN)
+    rack: str = Field(pattern=NAME_PATTERN)
+    url: str = Field(pattern=r"^https?://")
+
+
+class StandinPlatformSettings(SettingsModel):
+    """The stand-in platform."""
+
+    http: ListenSettings
+    writes_per_s: float = Field(
+        default=400.0, gt=0, description="operations that write, per second"
+    )
+    reads_per_s: float = Field(
+        default=2000.0, gt=0, description="read calls per second"
+    )
+    vm_lag_s: float = Field(
+        default=1.0, ge=0, description="age of the VM list, seconds"
+    )
+    vms: list[StandinVmSettings]
--- /dev/null
+++ b/src/carawaystep/settings/standin_worker_settings.py
@@ -0,0 +1,55 @@
+"""Settings of a process that hosts stand-in workers."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from carawaystep.settings.entry_settings import ListenSettings
+from carawaystep.settings.entry_settings import NAME_PATTERN
+from carawaystep.settings.settings_model import SettingsModel
+
+
+class StandinServiceSettings(SettingsModel):
+    """What executions of one service look like on a stand-in worker."""
+
+    median_ms: float = Field(
+        default=20.0, gt=0, description="median run time of a request"
+    )
+    sigma: float = Field(
+        default=0.5, ge=0, description="spread of the log-normal run time"
+    )
+    fail_share: float = Field(
+        default=0.0, ge=0, le=1, description="share of executions that fail"
+    )
+    task_scale: float = Field(
+        default=1.0,
+        gt=0,
+        description="real run time of a task over its declared run time",
+    )
+
+
+class StandinWorkerSettings(SettingsModel):
+    """One stand-in worker."""
+
+    name: str = Field(pattern=NAME_PATTERN)
+    http: ListenSettings
+    cpu: float = Field(default=32.0, gt=0, description="cores")
+    memory_mb: int = Field(default=125_000, gt=0, description="megabytes")
+    accelerators: int = Field(default=0, ge=0)
+    slots: int = Field(default=8, ge=1)
+    connections: int = Field(default=64, ge=1)
+    guards: bool = Field(
+        default=True,
+        description="refuse lower epochs and work beyond the limits",
+    )
+    usage_lag_s: float = Field(
+        default=5.0, ge=0, description="age of usage rows, seconds"
+    )
+
+
+class StandinWorkersSettings(SettingsModel):
+    """All stand-in workers of one process."""
+
+    seed: int = 1
+    services: dict[str, StandinServiceSettings] = {}
+    workers: list[StandinWorkerSettings] = Field(min_length=1)
--- /dev/null
+++ b/src/carawaystep/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of one process, for the time line over all processes."""
--- /dev/null
+++ b/src/carawaystep/validation/__init__.py
@@ -0,0 +1,1 @@
+"""Validation of YAML text against models."""
--- /dev/null
+++ b/src/carawaystep/worker/__init__.py
@@ -0,0 +1,1 @@
+"""The worker aggregate: capacity, reservations and ownership."""
--- /dev/null
+++ b/src/carawaystep/worker/ended_task.py
@@ -0,0 +1,29 @@
+"""End of a task in a worker's report."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.worker.execution_end import ExecutionEnd
+
+
+@dataclass(frozen=True, slots=True)
+class EndedTask:
+    """A task that certainly runs no more.
+
+    :param sequence: position among the worker's reports
+    :param id: job id
+    :param attempt: attempt number
+    :param how: how it ended
+    :param checkpoint: object key of its last checkpoint, or None
+    :param detail: reason of a failure, else empty
+    """
+
+    sequence: int
+    id: str
+    attempt: int
+    how: ExecutionEnd
+    checkpoint: str | None
+    detail: str
--- /dev/null
+++ b/src/carawaystep/worker/reservation.py
@@ -0,0 +1,26 @@
+"""Capacity held for one execution."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.worker.resources import Resources
+    from carawaystep.worker.work_kind import WorkKind
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Capacity held for one execution until its end is certain.
+
+    :param id: request id, or job id of a task
+    :param kind: request or task
+    :param attempt: attempt number of a task, 0 for a request
+    :param needs: resources held beside one slot
+    """
+
+    id: str
+    kind: WorkKind
+    attempt: int
+    needs: Resources
--- /dev/null
+++ b/src/carawaystep/worker/worker_request.py
@@ -0,0 +1,27 @@
+"""A request as it is sent to a worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.worker.resources import Resources
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRequest:
+    """One dispatch of a caller's request.
+
+    :param request_id: never used for another dispatch
+    :param service: name of the service
+    :param idempotency_key: the caller's key, or None
+    :param needs: resources that it holds while it runs
+    :param body: the caller's body
+    """
+
+    request_id: str
+    service: str
+    idempotency_key: str | None
+    needs: Resources
+    body: bytes
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools; they may start processes."""
