--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,12 @@
 
 .PHONY: install demo test lint format unit check-model
 
+# SKIP_INSTALL=1 uses the environment as it is.
+ifeq ($(SKIP_INSTALL),)
 install: $(VENV)/.installed
+else
+install:
+endif
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- /dev/null
+++ b/src/carawaystep/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: its tasks and their composition."""
