--- a/src/carawaystep/entry/entry_service.py
+++ b/src/carawaystep/entry/entry_service.py
@@ -83,6 +83,7 @@
 
     @abstractmethod
     def timeline(self, since_s: float) -> tuple[float, list[TimelineEvent]]:
-        """Return the present monotonic time and the events of the last
-        ``since_s`` seconds.
+        """Return the present monotonic time and recent events.
+
+        :param since_s: how many seconds to look back
         """
