--- /dev/null
+++ b/tools/launch.py
@@ -0,0 +1,94 @@
+"""Runs an example deployment until it is interrupted."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from dataclasses import dataclass
+import json
+from pathlib import Path
+import sys
+from tempfile import TemporaryDirectory
+from typing import Annotated
+
+import cappa
+from result import Err
+
+from tools.deployment import load_deployment
+from tools.interruptible import run_interruptible
+from tools.launcher import Launcher
+from tools.managed_process import ROOT
+
+
+@dataclass
+class Launch:
+    """Run a deployment on loopback.
+
+    :param example: name of a directory below examples/
+    :param entries: entry processes in all, instead of all entry VMs
+    :param seconds: stop after this time, instead of at SIGTERM or SIGINT
+    :param directory: where settings, tokens and output go; it stays. Without
+        it a temporary directory is used and removed.
+    """
+
+    example: str
+    entries: Annotated[int | None, cappa.Arg(long=True)] = None
+    seconds: Annotated[float | None, cappa.Arg(long=True)] = None
+    directory: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+    async def run(self) -> int:
+        """Start, wait and stop; return the exit code."""
+        path = ROOT / "examples" / self.example / "deployment.yaml"
+        loaded = load_deployment(path)
+        if isinstance(loaded, Err):
+            return self._fail(loaded.err_value)
+        deployment = loaded.ok_value
+        if self.entries is not None:
+            refusal = deployment.check_entry_count(self.entries)
+            if refusal is not None:
+                return self._fail(refusal)
+        with ExitStack() as stack:
+            launcher = Launcher(
+                deployment, self._open_directory(stack), self.entries
+            )
+            return await self._run(launcher)
+
+    async def _run(self, launcher: Launcher) -> int:
+        started = await launcher.start()
+        if isinstance(started, Err):
+            return self._fail(str(started.err_value))
+        try:
+            print(json.dumps(launcher.ready_line()), flush=True)
+            await self._wait()
+        except asyncio.CancelledError:
+            print("launch: interrupted, stopping", file=sys.stderr)
+        finally:
+            await launcher.stop()
+        return 0
+
+    async def _wait(self) -> None:
+        if self.seconds is None:
+            await asyncio.Event().wait()
+        else:
+            await asyncio.sleep(self.seconds)
+
+    def _open_directory(self, stack: ExitStack) -> Path:
+        if self.directory is None:
+            temporary = TemporaryDirectory(prefix="carawaystep-")
+            return Path(stack.enter_context(temporary))
+        self.directory.mkdir(parents=True, exist_ok=True)
+        return self.directory.resolve()
+
+    @staticmethod
+    def _fail(detail: str) -> int:
+        print(f"launch: {detail}", file=sys.stderr)
+        return 1
+
+
+def main() -> int:
+    """Run the command line."""
+    return run_interruptible(cappa.parse(Launch).run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/launcher.py
@@ -0,0 +1,226 @@
+"""Runs a deployment as separate processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from aiosonic import HTTPClient
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+from result import Err
+from result import Ok
+
+from tools.launch_failure import LaunchFailure
+from tools.port_allocator import HOST
+from tools.port_allocator import PortAllocator
+from tools.process_group import ProcessGroup
+from tools.settings_writer import SettingsWriter
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from typing import Any
+
+    from result import Result
+
+    from tools.deployment import Deployment
+    from tools.managed_process import ManagedProcess
+    from tools.process_spec import ProcessSpec
+
+_READY_LIMIT_S = 30.0
+_POLL_S = 0.1
+_PROBE_LIMIT_S = 1.0
+# Time between the end of a drain and the end of the process.
+_EXIT_MARGIN_S = 3.0
+
+
+class Launcher:
+    """Starts a deployment, tells when it is ready and stops all of it."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        directory: Path,
+        entries: int | None = None,
+        ready_limit_s: float = _READY_LIMIT_S,
+    ) -> None:
+        """Create a launcher; nothing is started yet.
+
+        :param deployment: what to start
+        :param directory: where settings, tokens and output go
+        :param entries: number of entry processes, None for all
+        :param ready_limit_s: time within which each stage must be ready
+        """
+        self._deployment = deployment
+        self._directory = directory
+        self._entries = entries or deployment.entry_count
+        self._ready_limit_s = ready_limit_s
+        self._ports = PortAllocator()
+        self._writer = SettingsWriter(deployment, directory, self._ports)
+        self._group = ProcessGroup(directory)
+
+    @property
+    def group(self) -> ProcessGroup:
+        """Return the processes."""
+        return self._group
+
+    @property
+    def entries(self) -> tuple[ManagedProcess, ...]:
+        """Return the entry processes."""
+        return tuple(
+            process
+            for process in self._group.processes
+            if process.spec.role == "entry"
+        )
+
+    @property
+    def worker_urls(self) -> dict[str, str]:
+        """Return the base URL of each worker."""
+        return {
+            name: url
+            for process in self._group.processes
+            for name, url in process.spec.workers.items()
+        }
+
+    def token(self, name: str) -> str:
+        """Return a token by its name in the deployment file."""
+        return self.token_file(name).read_text().strip()
+
+    def token_file(self, name: str) -> Path:
+        """Return the file that holds one token."""
+        return self._writer.token_file(name)
+
+    def ready_line(self) -> dict[str, Any]:
+        """Return the description of the running deployment."""
+        return {
+            "ready": True,
+            "directory": str(self._directory),
+            "tokens_file": str(self._writer.tokens_file),
+            "processes": [
+                self._describe(process) for process in self._group.processes
+            ],
+        }
+
+    async def start(self) -> Result[None, LaunchFailure]:
+        """Start all processes and wait until they are ready.
+
+        Whatever was started has ended again when this fails or is cancelled.
+        """
+        ready = False
+        try:
+            for stage in self._stages():
+                failure = await self._start_stage(stage)
+                if failure is not None:
+                    return Err(failure)
+            ready = True
+            return Ok(None)
+        finally:
+            if not ready:
+                await self.stop()
+
+    async def stop(self) -> tuple[str, ...]:
+        """Stop all processes, entries first.
+
+        The stand-ins run on while the entries hand their workers over.
+
+        :returns: names of the processes that needed SIGKILL
+        """
+        self._ports.close()
+        limit_s = self._deployment.drain_limit_s + _EXIT_MARGIN_S
+        killed: tuple[str, ...] = ()
+        try:
+            killed = await self._group.stop(limit_s, "entry")
+        finally:
+            killed += await self._group.stop(_EXIT_MARGIN_S)
+        return killed
+
+    def _stages(self) -> list[list[ProcessSpec]]:
+        self._writer.write_tokens()
+        names = self._deployment.entry_names(self._entries)
+        return [
+            [self._writer.write_platform()],
+            [
+                self._writer.write_workers(zone)
+                for zone in self._deployment.availability_zones
+            ],
+            [
+                self._writer.write_entry(name, zone)
+                for zone, entries in names.items()
+                for name in entries
+            ],
+        ]
+
+    async def _start_stage(
+        self, stage: list[ProcessSpec]
+    ) -> LaunchFailure | None:
+        processes = []
+        for spec in stage:
+            self._ports.release(spec.ports)
+            processes.append(self._group.start(spec))
+        failures = await asyncio.gather(
+            *(self._await_ready(process) for process in processes)
+        )
+        return next((failure for failure in failures if failure), None)
+
+    async def _await_ready(
+        self, process: ManagedProcess
+    ) -> LaunchFailure | None:
+        until = monotonic() + self._ready_limit_s
+        while process.running:
+            if await self._is_ready(process.spec):
+                return None
+            if monotonic() > until:
+                detail = f"was not ready within {self._ready_limit_s:.0f} s"
+                return self._failure(process, detail)
+            await asyncio.sleep(_POLL_S)
+        return self._failure(
+            process,
+            f"ended with exit code {process.exit_code} before it was ready",
+        )
+
+    async def _is_ready(self, spec: ProcessSpec) -> bool:
+        if spec.role == "entry":
+            return await self._answers(f"{spec.url}/readyz")
+        return all([await self._listens(port) for port in spec.ports])
+
+    @staticmethod
+    def _failure(process: ManagedProcess, detail: str) -> LaunchFailure:
+        return LaunchFailure(
+            process.spec.name, detail, process.last_error_lines()
+        )
+
+    @staticmethod
+    def _describe(process: ManagedProcess) -> dict[str, Any]:
+        spec = process.spec
+        fields = {
+            "role": spec.role,
+            "name": spec.name,
+            "zone": spec.zone,
+            "pid": process.pid,
+            "url": spec.url,
+        }
+        return {**fields, "workers": spec.workers} if spec.workers else fields
+
+    @staticmethod
+    async def _answers(url: str) -> bool:
+        limits = Timeouts(request_timeout=_PROBE_LIMIT_S)
+        async with HTTPClient() as client:
+            try:
+                response = await client.get(url, timeouts=limits)
+            except (OSError, AiosonicError, TimeoutError):
+                return False
+            return bool(response.status_code == 200)
+
+    @staticmethod
+    async def _listens(port: int) -> bool:
+        try:
+            async with asyncio.timeout(_PROBE_LIMIT_S):
+                _, writer = await asyncio.open_connection(HOST, port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        with suppress(OSError):
+            await writer.wait_closed()
+        return True
--- /dev/null
+++ b/tools/managed_process.py
@@ -0,0 +1,106 @@
+"""One process that a tool started."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+from signal import SIGKILL
+from subprocess import DEVNULL
+from subprocess import Popen
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tools.process_spec import ProcessSpec
+
+ROOT = Path(__file__).resolve().parent.parent
+_TAIL_BYTES = 4096
+
+
+class ManagedProcess:
+    """A child process with its output in files."""
+
+    def __init__(self, spec: ProcessSpec, directory: Path) -> None:
+        """Start the process.
+
+        It leads a session of its own, so that an interrupt at the terminal
+        reaches only the tool, which then stops its processes in order.
+
+        :param spec: what to start
+        :param directory: where its output goes
+        """
+        self._spec = spec
+        self._output_path = directory / f"{spec.name}.stdout"
+        self._error_path = directory / f"{spec.name}.stderr"
+        environment = dict(os.environ, PYTHONUNBUFFERED="1")
+        environment["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+        with (
+            self._output_path.open("wb") as output,
+            self._error_path.open("wb") as errors,
+        ):
+            self._process = Popen(  # noqa: S603
+                spec.command,
+                stdin=DEVNULL,
+                stdout=output,
+                stderr=errors,
+                cwd=ROOT,
+                env=environment,
+                start_new_session=True,
+            )
+
+    @property
+    def spec(self) -> ProcessSpec:
+        """Return what was started."""
+        return self._spec
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether it runs; an ended process is reaped."""
+        return self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, negative for a signal, None while it runs."""
+        return self._process.poll()
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal unless the process has ended."""
+        self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it with SIGKILL and reap it."""
+        self._process.send_signal(SIGKILL)
+        self._process.wait()
+
+    async def wait(self, limit_s: float) -> int | None:
+        """Wait for its end.
+
+        :param limit_s: how long to wait
+        :returns: the exit code, None when it still runs
+        """
+        if not self.running:
+            return self.exit_code
+        ended = asyncio.Event()
+        descriptor = os.pidfd_open(self.pid)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(descriptor, ended.set)
+        try:
+            async with asyncio.timeout(limit_s):
+                await ended.wait()
+        except TimeoutError:
+            pass
+        finally:
+            loop.remove_reader(descriptor)
+            os.close(descriptor)
+        return self.exit_code
+
+    def last_error_lines(self, count: int = 8) -> str:
+        """Return the end of its standard error."""
+        content = self._error_path.read_bytes()[-_TAIL_BYTES:]
+        lines = content.decode(errors="replace").splitlines()
+        return "\n".join(lines[-count:])
--- /dev/null
+++ b/tools/settings_writer.py
@@ -0,0 +1,185 @@
+"""Settings files of a deployment on loopback."""
+
+from __future__ import annotations
+
+import os
+from secrets import token_hex
+import sys
+from typing import TYPE_CHECKING
+
+from ruamel.yaml import YAML
+
+from carawaystep.settings.entry_settings import AccessSettings
+from carawaystep.settings.entry_settings import EntrySettings
+from carawaystep.settings.entry_settings import ListenSettings
+from carawaystep.settings.entry_settings import PlatformSettings
+from carawaystep.settings.standin_platform_settings import (
+    StandinPlatformSettings,  # noqa: H301
+)
+from carawaystep.settings.standin_platform_settings import StandinVmSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkerSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkersSettings
+from tools.port_allocator import HOST
+from tools.process_spec import ProcessSpec
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from typing import Any
+
+    from tools.deployment import Deployment
+    from tools.deployment import DeploymentWorker
+    from tools.deployment import DeploymentZone
+    from tools.port_allocator import PortAllocator
+
+
+class SettingsWriter:
+    """Writes the settings and token files and says what to start."""
+
+    def __init__(
+        self, deployment: Deployment, directory: Path, ports: PortAllocator
+    ) -> None:
+        """Create a writer.
+
+        :param deployment: what to write settings for
+        :param directory: where the files go
+        :param ports: source of free ports
+        """
+        self._deployment = deployment
+        self._directory = directory
+        self._ports = ports
+        self._platform_port = ports.reserve()
+        self._worker_ports = {
+            worker.name: ports.reserve() for worker in deployment.workers
+        }
+
+    @property
+    def tokens_file(self) -> Path:
+        """Return the file with all tokens."""
+        return self._directory / "tokens.yaml"
+
+    def token_file(self, name: str) -> Path:
+        """Return the file that holds one token and nothing else."""
+        return self._directory / f"{name}.token"
+
+    def write_tokens(self) -> None:
+        """Make up tokens and write them to files that only the user reads."""
+        tokens = {spec.name: token_hex(24) for spec in self._deployment.tokens}
+        rows = [
+            {
+                "token": tokens[spec.name],
+                "team": spec.team,
+                "roles": spec.roles,
+            }
+            for spec in self._deployment.tokens
+        ]
+        for name, token in tokens.items():
+            self._write_secret(self.token_file(name), f"{token}\n")
+        self._write_secret(self.tokens_file, "")
+        self._dump(self.tokens_file, rows)
+
+    def write_platform(self) -> ProcessSpec:
+        """Write the settings of the stand-in platform."""
+        settings = StandinPlatformSettings(
+            http=ListenSettings(host=HOST, port=self._platform_port),
+            vms=[
+                StandinVmSettings(
+                    name=worker.name,
+                    availability_zone=zone.name,
+                    rack=worker.rack,
+                    url=self._worker_url(worker),
+                )
+                for zone in self._deployment.availability_zones
+                for worker in zone.workers
+            ],
+        )
+        return ProcessSpec(
+            "platform",
+            "platform",
+            self._command("platform", settings, "standin", "platform"),
+            url=self._url(self._platform_port),
+            ports=(self._platform_port,),
+        )
+
+    def write_workers(self, zone: DeploymentZone) -> ProcessSpec:
+        """Write the settings of the stand-in workers of one zone."""
+        size = self._deployment.worker
+        settings = StandinWorkersSettings(
+            services=self._deployment.services,
+            workers=[
+                StandinWorkerSettings(
+                    name=worker.name,
+                    http=ListenSettings(
+                        host=HOST, port=self._worker_ports[worker.name]
+                    ),
+                    accelerators=worker.accelerators,
+                    **size.model_dump(),
+                )
+                for worker in zone.workers
+            ],
+        )
+        name = f"workers-{zone.name}"
+        return ProcessSpec(
+            "workers",
+            name,
+            self._command(name, settings, "standin", "worker"),
+            zone=zone.name,
+            url=self._worker_url(zone.workers[0]),
+            ports=tuple(
+                self._worker_ports[worker.name] for worker in zone.workers
+            ),
+            workers={
+                worker.name: self._worker_url(worker)
+                for worker in zone.workers
+            },
+        )
+
+    def write_entry(self, name: str, zone: str) -> ProcessSpec:
+        """Write the settings of one entry process."""
+        http_port = self._ports.reserve()
+        peer_port = self._ports.reserve()
+        settings = EntrySettings(
+            name=name,
+            availability_zone=zone,
+            http=ListenSettings(host=HOST, port=http_port),
+            advertised_url=self._url(http_port),
+            peer_address=f"tcp://{HOST}:{peer_port}",
+            platform=PlatformSettings(url=self._url(self._platform_port)),
+            access=AccessSettings(tokens_file=self.tokens_file),
+            drain_limit_s=self._deployment.drain_limit_s,
+        )
+        return ProcessSpec(
+            "entry",
+            name,
+            self._command(name, settings, "entry"),
+            zone=zone,
+            url=self._url(http_port),
+            ports=(http_port, peer_port),
+        )
+
+    def _command(
+        self, name: str, settings: Any, *words: str
+    ) -> tuple[str, ...]:
+        path = self._directory / f"{name}.yaml"
+        self._dump(path, settings.model_dump(mode="json"))
+        module = (sys.executable, "-m", "carawaystep")
+        return (*module, *words, "--settings", str(path))
+
+    def _worker_url(self, worker: DeploymentWorker) -> str:
+        return self._url(self._worker_ports[worker.name])
+
+    @staticmethod
+    def _url(port: int) -> str:
+        return f"http://{HOST}:{port}"
+
+    @staticmethod
+    def _write_secret(path: Path, text: str) -> None:
+        # An earlier file could be readable for others, so it is replaced.
+        path.unlink(missing_ok=True)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+        with os.fdopen(os.open(path, flags, 0o600), "w") as file:
+            file.write(text)
+
+    @staticmethod
+    def _dump(path: Path, content: Any) -> None:
+        with path.open("w") as file:
+            YAML(typ="safe", pure=True).dump(content, file)
