Add the demo and the audit of the ledgers

Cause: one command has to show that no request or job ran twice and no worker was overcommitted while an entry process died. Change: tools/demo.py with LoadGenerator, JobDriver, LedgerAudit and the summary line; make demo passes EXAMPLE through.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 VENV ?= .venv
 PYTHON ?= python3
+EXAMPLE ?= papadakis
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
@@ -20,7 +21,7 @@
 	touch $@
 
 demo: install
-	$(BIN)/python -m tools.demo
+	$(BIN)/python -m tools.demo $(EXAMPLE)
 
 lint: install
 	$(BIN)/ruff format --check src tests tools
--- /dev/null
+++ b/tools/call_record.py
@@ -0,0 +1,32 @@
+"""What a caller was told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.request.outcome import Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """One call of a load generator.
+
+    :param service: name of the service
+    :param key: the Idempotency-Key, None when none was sent
+    :param entry: base URL of the entry
+    :param outcome: what the caller knows, None when the call was refused
+        before it became a request
+    :param request_id: id given by the entry, None when none arrived
+    :param status: HTTP status, None when no response arrived
+    :param latency_s: time from sending to the last byte of the response
+    """
+
+    service: str
+    key: str | None
+    entry: str
+    outcome: Outcome | None
+    request_id: str | None
+    status: int | None
+    latency_s: float
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,258 @@
+"""Runs a deployment under load, kills an entry and audits the ledgers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import replace
+from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
+import sys
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+from aiosonic import HTTPClient
+import cappa
+from result import Err
+from result import Ok
+
+from carawaystep.document.service_kind import ServiceKind
+from tools.demo_summary import DemoSummary
+from tools.demo_summary import summarize
+from tools.deployment import load_deployment
+from tools.entry_rotation import EntryRotation
+from tools.example_service import load_services
+from tools.http_caller import HttpCaller
+from tools.interruptible import run_interruptible
+from tools.job_driver import JobDriver
+from tools.launcher import Launcher
+from tools.ledger import Ledger
+from tools.ledger_audit import LedgerAudit
+from tools.load_generator import LoadGenerator
+from tools.load_plan import LoadPlan
+from tools.managed_process import ROOT
+from tools.process_spec import ProcessSpec
+from tools.run_directory import open_run_directory
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from tools.example_service import ExampleService
+
+_APPLY_WAIT_S = 16
+_APPLY_LIMIT_S = 60.0
+_JOBS_LIMIT_S = 90.0
+_LEDGER_LIMIT_S = 10.0
+_PROGRESS_S = 5.0
+# Each non-idempotent request writes its key at least twice, and the table
+# service takes 400 writes a second for everything.
+_IDEMPOTENT_CALLERS = 12
+_NON_IDEMPOTENT_CALLERS = 6
+_PAUSE_S = 0.2
+_JOBS = 30
+_JOB_RUN_S = 3.0
+_KILL_AFTER_SHARE = 0.35
+
+
+@dataclass
+class Demo:
+    """Show an example at work while one of its entries dies.
+
+    :param example: name of a directory below examples/
+    :param seconds: how long requests are sent
+    :param entries: entry processes in all, instead of all entry VMs
+    :param directory: where settings, tokens and output go; it stays. Without
+        it a temporary directory is used and removed.
+    """
+
+    example: str = "papadakis"
+    seconds: Annotated[float, cappa.Arg(long=True)] = 20.0
+    entries: Annotated[int | None, cappa.Arg(long=True)] = None
+    directory: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+    @property
+    def _example_path(self) -> Path:
+        return ROOT / "examples" / self.example
+
+    async def run(self) -> int:
+        """Run everything; return the exit code."""
+        with open_run_directory(self.directory) as directory:
+            summary = await self._launch(directory)
+        if summary.error is not None:
+            self._say(summary.error)
+        print(summary.line(), flush=True)
+        return 0 if summary.passed else 1
+
+    async def _launch(self, directory: Path) -> DemoSummary:
+        loaded = load_deployment(self._example_path / "deployment.yaml")
+        if isinstance(loaded, Err):
+            return DemoSummary(error=loaded.err_value)
+        count = self.entries or loaded.ok_value.entry_count
+        refusal = loaded.ok_value.check_entry_count(count)
+        if refusal is not None:
+            return DemoSummary(error=refusal)
+        launcher = Launcher(loaded.ok_value, directory, count)
+        self._say(f"starting {self.example} with {count} entries")
+        started = await launcher.start()
+        if isinstance(started, Err):
+            return DemoSummary(error=str(started.err_value))
+        forced: tuple[str, ...] = ()
+        try:
+            summary = await self._use(launcher)
+        finally:
+            self._say("stopping all processes")
+            forced = await launcher.stop()
+        for name in forced:
+            self._say(f"{name} did not stop by itself and was killed")
+        return replace(summary, forced=len(forced))
+
+    async def _use(self, launcher: Launcher) -> DemoSummary:
+        failure = await self._apply_documents(launcher)
+        if failure is not None:
+            return DemoSummary(error=failure)
+        services = load_services(self._example_path / "documents")
+        rotation = EntryRotation(
+            process.spec.url or "" for process in launcher.entries
+        )
+        token = launcher.token("callers")
+        async with HTTPClient() as client:
+            caller = HttpCaller(client)
+            generators = [
+                LoadGenerator(
+                    service, self._plan(service), rotation, caller, token
+                )
+                for service in services
+                if service.kind is ServiceKind.LATENCY_CRITICAL
+            ]
+            drivers = [
+                JobDriver(service.service, rotation, caller, token)
+                for service in services
+                if service.kind is ServiceKind.BATCH
+            ]
+            await self._load(launcher, generators, drivers)
+            await self._wait_for_jobs(drivers)
+            ledgers = await self._read_ledgers(launcher, caller)
+        if isinstance(ledgers, Err):
+            return DemoSummary(error=ledgers.err_value)
+        return self._judge(services, generators, drivers, ledgers.ok_value)
+
+    async def _apply_documents(self, launcher: Launcher) -> str | None:
+        """Put the documents in force; return what went wrong."""
+        self._say("applying the documents")
+        command = (
+            *(sys.executable, "-m", "carawaystep", "document", "apply"),
+            str(self._example_path / "documents"),
+            *("--url", launcher.entries[0].spec.url or ""),
+            *("--token-file", str(launcher.token_file("operators"))),
+            *("--wait", str(_APPLY_WAIT_S)),
+        )
+        process = launcher.group.start(
+            ProcessSpec("command", "document-apply", command)
+        )
+        code = await process.wait(_APPLY_LIMIT_S)
+        if code == 0:
+            return None
+        if code is None:
+            return f"document apply still runs after {_APPLY_LIMIT_S:.0f} s"
+        return (
+            f"document apply ended with exit code {code}; it wrote:\n"
+            f"{process.last_error_lines()}"
+        )
+
+    async def _load(
+        self,
+        launcher: Launcher,
+        generators: list[LoadGenerator],
+        drivers: list[JobDriver],
+    ) -> None:
+        self._say(f"sending requests and jobs for {self.seconds:g} s")
+        async with asyncio.TaskGroup() as group:
+            for generator in generators:
+                group.create_task(generator.run())
+            pause_s = 0.8 * self.seconds / _JOBS
+            for driver in drivers:
+                group.create_task(driver.submit(_JOBS, pause_s, _JOB_RUN_S))
+            group.create_task(self._kill_entry(launcher))
+            group.create_task(self._report(generators, drivers))
+
+    async def _kill_entry(self, launcher: Launcher) -> None:
+        await asyncio.sleep(self.seconds * _KILL_AFTER_SHARE)
+        victim = launcher.entries[len(launcher.entries) // 2]
+        launcher.group.kill(victim.spec.name)
+        self._say(f"killed entry {victim.spec.name} with SIGKILL")
+
+    async def _report(
+        self, generators: list[LoadGenerator], drivers: list[JobDriver]
+    ) -> None:
+        for _ in range(int(self.seconds / _PROGRESS_S)):
+            await asyncio.sleep(_PROGRESS_S)
+            outcomes = Counter(
+                str(record.outcome)
+                for generator in generators
+                for record in generator.records
+            )
+            jobs = sum(driver.accepted for driver in drivers)
+            self._say(f"calls so far {dict(outcomes)}, jobs accepted {jobs}")
+
+    async def _wait_for_jobs(self, drivers: list[JobDriver]) -> None:
+        accepted = sum(driver.accepted for driver in drivers)
+        self._say(f"waiting for the end of {accepted} jobs")
+        async with asyncio.timeout(_JOBS_LIMIT_S + _LEDGER_LIMIT_S):
+            await asyncio.gather(
+                *(driver.wait(_JOBS_LIMIT_S) for driver in drivers)
+            )
+        for driver in drivers:
+            for job in driver.open_jobs:
+                self._say(f"job {job} is still {driver.states[job]}")
+
+    async def _read_ledgers(
+        self, launcher: Launcher, caller: HttpCaller
+    ) -> Result[list[Ledger], str]:
+        self._say("reading the ledgers of all workers")
+        ledgers = []
+        for name, url in launcher.worker_urls.items():
+            sent = await caller.get(f"{url}/ledger", {}, _LEDGER_LIMIT_S)
+            if isinstance(sent, Err) or sent.ok_value.status != 200:
+                return Err(f"the ledger of worker {name} cannot be read")
+            ledgers.append(Ledger.model_validate_json(sent.ok_value.body))
+        return Ok(ledgers)
+
+    def _judge(
+        self,
+        services: tuple[ExampleService, ...],
+        generators: list[LoadGenerator],
+        drivers: list[JobDriver],
+        ledgers: list[Ledger],
+    ) -> DemoSummary:
+        calls = [
+            record for generator in generators for record in generator.records
+        ]
+        findings = LedgerAudit(services, ledgers, calls).findings()
+        for finding in findings.all:
+            self._say(f"violation: {finding}")
+        jobs = {
+            job: state
+            for driver in drivers
+            for job, state in driver.states.items()
+        }
+        jobs_open = sum(len(driver.open_jobs) for driver in drivers)
+        return summarize(calls, jobs, jobs_open, findings)
+
+    def _plan(self, service: ExampleService) -> LoadPlan:
+        callers = _NON_IDEMPOTENT_CALLERS
+        if service.idempotent:
+            callers = _IDEMPOTENT_CALLERS
+        return LoadPlan(callers, _PAUSE_S, self.seconds)
+
+    @staticmethod
+    def _say(text: str) -> None:
+        print(f"demo: {text}", file=sys.stderr, flush=True)
+
+
+def main() -> int:
+    """Run the command line."""
+    return run_interruptible(cappa.parse(Demo).run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/example_service.py
@@ -0,0 +1,49 @@
+"""A service of an example, as far as a caller has to know it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ruamel.yaml import YAML
+
+from carawaystep.document.service_kind import ServiceKind
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class ExampleService:
+    """What decides how a service is called.
+
+    :param service: name of the service
+    :param kind: latency-critical, batch or standing
+    :param idempotent: whether a request may run more than once
+    :param deadline_s: default deadline of a request, seconds
+    """
+
+    service: str
+    kind: ServiceKind
+    idempotent: bool = True
+    deadline_s: float = 2.0
+
+
+def load_services(directory: Path) -> tuple[ExampleService, ...]:
+    """Read the documents of an example.
+
+    The entries validate the documents; this only reads a few fields.
+    """
+    services = []
+    for path in sorted(directory.glob("*.yaml")):
+        content = YAML(typ="safe", pure=True).load(path)
+        requests = content.get("requests", {})
+        services.append(
+            ExampleService(
+                content["service"],
+                ServiceKind(content["kind"]),
+                requests.get("idempotent", True),
+                requests.get("deadline_s", 2.0),
+            )
+        )
+    return tuple(services)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import ExitStack
 from dataclasses import dataclass
 import json
-from pathlib import Path
+from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
 import sys
-from tempfile import TemporaryDirectory
 from typing import Annotated
 
 import cappa
@@ -18,6 +16,7 @@
 from tools.interruptible import run_interruptible
 from tools.launcher import Launcher
 from tools.managed_process import ROOT
+from tools.run_directory import open_run_directory
 
 
 @dataclass
@@ -47,11 +46,10 @@
             refusal = deployment.check_entry_count(self.entries)
             if refusal is not None:
                 return self._fail(refusal)
-        with ExitStack() as stack:
-            launcher = Launcher(
-                deployment, self._open_directory(stack), self.entries
+        with open_run_directory(self.directory) as directory:
+            return await self._run(
+                Launcher(deployment, directory, self.entries)
             )
-            return await self._run(launcher)
 
     async def _run(self, launcher: Launcher) -> int:
         started = await launcher.start()
@@ -72,13 +70,6 @@
         else:
             await asyncio.sleep(self.seconds)
 
-    def _open_directory(self, stack: ExitStack) -> Path:
-        if self.directory is None:
-            temporary = TemporaryDirectory(prefix="carawaystep-")
-            return Path(stack.enter_context(temporary))
-        self.directory.mkdir(parents=True, exist_ok=True)
-        return self.directory.resolve()
-
     @staticmethod
     def _fail(detail: str) -> int:
         print(f"launch: {detail}", file=sys.stderr)
--- /dev/null
+++ b/tools/ledger_audit.py
@@ -0,0 +1,167 @@
+"""Checks the ledgers of all workers against the invariants."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from carawaystep.document.service_kind import ServiceKind
+from carawaystep.request.outcome import Outcome
+from carawaystep.worker.execution_end import ExecutionEnd
+from tools.audit_findings import AuditFindings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from tools.call_record import CallRecord
+    from tools.example_service import ExampleService
+    from tools.ledger import Execution
+    from tools.ledger import Ledger
+
+_NO_EXECUTIONS: tuple[Execution, ...] = ()
+
+
+class LedgerAudit:
+    """Compares what workers ran with what callers were told."""
+
+    def __init__(
+        self,
+        services: Iterable[ExampleService],
+        ledgers: Sequence[Ledger],
+        calls: Sequence[CallRecord],
+    ) -> None:
+        """Create an audit.
+
+        :param services: services of the documents that are in force
+        :param ledgers: ledgers of all workers
+        :param calls: every call that may have reached an entry
+        """
+        services = tuple(services)
+        self._keyed = {s.service for s in services if not s.idempotent}
+        self._standing = {
+            s.service for s in services if s.kind is ServiceKind.STANDING
+        }
+        self._ledgers = ledgers
+        self._calls = calls
+        self._requests_by_id: dict[str, list[Execution]] = defaultdict(list)
+        self._requests_by_key: dict[tuple[str, str], list[Execution]]
+        self._requests_by_key = defaultdict(list)
+        self._tasks: dict[str, list[Execution]] = defaultdict(list)
+        for ledger in ledgers:
+            for execution in ledger.executions:
+                self._index(execution)
+
+    def findings(self) -> AuditFindings:
+        """Return all violations."""
+        return AuditFindings(
+            executed_twice=(
+                *self._keys_run_twice(),
+                *self._ids_run_twice(),
+                *self._jobs_run_twice(),
+            ),
+            overcommitted=tuple(self._peaks_above_limits()),
+            disagreements=tuple(self._untrue_outcomes()),
+        )
+
+    def _index(self, execution: Execution) -> None:
+        if execution.kind == "task":
+            self._tasks[execution.id].append(execution)
+            return
+        self._requests_by_id[execution.id].append(execution)
+        if execution.key and execution.service in self._keyed:
+            name = (execution.service, execution.key)
+            self._requests_by_key[name].append(execution)
+
+    def _keys_run_twice(self) -> Iterator[str]:
+        for (service, key), executions in self._requests_by_key.items():
+            if len(executions) > 1:
+                yield f"key {key} of {service} ran {len(executions)} times"
+
+    def _ids_run_twice(self) -> Iterator[str]:
+        for request_id, executions in self._requests_by_id.items():
+            if len(executions) > 1:
+                yield (
+                    f"request {request_id} of {executions[0].service} ran"
+                    f" {len(executions)} times"
+                )
+
+    def _jobs_run_twice(self) -> Iterator[str]:
+        for job, executions in self._tasks.items():
+            faults = []
+            ordered = sorted(executions, key=lambda one: one.start)
+            latest_end = ordered[0].end_or_never
+            for execution in ordered[1:]:
+                if execution.start < latest_end:
+                    faults.append("in two places at once")
+                    break
+                latest_end = max(latest_end, execution.end_or_never)
+            if self._done_twice(ordered):
+                faults.append("to its end more than once")
+            if faults:
+                yield f"job {job} ran {' and '.join(faults)}"
+
+    def _done_twice(self, executions: list[Execution]) -> bool:
+        done = [e for e in executions if e.how == ExecutionEnd.DONE]
+        if len(done) < 2:
+            return False
+        # A standing service is queued again whenever it ends, so only a
+        # single attempt of it must not be done twice.
+        if done[0].service not in self._standing:
+            return True
+        attempts = Counter(execution.attempt for execution in done)
+        return max(attempts.values()) > 1
+
+    def _peaks_above_limits(self) -> Iterator[str]:
+        for ledger in self._ledgers:
+            for name, (peak, limit) in ledger.peaks.items():
+                if peak > limit:
+                    yield (
+                        f"worker {ledger.worker} held {peak:g} {name}, its"
+                        f" limit is {limit:g}"
+                    )
+
+    def _untrue_outcomes(self) -> Iterator[str]:
+        for call in self._calls:
+            if call.outcome is Outcome.ANSWERED and not self._was_done(call):
+                yield (
+                    f"request {call.request_id} of {call.service} was told"
+                    " answered, but no execution of it ended as done"
+                )
+            if call.outcome is Outcome.NOT_RUN and self._was_run(call):
+                yield (
+                    f"request {call.request_id} of {call.service} was told"
+                    " not-run, but it was executed"
+                )
+
+    def _was_done(self, call: CallRecord) -> bool:
+        executions = [*self._by_id(call), *self._by_key(call)]
+        return any(e.how == ExecutionEnd.DONE for e in executions)
+
+    def _was_run(self, call: CallRecord) -> bool:
+        if self._by_id(call):
+            return True
+        # A key released by one call may be claimed by another one. That call
+        # then knows of the execution, and not-run is true for this one.
+        return bool(self._by_key(call)) and not self._known_to_another(call)
+
+    def _known_to_another(self, call: CallRecord) -> bool:
+        return any(
+            other.key == call.key
+            and other.service == call.service
+            and other.outcome in (Outcome.ANSWERED, Outcome.UNKNOWN)
+            for other in self._calls
+        )
+
+    def _by_id(self, call: CallRecord) -> Sequence[Execution]:
+        if call.request_id is None:
+            return _NO_EXECUTIONS
+        return self._requests_by_id.get(call.request_id, _NO_EXECUTIONS)
+
+    def _by_key(self, call: CallRecord) -> Sequence[Execution]:
+        if call.key is None:
+            return _NO_EXECUTIONS
+        name = (call.service, call.key)
+        return self._requests_by_key.get(name, _NO_EXECUTIONS)
--- /dev/null
+++ b/tools/load_generator.py
@@ -0,0 +1,159 @@
+"""Callers of a latency-critical service."""
+
+from __future__ import annotations
+
+import asyncio
+from secrets import token_hex
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from carawaystep.request.outcome import Outcome
+from tools.call_record import CallRecord
+from tools.send_failure import SendFailure
+
+if TYPE_CHECKING:
+    from tools.entry_rotation import EntryRotation
+    from tools.example_service import ExampleService
+    from tools.http_answer import HttpAnswer
+    from tools.http_caller import HttpCaller
+    from tools.load_plan import LoadPlan
+
+# Beyond the deadline an entry still has to send its response.
+_RESPONSE_MARGIN_S = 5.0
+_MAX_SENDS = 3
+
+
+class LoadGenerator:
+    """Sends requests through all entries, one task for each caller.
+
+    A caller whose connection breaks does not know the outcome. It sends an
+    idempotent request again through another entry, a non-idempotent one
+    never.
+    """
+
+    def __init__(
+        self,
+        service: ExampleService,
+        plan: LoadPlan,
+        rotation: EntryRotation,
+        caller: HttpCaller,
+        token: str,
+    ) -> None:
+        """Create a generator.
+
+        :param service: service to call
+        :param plan: how much to send
+        :param rotation: entries in turn
+        :param caller: sends the calls
+        :param token: token with the role caller
+        """
+        self._service = service
+        self._plan = plan
+        self._rotation = rotation
+        self._caller = caller
+        self._token = token
+        self._run = token_hex(4)
+        self._begun = 0
+        self._records: list[CallRecord] = []
+
+    @property
+    def records(self) -> tuple[CallRecord, ...]:
+        """Return all calls so far."""
+        return tuple(self._records)
+
+    async def run(self) -> None:
+        """Send requests until the bounds of the plan are reached."""
+        until = monotonic() + self._plan.seconds
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._plan.callers):
+                group.create_task(self._run_caller(until))
+
+    async def _run_caller(self, until: float) -> None:
+        while monotonic() < until and self._begun < self._plan.max_requests:
+            self._begun += 1
+            await self._request(self._begun)
+            await asyncio.sleep(self._plan.pause_s)
+
+    async def _request(self, number: int) -> None:
+        if self._service.idempotent:
+            await self._send_until_known(number)
+            return
+        key = f"{self._service.service}-{self._run}-{number}"
+        copies = 2 if number % self._plan.repeat_every == 0 else 1
+        await asyncio.gather(
+            *(
+                self._send(number, key, entry)
+                for entry in self._rotation.take(copies)
+            )
+        )
+
+    async def _send_until_known(self, number: int) -> None:
+        for _ in range(_MAX_SENDS):
+            for entry in self._rotation.take():
+                record = await self._send(number, None, entry)
+                if record is not None and record.status is not None:
+                    return
+
+    async def _send(
+        self, number: int, key: str | None, entry: str
+    ) -> CallRecord | None:
+        """Send one call.
+
+        :returns: its record, None when it was not sent
+        """
+        headers = {"Authorization": f"Bearer {self._token}"}
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        start = monotonic()
+        sent = await self._caller.post(
+            f"{entry}/v1/services/{self._service.service}/requests",
+            headers,
+            {"number": number, "run": self._run},
+            self._service.deadline_s + _RESPONSE_MARGIN_S,
+        )
+        if isinstance(sent, Err):
+            if sent.err_value is SendFailure.NOT_SENT:
+                self._rotation.mark_down(entry)
+                return None
+            record = self._broken(key, entry, monotonic() - start)
+        else:
+            record = self._told(key, entry, sent.ok_value)
+        self._records.append(record)
+        return record
+
+    def _broken(
+        self, key: str | None, entry: str, latency_s: float
+    ) -> CallRecord:
+        return CallRecord(
+            self._service.service,
+            key,
+            entry,
+            Outcome.UNKNOWN,
+            None,
+            None,
+            latency_s,
+        )
+
+    def _told(
+        self, key: str | None, entry: str, answer: HttpAnswer
+    ) -> CallRecord:
+        return CallRecord(
+            self._service.service,
+            key,
+            entry,
+            self._outcome(answer),
+            answer.headers.get("Carawaystep-Request-Id"),
+            answer.status,
+            answer.latency_s,
+        )
+
+    @staticmethod
+    def _outcome(answer: HttpAnswer) -> Outcome | None:
+        told = answer.headers.get("Carawaystep-Outcome")
+        if told is not None:
+            return Outcome(told)
+        # A fault of the entry leaves the outcome open; any other response
+        # without an outcome refused the call before it became a request.
+        return Outcome.UNKNOWN if answer.status >= 500 else None
