--- /dev/null
+++ b/tests/tools/scripted_entry.py
@@ -0,0 +1,72 @@
+"""A loopback server that plays an entry."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from tools.port_allocator import HOST
+
+if TYPE_CHECKING:
+    from typing import Self
+
+_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nCarawaystep-Outcome: answered\r\n"
+    b"Carawaystep-Request-Id: r1\r\nContent-Length: 2\r\n"
+    b"Connection: close\r\n\r\n"
+)
+
+
+class ScriptedEntry:
+    """Reads one request for each connection and answers or breaks off.
+
+    :param body: sent after headers that announce two bytes; None closes the
+        connection before any response
+    """
+
+    def __init__(self, body: bytes | None) -> None:
+        """Create a server that does not listen yet."""
+        self._body = body
+        self._server: asyncio.Server | None = None
+        self._keys: list[str | None] = []
+        self._url = ""
+
+    @property
+    def keys(self) -> tuple[str | None, ...]:
+        """Return the Idempotency-Key of each request received."""
+        return tuple(self._keys)
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return self._url
+
+    async def __aenter__(self) -> Self:
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self._url = f"http://{HOST}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        headers = dict(
+            line.split(": ", 1) for line in head.splitlines()[1:] if line
+        )
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        self._keys.append(headers.get("idempotency-key"))
+        if self._body is not None:
+            writer.write(_ANSWER + self._body)
+        with suppress(OSError):
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
--- /dev/null
+++ b/tests/tools/test_launcher.py
@@ -0,0 +1,28 @@
+"""Tests of launches that fail."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from tools.deployment import load_deployment
+from tools.launcher import Launcher
+from tools.managed_process import ROOT
+
+
+class LauncherTest(TestCase):
+    """A launch that fails leaves nothing behind."""
+
+    def test_late_process_is_named_and_all_are_stopped(self) -> None:
+        """Guards against processes that outlive a failed launch."""
+        path = ROOT / "examples" / "papadakis" / "deployment.yaml"
+        deployment = load_deployment(path).unwrap()
+        with TemporaryDirectory() as directory:
+            launcher = Launcher(deployment, Path(directory), ready_limit_s=0.0)
+            failure = asyncio.run(launcher.start()).unwrap_err()
+        self.assertEqual("platform", failure.process)
+        processes = launcher.group.processes
+        self.assertEqual([False], [one.running for one in processes])
--- /dev/null
+++ b/tests/tools/test_load_generator.py
@@ -0,0 +1,87 @@
+"""Tests of what callers make of responses and broken connections."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+from aiosonic import HTTPClient
+from testtools import TestCase
+
+from carawaystep.document.service_kind import ServiceKind
+from carawaystep.request.outcome import Outcome
+from tests.tools.scripted_entry import ScriptedEntry
+from tools.entry_rotation import EntryRotation
+from tools.example_service import ExampleService
+from tools.http_caller import HttpCaller
+from tools.load_generator import LoadGenerator
+from tools.load_plan import LoadPlan
+from tools.port_allocator import PortAllocator
+
+if TYPE_CHECKING:
+    from tools.call_record import CallRecord
+
+_WHOLE = b"{}"
+_SHORT = b"{"
+_NO_RESPONSE = None
+
+
+async def _run(
+    *bodies: bytes | None, idempotent: bool, refusing: str | None = None
+) -> tuple[tuple[CallRecord, ...], list[tuple[str | None, ...]]]:
+    """Send one request; return the records and what each entry received."""
+    kind = ServiceKind.LATENCY_CRITICAL
+    service = ExampleService("charge", kind, idempotent)
+    plan = LoadPlan(1, 0.0, seconds=10.0, max_requests=1, repeat_every=1)
+    async with AsyncExitStack() as stack:
+        entries = [
+            await stack.enter_async_context(ScriptedEntry(body))
+            for body in bodies
+        ]
+        urls = [entry.url for entry in entries]
+        rotation = EntryRotation([refusing, *urls] if refusing else urls)
+        client = await stack.enter_async_context(HTTPClient())
+        caller = HttpCaller(client)
+        generator = LoadGenerator(service, plan, rotation, caller, "t")
+        await generator.run()
+        return generator.records, [entry.keys for entry in entries]
+
+
+class LoadGeneratorTest(TestCase):
+    """One request through scripted entries."""
+
+    def test_idempotent_request_goes_on_to_another_entry(self) -> None:
+        """Guards against a caller that gives up after a broken connection."""
+        records, received = asyncio.run(
+            _run(_NO_RESPONSE, _WHOLE, idempotent=True)
+        )
+        self.assertEqual(
+            [Outcome.UNKNOWN, Outcome.ANSWERED], [r.outcome for r in records]
+        )
+        self.assertEqual([(None,), (None,)], received)
+
+    def test_broken_connection_is_unknown_and_not_sent_again(self) -> None:
+        """Guards against a load generator that runs a charge twice itself."""
+        records, received = asyncio.run(_run(_NO_RESPONSE, idempotent=False))
+        self.assertEqual([Outcome.UNKNOWN], [r.outcome for r in records])
+        self.assertEqual(1, len(received[0]))
+
+    def test_short_body_is_unknown(self) -> None:
+        """Guards against counting an incomplete response as an answer."""
+        records, _ = asyncio.run(_run(_SHORT, idempotent=False))
+        self.assertEqual([Outcome.UNKNOWN], [r.outcome for r in records])
+
+    def test_repeat_uses_one_key_at_two_entries(self) -> None:
+        """Guards against a demo that sends no duplicates on purpose."""
+        _, received = asyncio.run(_run(_WHOLE, _WHOLE, idempotent=False))
+        self.assertEqual(received[0], received[1])
+        self.assertIsNotNone(received[0][0])
+
+    def test_refused_connection_is_no_call(self) -> None:
+        """Guards against counting calls that were never sent as unknown."""
+        ports = PortAllocator()
+        self.addCleanup(ports.close)
+        dead = f"http://127.0.0.1:{ports.reserve()}"
+        records, _ = asyncio.run(_run(_WHOLE, idempotent=True, refusing=dead))
+        self.assertEqual([Outcome.ANSWERED], [r.outcome for r in records])
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -56,19 +56,36 @@
 
 @dataclass
 class Demo:
-    """Show an example at work while one of its entries dies.
+    """Show an example at work while one of its entries dies."""
 
-    :param example: name of a directory below examples/
-    :param seconds: how long requests are sent
-    :param entries: entry processes in all, instead of all entry VMs
-    :param directory: where settings, tokens and output go; it stays. Without
-        it a temporary directory is used and removed.
-    """
-
-    example: str = "papadakis"
-    seconds: Annotated[float, cappa.Arg(long=True)] = 20.0
-    entries: Annotated[int | None, cappa.Arg(long=True)] = None
-    directory: Annotated[Path | None, cappa.Arg(long=True)] = None
+    example: Annotated[
+        str, cappa.Arg(help="name of a directory below examples/")
+    ] = "papadakis"
+    seconds: Annotated[
+        float,
+        cappa.Arg(
+            long=True,
+            help="how long requests are sent",
+        ),
+    ] = 20.0
+    entries: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help="entry processes in all; without it all entry VMs",
+        ),
+    ] = None
+    directory: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True,
+            help=(
+                "where settings, tokens and output go; it stays. "
+                "Without it a temporary directory is used and "
+                "removed"
+            ),
+        ),
+    ] = None
 
     @property
     def _example_path(self) -> Path:
@@ -87,7 +104,9 @@
         loaded = load_deployment(self._example_path / "deployment.yaml")
         if isinstance(loaded, Err):
             return DemoSummary(error=loaded.err_value)
-        count = self.entries or loaded.ok_value.entry_count
+        count = loaded.ok_value.entry_count
+        if self.entries is not None:
+            count = self.entries
         refusal = loaded.ok_value.check_entry_count(count)
         if refusal is not None:
             return DemoSummary(error=refusal)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -21,19 +21,36 @@
 
 @dataclass
 class Launch:
-    """Run a deployment on loopback.
-
-    :param example: name of a directory below examples/
-    :param entries: entry processes in all, instead of all entry VMs
-    :param seconds: stop after this time, instead of at SIGTERM or SIGINT
-    :param directory: where settings, tokens and output go; it stays. Without
-        it a temporary directory is used and removed.
-    """
-
-    example: str
-    entries: Annotated[int | None, cappa.Arg(long=True)] = None
-    seconds: Annotated[float | None, cappa.Arg(long=True)] = None
-    directory: Annotated[Path | None, cappa.Arg(long=True)] = None
+    """Run a deployment on loopback."""
+
+    example: Annotated[
+        str, cappa.Arg(help="name of a directory below examples/")
+    ]
+    entries: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help="entry processes in all; without it all entry VMs",
+        ),
+    ] = None
+    seconds: Annotated[
+        float | None,
+        cappa.Arg(
+            long=True,
+            help="stop after this time; without it at SIGTERM or SIGINT",
+        ),
+    ] = None
+    directory: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True,
+            help=(
+                "where settings, tokens and output go; it stays. "
+                "Without it a temporary directory is used and "
+                "removed"
+            ),
+        ),
+    ] = None
 
     async def run(self) -> int:
         """Start, wait and stop; return the exit code."""
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -55,7 +55,7 @@
         """
         self._deployment = deployment
         self._directory = directory
-        self._entries = entries or deployment.entry_count
+        self._entries = deployment.entry_count if entries is None else entries
         self._ready_limit_s = ready_limit_s
         self._ports = PortAllocator()
         self._writer = SettingsWriter(deployment, directory, self._ports)
