Map dispatches to requests in the audit and time the demo's steps

Cause: a dispatch id is now the request id, a slash and a number. All repeats of keys were sent at the same time, so no stored answer was ever returned. Change: the audit maps dispatches to requests and counts non-idempotent requests dispatched twice; every second repeat follows the first reply; the summary tells how many unknown calls were refused repeats.

--- a/tests/tools/test_ledger_audit.py
+++ b/tests/tools/test_ledger_audit.py
@@ -116,6 +116,18 @@
         findings = _audit(executions, executions)
         self.assertEqual(1, len(findings.executed_twice))
 
+    def test_dispatches_of_one_request(self) -> None:
+        """Guards against a charge that is dispatched again without its key.
+
+        An entry may dispatch an idempotent request again.
+        """
+        names = ("r1/1", "r1/2/1")
+        charges = [_request(name, key=None) for name in names]
+        self.assertEqual(1, len(_audit(charges).executed_twice))
+        renewals = [_request(name, "renewals", None) for name in names]
+        told = (_call(Outcome.ANSWERED, "r1", None, "renewals"),)
+        self.assertEqual((), _audit(renewals, calls=told).all)
+
     def test_job_in_two_places(self) -> None:
         """Guards against attempts of one job that overlap in time."""
         findings = _audit(
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
 import sys
+from time import monotonic
 from typing import Annotated
 from typing import TYPE_CHECKING
 
@@ -52,6 +53,7 @@
 _JOBS = 30
 _JOB_RUN_S = 3.0
 _KILL_AFTER_SHARE = 0.35
+_STARTED_AT = monotonic()
 
 
 @dataclass
@@ -265,7 +267,8 @@
 
     @staticmethod
     def _say(text: str) -> None:
-        print(f"demo: {text}", file=sys.stderr, flush=True)
+        now_s = monotonic() - _STARTED_AT
+        print(f"demo {now_s:5.1f} s: {text}", file=sys.stderr, flush=True)
 
 
 def main() -> int:
--- a/tools/demo_summary.py
+++ b/tools/demo_summary.py
@@ -18,6 +18,9 @@
     from tools.audit_findings import AuditFindings
     from tools.call_record import CallRecord
 
+# Status of a repeat whose first run is not known to have ended.
+_REPEAT = 409
+
 
 @dataclass(frozen=True, slots=True)
 class DemoSummary:
@@ -34,6 +37,8 @@
     :param jobs_accepted: jobs that entries accepted
     :param jobs_open: accepted jobs that had not ended at the limit
     :param disagreements: callers that were told something untrue
+    :param repeats_refused: calls told unknown because an earlier request
+        with their key was not known to have ended; a part of unknown
     :param rejected: calls refused before they became requests
     :param forced: processes that needed SIGKILL at the end
     :param error: why the run was cut short
@@ -50,6 +55,7 @@
     jobs_accepted: int = 0
     jobs_open: int = 0
     disagreements: int = 0
+    repeats_refused: int = 0
     rejected: int = 0
     forced: int = 0
     error: str | None = None
@@ -102,6 +108,7 @@
         jobs_accepted=len(jobs),
         jobs_open=jobs_open,
         disagreements=len(findings.disagreements),
+        repeats_refused=[call.status for call in calls].count(_REPEAT),
         rejected=outcomes.count(None),
     )
 
--- a/tools/load_generator.py
+++ b/tools/load_generator.py
@@ -81,13 +81,16 @@
             await self._send_until_known(number)
             return
         key = f"{self._service.service}-{self._run}-{number}"
-        copies = 2 if number % self._plan.repeat_every == 0 else 1
-        await asyncio.gather(
-            *(
-                self._send(number, key, entry)
-                for entry in self._rotation.take(copies)
-            )
-        )
+        turn, rest = divmod(number, self._plan.repeat_every)
+        entries = self._rotation.take(2 if rest == 0 else 1)
+        sends = [self._send(number, key, entry) for entry in entries]
+        # Every second repeat follows the first reply, so that both the
+        # stored answer and the race for the key are tried.
+        if turn % 2 == 0:
+            for send in sends:
+                await send
+        else:
+            await asyncio.gather(*sends)
 
     async def _send_until_known(self, number: int) -> None:
         for _ in range(_MAX_SENDS):
--- a/tools/load_plan.py
+++ b/tools/load_plan.py
@@ -14,7 +14,7 @@
     :param seconds: after this time no request begins
     :param max_requests: after this number no request begins
     :param repeat_every: every so many non-idempotent requests one is sent
-        through two entries at once
+        through two entries
     """
 
     callers: int
