--- /dev/null
+++ b/src/carawaystep/adapters/system_ports.py
@@ -0,0 +1,69 @@
+"""The adapters of a real entry process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.adapters.platform_http.http_table_service import (
+    HttpTableService,
+)
+from carawaystep.adapters.platform_http.http_vm_directory import (
+    HttpVmDirectory,
+)
+from carawaystep.adapters.worker_http.http_worker import HttpWorker
+from carawaystep.adapters.zmq.peer_client import PeerClient
+from carawaystep.entry.loop_clock import LoopClock
+from carawaystep.entry.ports import Ports
+
+if TYPE_CHECKING:
+    from carawaystep.entry.clock import Clock
+    from carawaystep.peer.peer_port import PeerPort
+    from carawaystep.platform.table_service import TableService
+    from carawaystep.platform.vm import Vm
+    from carawaystep.platform.vm_directory import VmDirectory
+    from carawaystep.settings.entry_settings import EntrySettings
+    from carawaystep.worker.worker_port import WorkerPort
+
+
+class SystemPorts(Ports):
+    """Platform and workers over HTTP, peers over zmq."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Create the adapters.
+
+        :param settings: settings of the process
+        """
+        self._settings = settings
+        self._clock = LoopClock()
+        self._table = HttpTableService(settings.platform)
+        self._vm_directory = HttpVmDirectory(settings.platform)
+
+    @property
+    def clock(self) -> Clock:
+        """Return the event loop's clock."""
+        return self._clock
+
+    @property
+    def table(self) -> TableService:
+        """Return the platform's table service."""
+        return self._table
+
+    @property
+    def vm_directory(self) -> VmDirectory:
+        """Return the platform's VM list."""
+        return self._vm_directory
+
+    def worker(self, vm: Vm) -> WorkerPort:
+        """Return a new port to a worker."""
+        return HttpWorker(vm.url, self._settings.workers)
+
+    async def peer(self, address: str) -> PeerPort:
+        """Return a new link to another entry."""
+        client = PeerClient(address)
+        await client.start()
+        return client
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        await self._table.close()
+        await self._vm_directory.close()
--- a/src/carawaystep/document/document_set.py
+++ b/src/carawaystep/document/document_set.py
@@ -22,7 +22,7 @@
 
     @property
     def revision(self) -> int:
-        """Return the platform revision up to which all is in force."""
+        """Return the platform revision of the newest change in force."""
         return self._revision
 
     @property
--- /dev/null
+++ b/src/carawaystep/entry/bootstrap.py
@@ -0,0 +1,100 @@
+"""Gets documents and the VM list into a starting process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.membership.entry_record import EntryRecord
+from carawaystep.platform.vm import Vm
+from carawaystep.platform.vm_state import VmState
+
+if TYPE_CHECKING:
+    from carawaystep.entry.document_follower import DocumentFollower
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.entry.vm_follower import VmFollower
+    from carawaystep.peer.messages import DocumentsReply
+
+_RETRY_S = 0.5
+_PEER_TIMEOUT_S = 2.0
+
+
+class Bootstrap:
+    """Reads the platform first, and peers when it does not answer."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        documents: DocumentFollower,
+        vms: VmFollower,
+    ) -> None:
+        """Create a bootstrap.
+
+        :param state: state of the process
+        :param documents: follows the documents
+        :param vms: follows the VM list
+        """
+        self._state = state
+        self._documents = documents
+        self._vms = vms
+
+    async def run(self) -> None:
+        """Return once documents and the VM list are known."""
+        while True:
+            if await self._try():
+                return
+            await asyncio.sleep(_RETRY_S)
+
+    async def _try(self) -> bool:
+        if await self._documents.read_all() and await self._vms.read_once():
+            return True
+        for address in self._state.settings.seed_peers:
+            if await self._ask_peer(address):
+                return True
+        return False
+
+    async def _ask_peer(self, address: str) -> bool:
+        port = await self._state.ports.peer(address)
+        try:
+            answer = await port.fetch_documents(_PEER_TIMEOUT_S)
+        finally:
+            await port.close()
+        if not isinstance(answer, Ok) or not answer.ok_value.vms:
+            return False
+        self._take(answer.ok_value)
+        self._state.record("entry.started-from-peer", address)
+        return True
+
+    def _take(self, reply: DocumentsReply) -> None:
+        now = self._state.now
+        for row in reply.documents:
+            self._documents.put_in_force(
+                row.service, row.version, row.text, now
+            )
+        self._state.documents.advance(reply.revision)
+        for peer in reply.entries:
+            self._state.directory.observe(
+                EntryRecord(
+                    peer.name,
+                    peer.incarnation,
+                    peer.availability_zone,
+                    peer.http_url,
+                    peer.peer_address,
+                    documents_revision=0,
+                    draining=False,
+                    beat=0,
+                ),
+                now,
+            )
+        self._state.zone.replace_vms(
+            Vm(
+                vm.name,
+                vm.availability_zone,
+                vm.rack,
+                vm.url,
+                VmState(vm.state),
+            )
+            for vm in reply.vms
+        )
--- a/src/carawaystep/entry/call_failure.py
+++ b/src/carawaystep/entry/call_failure.py
@@ -11,6 +11,7 @@
 
     NOT_FOUND = "not-found"
     INVALID = "invalid"
+    FORBIDDEN = "forbidden"
     CONFLICT = "conflict"
     DRAINING = "draining"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
--- /dev/null
+++ b/src/carawaystep/entry/document_follower.py
@@ -0,0 +1,63 @@
+"""Follows the service documents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.document.document_loader import load_document
+from carawaystep.document.stored_document import StoredDocument
+from carawaystep.entry.table_follower import TableFollower
+
+if TYPE_CHECKING:
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.platform.row import Row
+
+TABLE = "documents"
+
+
+class DocumentFollower(TableFollower):
+    """Puts documents in force as they change."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Create a follower of the table ``documents``."""
+        super().__init__(state, TABLE, state.documents_wanted)
+
+    def apply(self, row: Row, now: float) -> None:
+        """Put a document in force unless a higher version already is."""
+        text = "" if row.value is None else str(row.value.get("text", ""))
+        if self.put_in_force(row.key, row.version, text, now):
+            self._state.documents.advance(row.revision)
+
+    def put_in_force(
+        self, service: str, version: int, text: str, now: float
+    ) -> bool:
+        """Put a version of a document in force.
+
+        :param service: name of the service
+        :param version: row version
+        :param text: YAML text, empty when the document was deleted
+        :param now: present time, seconds of a monotonic clock
+        :returns: False when the text is refused
+        """
+        spec = None
+        if text:
+            loaded = load_document(text, service, version)
+            if not isinstance(loaded, Ok):
+                # The version before stays in force: a document that another
+                # release accepted must not stop the service here.
+                self._state.counters.count("documents_rejected")
+                self._state.record(
+                    "document.rejected",
+                    service,
+                    version=version,
+                    detail=str(loaded.err_value[0]),
+                )
+                return False
+            spec = loaded.ok_value
+        document = StoredDocument(service, version, text, spec)
+        if self._state.documents.apply(document):
+            self._state.record("document.in-force", service, version=version)
+            self._state.notify_room()
+        return True
--- /dev/null
+++ b/src/carawaystep/entry/document_writer.py
@@ -0,0 +1,183 @@
+"""Writes service documents for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from carawaystep.document.document_loader import load_document
+from carawaystep.entry.call_failure import CallFailure
+from carawaystep.entry.call_failure import CallFailureCode
+from carawaystep.entry.document_commit import DocumentCommit
+from carawaystep.entry.document_follower import TABLE
+from carawaystep.entry.document_status import DocumentStatus
+from carawaystep.entry.entries_follower import TABLE as ENTRIES
+from carawaystep.membership.entry_row import EntryRow
+from carawaystep.platform.operation import PutRow
+from carawaystep.platform.table_failure import TableConflict
+from carawaystep.platform.table_failure import TableUnknown
+
+if TYPE_CHECKING:
+    from carawaystep.document.service_spec import ServiceSpec
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.platform.row import Row
+    from carawaystep.platform.table_failure import TableFailure
+
+
+class DocumentWriter:
+    """Stores documents by compare-and-set and tells where they are in force.
+
+    The platform's row alone decides between racing operators.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        """Create a writer.
+
+        :param state: state of the process
+        """
+        self._state = state
+
+    async def put(
+        self, service: str, text: str, expected: int, team: str | None
+    ) -> Result[DocumentCommit, CallFailure]:
+        """Validate and store a document.
+
+        :param service: name that the document must have
+        :param text: YAML text
+        :param expected: version that it replaces, 0 for a new document
+        :param team: team of the operator, None when it may edit all
+        """
+        loaded = load_document(text, service, expected + 1)
+        if not isinstance(loaded, Ok):
+            problems = "\n".join(str(problem) for problem in loaded.err_value)
+            return Err(CallFailure(CallFailureCode.INVALID, problems))
+        refused = self._refusal(loaded.ok_value, service, team)
+        if refused is not None:
+            return Err(refused)
+        value = {"text": text, "team": loaded.ok_value.team}
+        written = await self._state.ports.table.transact(
+            [PutRow(TABLE, service, expected, value)]
+        )
+        if isinstance(written, Ok):
+            self._state.documents_wanted.set()
+            commit = written.ok_value
+            return Ok(DocumentCommit(commit.versions[0], commit.revision))
+        return await self._explain(service, value, expected, written.err_value)
+
+    async def status(
+        self, service: str
+    ) -> Result[DocumentStatus, CallFailure]:
+        """Tell where the newest version of a document is in force.
+
+        :param service: name of the service
+        """
+        table = self._state.ports.table
+        document = await table.get(TABLE, service)
+        entries = await table.changes(ENTRIES, 0)
+        if not isinstance(document, Ok) or not isinstance(entries, Ok):
+            return Err(_unavailable())
+        row = document.ok_value
+        if row is None:
+            return Err(
+                CallFailure(
+                    CallFailureCode.NOT_FOUND,
+                    f"No document of service {service!r} exists; apply one.",
+                )
+            )
+        revisions = self._revisions(entries.ok_value.rows)
+        reached = all(rev >= row.revision for rev in revisions.values())
+        return Ok(
+            DocumentStatus(row.version, row.revision, revisions, reached)
+        )
+
+    def _revisions(self, rows: tuple[Row, ...]) -> dict[str, int]:
+        """Return the revision in force in each live entry."""
+        state = self._state
+        revisions = {state.settings.name: state.documents.revision}
+        for row in rows:
+            parsed = EntryRow.parse(row.value)
+            if not isinstance(parsed, Ok):
+                continue
+            record = parsed.ok_value
+            if not state.directory.alive(record.name, state.now):
+                continue
+            heard = state.zone.load_of(record.name, state.now)
+            told = 0 if heard is None else heard.documents_revision
+            revisions[record.name] = max(
+                record.documents_revision,
+                told,
+                revisions.get(record.name, 0),
+            )
+        return revisions
+
+    def _refusal(
+        self, spec: ServiceSpec, service: str, team: str | None
+    ) -> CallFailure | None:
+        if spec.service != service:
+            return CallFailure(
+                CallFailureCode.INVALID,
+                f"The document names service {spec.service!r}, but it was "
+                f"sent for {service!r}; send it under its own name.",
+            )
+        if team is None:
+            return None
+        present = self._state.spec(service)
+        owner = spec.team if present is None else present.team
+        if team in (spec.team, owner) and spec.team == owner:
+            return None
+        return CallFailure(
+            CallFailureCode.FORBIDDEN,
+            f"Service {service!r} belongs to team {owner!r}; ask that team, "
+            "or use one of its tokens.",
+        )
+
+    async def _explain(
+        self,
+        service: str,
+        value: dict[str, str],
+        expected: int,
+        failure: TableFailure,
+    ) -> Result[DocumentCommit, CallFailure]:
+        """Tell a lost race from a lost answer."""
+        if isinstance(failure, TableUnknown):
+            return await self._read_back(service, value, expected)
+        if not isinstance(failure, TableConflict):
+            return Err(_unavailable())
+        version = failure.versions.get((TABLE, service), 0)
+        return Err(_conflict(service, expected, version))
+
+    async def _read_back(
+        self, service: str, value: dict[str, str], expected: int
+    ) -> Result[DocumentCommit, CallFailure]:
+        read = await self._state.ports.table.get(TABLE, service)
+        row = read.ok_value if isinstance(read, Ok) else None
+        if row is None or row.version <= expected:
+            return Err(
+                CallFailure(
+                    CallFailureCode.UNKNOWN,
+                    "The platform did not tell whether the document was "
+                    "stored; read its version before sending it again.",
+                )
+            )
+        if row.version == expected + 1 and row.value == value:
+            return Ok(DocumentCommit(row.version, row.revision))
+        return Err(_conflict(service, expected, row.version))
+
+
+def _conflict(service: str, expected: int, version: int) -> CallFailure:
+    return CallFailure(
+        CallFailureCode.CONFLICT,
+        f"Document {service!r} has version {version}, not {expected}; read "
+        "it, merge your change and send it with that version.",
+        version,
+    )
+
+
+def _unavailable() -> CallFailure:
+    return CallFailure(
+        CallFailureCode.PLATFORM_UNAVAILABLE,
+        "The platform does not answer; nothing was changed. Try again later.",
+    )
--- /dev/null
+++ b/src/carawaystep/entry/entries_follower.py
@@ -0,0 +1,74 @@
+"""Follows the heartbeat rows of entry processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.entry.table_follower import TableFollower
+from carawaystep.membership.entry_row import EntryRow
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.platform.row import Row
+
+TABLE = "entries"
+
+
+def entry_key(availability_zone: str, name: str) -> str:
+    """Return the key of an entry's row, prefixed by its availability zone."""
+    return f"{availability_zone}/{name}"
+
+
+class EntriesFollower(TableFollower):
+    """Feeds the directory from the own availability zone, or from all.
+
+    Every heartbeat changes a row, so reading all of them each second would
+    cost 17 KB/s at 135 entries. Only the own availability zone is read that
+    often.
+    """
+
+    def __init__(self, state: EntryState, own_zone_only: bool) -> None:
+        """Create a follower of the table ``entries``.
+
+        :param state: state of the process
+        :param own_zone_only: True for the frequent reads
+        """
+        super().__init__(state, TABLE)
+        self._own_zone_only = own_zone_only
+
+    @property
+    def interval_s(self) -> float:
+        """Return the seconds between two reads."""
+        settings = self._state.settings.platform
+        return settings.poll_s if self._own_zone_only else settings.far_poll_s
+
+    def prefixes(self) -> Sequence[str]:
+        """Return the prefix of the own availability zone, if limited."""
+        if not self._own_zone_only:
+            return ()
+        return (f"{self._state.settings.availability_zone}/",)
+
+    def apply(self, row: Row, now: float) -> None:
+        """Take a heartbeat, or the deletion after a planned stop."""
+        directory = self._state.directory
+        if row.value is None:
+            directory.forget(row.key.rpartition("/")[2])
+            return
+        parsed = EntryRow.parse(row.value)
+        if not isinstance(parsed, Ok):
+            self._state.counters.count("rows_rejected")
+            return
+        record = parsed.ok_value
+        if directory.observe(record, now):
+            self._state.record(
+                "entry.seen", record.name, incarnation=record.incarnation
+            )
+
+    def caught_up(self, revision: int, now: float) -> None:
+        """Record that the platform's list was read."""
+        if self._own_zone_only:
+            self._state.directory.platform_answered(now)
--- /dev/null
+++ b/src/carawaystep/entry/entry_state.py
@@ -0,0 +1,136 @@
+"""State that the tasks of one entry process share."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawaystep.availability_zone.zone_view import ZoneView
+from carawaystep.document.document_set import DocumentSet
+from carawaystep.entry.entry_phase import EntryLifecycle
+from carawaystep.entry.entry_phase import EntryPhase
+from carawaystep.job.job_board import JobBoard
+from carawaystep.membership.assignment import Assignment
+from carawaystep.membership.entry_directory import EntryDirectory
+from carawaystep.peer.messages import EntryLoad
+from carawaystep.request.admission_queue import AdmissionQueue
+from carawaystep.worker.least_loaded_placement import LeastLoadedPlacement
+
+if TYPE_CHECKING:
+    from carawaystep.document.service_spec import ServiceSpec
+    from carawaystep.entry.counters import Counters
+    from carawaystep.entry.ports import Ports
+    from carawaystep.membership.ownership import Ownership
+    from carawaystep.settings.entry_settings import EntrySettings
+    from carawaystep.timeline.event_ring import EventRing
+    from carawaystep.worker.placement_policy import PlacementPolicy
+    from carawaystep.worker.worker import Worker
+
+
+class EntryState:
+    """Aggregates of one process and the events that its tasks wait on.
+
+    All tasks run in one event loop, so a change between two awaits is atomic.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: str,
+        ports: Ports,
+        counters: Counters,
+        events: EventRing,
+    ) -> None:
+        """Create the state of a starting process.
+
+        :param settings: settings of the process
+        :param incarnation: id of the process, never used before
+        :param ports: its adapters
+        :param counters: its counters
+        :param events: its part of the time line
+        """
+        self.settings = settings
+        self.incarnation = incarnation
+        self.ports = ports
+        self.counters = counters
+        self.events = events
+        self.lifecycle = EntryLifecycle()
+        self.directory = EntryDirectory(
+            settings.name, settings.availability_zone
+        )
+        self.zone = ZoneView(settings.availability_zone)
+        self.assignment = Assignment(
+            self.directory, settings.name, incarnation
+        )
+        self.documents = DocumentSet()
+        self.jobs = JobBoard()
+        self.queue = AdmissionQueue(settings.requests.queue_limit)
+        self.placement: PlacementPolicy = LeastLoadedPlacement(
+            settings.tasks.request_slots
+        )
+        self.workers: dict[str, Worker] = {}
+        self.owners: dict[str, Ownership] = {}
+        self.platform_reachable = False
+        self.requests_in_flight = 0
+        self.room_changed = asyncio.Event()
+        self.jobs_changed = asyncio.Event()
+        self.documents_wanted = asyncio.Event()
+        self.vms_seen_at: dict[str, float] = {}
+        self.vms_read_since: float | None = None
+
+    @property
+    def now(self) -> float:
+        """Return the present monotonic time in seconds."""
+        return self.ports.clock.now()
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self.lifecycle.phase in (
+            EntryPhase.DRAINING,
+            EntryPhase.STOPPED,
+        )
+
+    def spec(self, service: str) -> ServiceSpec | None:
+        """Return the document in force of a service."""
+        document = self.documents.get(service)
+        return None if document is None else document.spec
+
+    def record(
+        self, kind: str, subject: str, **details: str | int | float
+    ) -> None:
+        """Record a change of state on the time line."""
+        self.events.record(kind, subject, self.now, **details)
+
+    def notify_room(self) -> None:
+        """Wake the tasks that wait for room on a worker."""
+        self.room_changed.set()
+        self.jobs_changed.set()
+
+    def hear_peer(self, load: EntryLoad) -> None:
+        """Take the load of a peer, and what it implies."""
+        now = self.now
+        self.directory.hear(load.entry, load.incarnation, now)
+        self.zone.hear(load, now)
+        if load.documents_revision > self.documents.revision:
+            self.documents_wanted.set()
+        if load.free_slots > 0 and len(self.queue):
+            self.room_changed.set()
+
+    def load(self) -> EntryLoad:
+        """Return the load that heartbeats carry."""
+        now = self.now
+        return EntryLoad(
+            entry=self.settings.name,
+            incarnation=self.incarnation,
+            availability_zone=self.settings.availability_zone,
+            free_slots=sum(
+                worker.free_slots
+                for worker in self.workers.values()
+                if worker.may_receive(now)
+            ),
+            queued=len(self.queue),
+            documents_revision=self.documents.revision,
+            platform_reachable=self.platform_reachable,
+            draining=self.draining,
+        )
--- /dev/null
+++ b/src/carawaystep/entry/heartbeater.py
@@ -0,0 +1,123 @@
+"""The task that writes the heartbeat row of the process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.entry.entries_follower import entry_key
+from carawaystep.entry.entries_follower import TABLE
+from carawaystep.membership.entry_record import EntryRecord
+from carawaystep.membership.entry_row import EntryRow
+from carawaystep.platform.operation import DeleteRow
+from carawaystep.platform.operation import PutRow
+from carawaystep.platform.table_failure import TableConflict
+
+if TYPE_CHECKING:
+    from carawaystep.entry.entry_state import EntryState
+
+
+class Heartbeater:
+    """Writes the own row and notices when a newer process has taken it."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Create a heartbeater.
+
+        :param state: state of the process
+        """
+        self._state = state
+        self._beat = 0
+        self._version: int | None = None
+        self._replaced = asyncio.Event()
+
+    async def run(self) -> None:
+        """Write heartbeats until the task is cancelled."""
+        while not self._replaced.is_set():
+            await self.beat_once()
+            await asyncio.sleep(self._state.settings.platform.heartbeat_s)
+
+    async def replaced(self) -> None:
+        """Wait until another process has taken this entry's name."""
+        await self._replaced.wait()
+
+    async def beat_once(self) -> bool:
+        """Write one heartbeat.
+
+        :returns: False when it was not stored
+        """
+        if self._version is None and not await self._find_version():
+            return False
+        self._beat += 1
+        record = self.record()
+        written = await self._state.ports.table.transact(
+            [
+                PutRow(
+                    TABLE,
+                    self._key(),
+                    self._version,
+                    EntryRow.from_record(record).to_value(),
+                )
+            ]
+        )
+        if isinstance(written, Ok):
+            self._version = written.ok_value.versions[0]
+            self._state.directory.observe(record, self._state.now)
+            return True
+        if isinstance(written.err_value, TableConflict):
+            await self._resolve_conflict()
+        return False
+
+    async def withdraw(self) -> None:
+        """Delete the row, once the process owns nothing any more."""
+        if self._replaced.is_set() or self._version is None:
+            return
+        await self._state.ports.table.transact(
+            [DeleteRow(TABLE, self._key(), self._version)]
+        )
+
+    def record(self) -> EntryRecord:
+        """Return what the row says now."""
+        settings = self._state.settings
+        return EntryRecord(
+            settings.name,
+            self._state.incarnation,
+            settings.availability_zone,
+            settings.advertised_url,
+            settings.peer_address,
+            self._state.documents.revision,
+            self._state.draining,
+            self._beat,
+        )
+
+    def _key(self) -> str:
+        settings = self._state.settings
+        return entry_key(settings.availability_zone, settings.name)
+
+    async def _find_version(self) -> bool:
+        read = await self._state.ports.table.get(TABLE, self._key())
+        if not isinstance(read, Ok):
+            return False
+        self._version = 0 if read.ok_value is None else read.ok_value.version
+        return True
+
+    async def _resolve_conflict(self) -> None:
+        """Tell a lost answer of the own write from another process."""
+        read = await self._state.ports.table.get(TABLE, self._key())
+        if not isinstance(read, Ok):
+            return
+        row = read.ok_value
+        if row is None or row.value is None:
+            self._version = None
+            return
+        parsed = EntryRow.parse(row.value)
+        mine = (
+            isinstance(parsed, Ok)
+            and parsed.ok_value.incarnation == self._state.incarnation
+        )
+        if mine or self._beat == 1:
+            self._version = row.version
+            return
+        self._state.record("entry.replaced", self._state.settings.name)
+        self._replaced.set()
--- /dev/null
+++ b/src/carawaystep/entry/loop_clock.py
@@ -0,0 +1,20 @@
+"""Clock of the running event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from carawaystep.entry.clock import Clock
+
+
+class LoopClock(Clock):
+    """Reads the event loop's monotonic clock, virtual in tests."""
+
+    def now(self) -> float:
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall_now(self) -> float:
+        """Return wall-clock time in seconds since the epoch."""
+        return time.time()
--- /dev/null
+++ b/src/carawaystep/entry/peer_links.py
@@ -0,0 +1,140 @@
+"""Links to other entry processes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.entry.peer_session import PeerSession
+from carawaystep.membership.rendezvous import ranked
+from carawaystep.peer.messages import ForwardRequest
+from carawaystep.request.outcome import Outcome
+from carawaystep.request.outcome_reason import OutcomeReason
+from carawaystep.request.reply import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.entry.supervisor import Supervisor
+    from carawaystep.membership.entry_record import EntryRecord
+    from carawaystep.request.request import Request
+
+_INTERVAL_S = 1.0
+
+# Links to each other availability zone; two survive the loss of one entry.
+_FAR_LINKS = 2
+
+# Time for the answer to travel back before the caller's deadline.
+_FORWARD_MARGIN_S = 0.05
+
+
+class PeerLinks:
+    """Keeps a session with each peer and forwards requests to them."""
+
+    def __init__(self, state: EntryState, supervisor: Supervisor) -> None:
+        """Create an object without links.
+
+        :param state: state of the process
+        :param supervisor: runs the sessions' tasks
+        """
+        self._state = state
+        self._supervisor = supervisor
+        self._sessions: dict[str, PeerSession] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Return the names of linked peers."""
+        return tuple(self._sessions)
+
+    async def run(self) -> None:
+        """Keep the links until the task is cancelled."""
+        while True:
+            self.keep_once()
+            await asyncio.sleep(_INTERVAL_S)
+
+    def keep_once(self) -> None:
+        """Open links to new peers and close those to dead ones."""
+        wanted = {record.name: record for record in self._wanted()}
+        for name, session in list(self._sessions.items()):
+            record = wanted.get(name)
+            if record is None or record.incarnation != session.incarnation:
+                self._close(name)
+        for name, record in wanted.items():
+            if name not in self._sessions:
+                self._open(record)
+
+    def choose(self, now: float, excluded: Collection[str]) -> str | None:
+        """Choose a peer with free slots, of the own zone if there is one.
+
+        :param now: present time, seconds of a monotonic clock
+        :param excluded: peers that were already tried
+        """
+        for name in self._state.zone.forward_targets(now, set(excluded)):
+            session = self._sessions.get(name)
+            if session is not None and session.connected:
+                return name
+        return None
+
+    async def forward(self, peer: str, request: Request) -> Reply:
+        """Have a peer run a request.
+
+        :param peer: name of a linked peer
+        :param request: the request, already recorded as dispatched
+        """
+        session = self._sessions[peer]
+        self._state.zone.claim_slot(peer)
+        now = self._state.now
+        remaining_s = request.remaining_s(now)
+        message = ForwardRequest(
+            sequence=0,
+            request_id=request.id,
+            service=request.spec.service,
+            version=request.spec.version,
+            key=request.idempotency_key,
+            deadline_s=max(remaining_s - _FORWARD_MARGIN_S, 0.0),
+            body=request.body,
+        )
+        result = await session.forward(message, remaining_s)
+        if isinstance(result, Ok):
+            answer = result.ok_value
+            return Reply(
+                Outcome(answer.outcome),
+                OutcomeReason(answer.reason),
+                answer.detail,
+                answer.body,
+            )
+        failure = result.err_value
+        if failure.sent:
+            return Reply.unknown(OutcomeReason.PEER_SILENT, failure.detail)
+        return Reply.not_run(OutcomeReason.PEER_SILENT, failure.detail)
+
+    def _wanted(self) -> list[EntryRecord]:
+        """Return all live peers of the own zone and two of each other."""
+        state = self._state
+        now = state.now
+        own_zone = state.settings.availability_zone
+        wanted: list[str] = []
+        for zone in state.directory.availability_zones(now):
+            names = state.directory.candidates(zone, now)
+            if zone == own_zone:
+                wanted += [n for n in names if n != state.settings.name]
+            else:
+                wanted += ranked(state.settings.name, names)[:_FAR_LINKS]
+        found = [state.directory.find(name) for name in wanted]
+        return [record for record in found if record is not None]
+
+    def _open(self, record: EntryRecord) -> None:
+        session = PeerSession(self._state, record)
+        self._sessions[record.name] = session
+        self._tasks[record.name] = self._supervisor.spawn(
+            f"peer {record.name}", session.run
+        )
+
+    def _close(self, name: str) -> None:
+        del self._sessions[name]
+        self._tasks.pop(name).cancel()
+        self._state.zone.lose(name)
--- /dev/null
+++ b/src/carawaystep/entry/peer_service.py
@@ -0,0 +1,98 @@
+"""Answers messages of other entry processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.peer.messages import DocumentRow
+from carawaystep.peer.messages import DocumentsReply
+from carawaystep.peer.messages import ForwardReply
+from carawaystep.peer.messages import PeerRow
+from carawaystep.peer.messages import VmRow
+from carawaystep.peer.peer_handler import PeerHandler
+from carawaystep.request.outcome_reason import OutcomeReason
+from carawaystep.request.reply import Reply
+
+if TYPE_CHECKING:
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.entry.request_dispatcher import RequestDispatcher
+    from carawaystep.peer.messages import EntryLoad
+    from carawaystep.peer.messages import ForwardRequest
+
+
+class PeerService(PeerHandler):
+    """Runs forwarded requests and hands out documents."""
+
+    def __init__(
+        self, state: EntryState, dispatcher: RequestDispatcher
+    ) -> None:
+        """Create the service.
+
+        :param state: state of the process
+        :param dispatcher: runs requests on own workers
+        """
+        self._state = state
+        self._dispatcher = dispatcher
+
+    def exchange_load(self, load: EntryLoad) -> EntryLoad:
+        """Take a peer's load and return the own one."""
+        self._state.hear_peer(load)
+        return self._state.load()
+
+    async def run_forwarded(self, request: ForwardRequest) -> ForwardReply:
+        """Run a forwarded request on an own worker, or tell it not run."""
+        spec = self._state.spec(request.service)
+        if spec is None:
+            reply = Reply.not_run(
+                OutcomeReason.NO_ROOM,
+                "The other entry does not know the service yet.",
+            )
+        else:
+            reply = await self._dispatcher.run_forwarded(
+                request.request_id,
+                spec,
+                request.key,
+                request.body,
+                request.deadline_s,
+            )
+        return ForwardReply(
+            request.sequence,
+            request.request_id,
+            reply.outcome.value,
+            reply.reason.value,
+            reply.detail,
+            reply.body,
+        )
+
+    def documents(self, sequence: int) -> DocumentsReply:
+        """Return documents in force, the VM list and live entries."""
+        state = self._state
+        return DocumentsReply(
+            sequence,
+            state.documents.revision,
+            tuple(
+                DocumentRow(document.service, document.version, document.text)
+                for document in state.documents.documents
+            ),
+            tuple(
+                VmRow(
+                    vm.name,
+                    vm.availability_zone,
+                    vm.rack,
+                    vm.url,
+                    vm.state.value,
+                )
+                for vm in state.zone.vms
+            ),
+            tuple(
+                PeerRow(
+                    record.name,
+                    record.incarnation,
+                    record.availability_zone,
+                    record.http_url,
+                    record.peer_address,
+                )
+                for record in state.directory.records
+                if state.directory.alive(record.name, state.now)
+            ),
+        )
--- /dev/null
+++ b/src/carawaystep/entry/ports.py
@@ -0,0 +1,42 @@
+"""The adapters that an entry process is built on."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.entry.clock import Clock
+    from carawaystep.peer.peer_port import PeerPort
+    from carawaystep.platform.table_service import TableService
+    from carawaystep.platform.vm import Vm
+    from carawaystep.platform.vm_directory import VmDirectory
+    from carawaystep.worker.worker_port import WorkerPort
+
+
+class Ports(ABC):
+    """Gives an entry its clock, the platform, workers and peers."""
+
+    @property
+    @abstractmethod
+    def clock(self) -> Clock:
+        """Return the clock."""
+
+    @property
+    @abstractmethod
+    def table(self) -> TableService:
+        """Return the platform's table service."""
+
+    @property
+    @abstractmethod
+    def vm_directory(self) -> VmDirectory:
+        """Return the platform's VM list."""
+
+    @abstractmethod
+    def worker(self, vm: Vm) -> WorkerPort:
+        """Return a new port to a worker."""
+
+    @abstractmethod
+    async def peer(self, address: str) -> PeerPort:
+        """Return a new link to another entry."""
--- /dev/null
+++ b/src/carawaystep/entry/supervisor.py
@@ -0,0 +1,82 @@
+"""Runs the tasks of a process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from carawaystep.errors.broken_invariant import BrokenInvariant
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from carawaystep.entry.counters import Counters
+
+_RESTART_AFTER_S = 1.0
+
+
+class Supervisor:
+    """Keeps tasks running; only a broken invariant stops the process."""
+
+    def __init__(self, counters: Counters) -> None:
+        """Create a supervisor without tasks.
+
+        :param counters: counts the tasks that failed
+        """
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._broken: asyncio.Future[BrokenInvariant] | None = None
+
+    def report(self, broken: BrokenInvariant) -> None:
+        """Have the process stop because of a broken invariant."""
+        future = self._future()
+        if not future.done():
+            future.set_result(broken)
+
+    async def broken(self) -> BrokenInvariant:
+        """Wait for a broken invariant."""
+        return await asyncio.shield(self._future())
+
+    def spawn(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task[None]:
+        """Run work in a task of its own.
+
+        :param name: name of the task in logs
+        :param work: called again when it fails with an unexpected error
+        """
+        task = asyncio.create_task(self._run(name, work), name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _future(self) -> asyncio.Future[BrokenInvariant]:
+        if self._broken is None:
+            self._broken = asyncio.get_running_loop().create_future()
+        return self._broken
+
+    async def _run(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await work()
+            except BrokenInvariant as exc:
+                self.report(exc)
+                return
+            except Exception:
+                self._counters.count("tasks_failed")
+                logging.exception("Task %s failed and is started again", name)
+                await asyncio.sleep(_RESTART_AFTER_S)
+            else:
+                return
--- /dev/null
+++ b/src/carawaystep/entry/table_follower.py
@@ -0,0 +1,98 @@
+"""One task that follows a table of the platform."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.platform.row import Row
+
+
+class TableFollower(ABC):
+    """Reads the rows of a table that changed, over and over."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        table: str,
+        wake: asyncio.Event | None = None,
+    ) -> None:
+        """Create a follower that starts with all rows.
+
+        :param state: state of the process
+        :param table: name of the table
+        :param wake: event that makes the next read begin at once
+        """
+        self._state = state
+        self._table = table
+        self._since = 0
+        self._wake = wake or asyncio.Event()
+        self._caught_up = False
+
+    @property
+    def interval_s(self) -> float:
+        """Return the seconds between two reads."""
+        return self._state.settings.platform.poll_s
+
+    @property
+    def has_caught_up(self) -> bool:
+        """Tell whether the table was read to its end at least once."""
+        return self._caught_up
+
+    async def run(self) -> None:
+        """Follow the table until the task is cancelled."""
+        while True:
+            await self.read_all()
+            try:
+                async with asyncio.timeout(self.interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def read_all(self) -> bool:
+        """Read all pages that are ready.
+
+        :returns: False when the platform did not answer
+        """
+        while True:
+            read = await self._state.ports.table.changes(
+                self._table, self._since, self.prefixes()
+            )
+            if not isinstance(read, Ok):
+                self._state.counters.count("platform_reads_failed")
+                self._state.platform_reachable = False
+                return False
+            self._state.platform_reachable = True
+            changes = read.ok_value
+            for row in changes.rows:
+                self.apply(row, self._state.now)
+            self._since = changes.revision
+            self.caught_up(changes.revision, self._state.now)
+            if not changes.more:
+                self._caught_up = True
+                return True
+
+    def prefixes(self) -> Sequence[str]:
+        """Return the key prefixes to read, all keys when empty."""
+        return ()
+
+    def caught_up(self, revision: int, now: float) -> None:
+        """Act after a page was applied.
+
+        :param revision: all changes up to it were applied
+        :param now: present time, seconds of a monotonic clock
+        """
+        return
+
+    @abstractmethod
+    def apply(self, row: Row, now: float) -> None:
+        """Take one changed row."""
--- /dev/null
+++ b/src/carawaystep/entry/vm_follower.py
@@ -0,0 +1,48 @@
+"""Follows the platform's VM list."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+if TYPE_CHECKING:
+    from carawaystep.entry.entry_state import EntryState
+
+
+class VmFollower:
+    """Reads the VM list at the platform's poll interval."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Create a follower.
+
+        :param state: state of the process
+        """
+        self._state = state
+
+    async def run(self) -> None:
+        """Follow the list until the task is cancelled."""
+        while True:
+            await self.read_once()
+            await asyncio.sleep(self._state.settings.platform.poll_s)
+
+    async def read_once(self) -> bool:
+        """Read the list once.
+
+        :returns: False when the platform did not answer
+        """
+        read = await self._state.ports.vm_directory.vms()
+        state = self._state
+        if not isinstance(read, Ok):
+            state.counters.count("platform_reads_failed")
+            # A VM counts as gone only after uninterrupted reads.
+            state.vms_read_since = None
+            return False
+        now = state.now
+        if state.vms_read_since is None:
+            state.vms_read_since = now
+        state.zone.replace_vms(read.ok_value)
+        for vm in read.ok_value:
+            state.vms_seen_at[vm.name] = now
+        return True
--- /dev/null
+++ b/src/carawaystep/entry/worker_session.py
@@ -0,0 +1,413 @@
+"""One task for each owned worker."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+import random
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.job.job_state import JobState
+from carawaystep.membership.owner_row import TABLE as OWNERS
+from carawaystep.platform.table_failure import TableConflict
+from carawaystep.worker.execution_end import ExecutionEnd
+from carawaystep.worker.work_kind import WorkKind
+from carawaystep.worker.worker_failure import WorkerRefused
+from carawaystep.worker.worker_failure import WorkerUnknown
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.entry.entry_state import EntryState
+    from carawaystep.entry.job_recorder import JobRecorder
+    from carawaystep.job.job import Job
+    from carawaystep.membership.ownership import Ownership
+    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.worker.ended_task import EndedTask
+    from carawaystep.worker.reservation import Reservation
+    from carawaystep.worker.worker import Worker
+    from carawaystep.worker.worker_failure import WorkerFailure
+    from carawaystep.worker.worker_port import WorkerPort
+    from carawaystep.worker.worker_report import WorkerReport
+    from carawaystep.worker.worker_task import WorkerTask
+
+_RETRY_FIRST_S = 0.1
+_RETRY_LIMIT_S = 2.0
+
+
+class WorkerSession:
+    """Fences a worker, follows its reports and renews its leases."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        recorder: JobRecorder,
+        worker: Worker,
+        port: WorkerPort,
+        ownership: Ownership,
+    ) -> None:
+        """Create a session for one ownership.
+
+        :param state: state of the process
+        :param recorder: writes the ends of jobs
+        :param worker: the worker's aggregate
+        :param port: port to the worker
+        :param ownership: the row that makes this process its owner
+        """
+        self._state = state
+        self._recorder = recorder
+        self._worker = worker
+        self._port = port
+        self._ownership = ownership
+        self._since = 0
+        self._renewed_at: float | None = None
+        self._unrecorded: dict[tuple[str, int], EndedTask] = {}
+        self._stopped: set[tuple[str, int]] = set()
+        self._reported = False
+        self._clock_s = 0.0
+        self._clock_seen_at = 0.0
+        self._leases_end_at = 0.0
+        self._fence_wanted = asyncio.Event()
+        self._retry_s = _RETRY_FIRST_S
+
+    @property
+    def worker(self) -> Worker:
+        """Return the worker's aggregate."""
+        return self._worker
+
+    @property
+    def port(self) -> WorkerPort:
+        """Return the port to the worker."""
+        return self._port
+
+    @property
+    def ownership(self) -> Ownership:
+        """Return the row that makes this process the owner."""
+        return self._ownership
+
+    @property
+    def unrecorded(self) -> int:
+        """Return the number of ended tasks that are not yet stored."""
+        return len(self._unrecorded)
+
+    def request_fence(self) -> None:
+        """Have the worker fenced again, because an answer was lost."""
+        self._fence_wanted.set()
+
+    async def run(self) -> None:
+        """Serve the worker until ownership is lost or the task cancelled."""
+        try:
+            while not self._worker.guard.revoked:
+                if await self._serve_once():
+                    self._retry_s = _RETRY_FIRST_S
+                    continue
+                await self._requeue_lapsed()
+                await self._pause()
+        finally:
+            await self._port.close()
+
+    async def start_task(
+        self, task: WorkerTask
+    ) -> Result[None, WorkerFailure]:
+        """Send an attempt to the worker, under a new lease."""
+        started = await self._port.start_task(
+            replace(task, lease_until_s=self._next_lease_end()),
+            self._worker.guard.token,
+        )
+        if isinstance(started, Ok):
+            return started
+        failure = started.err_value
+        if isinstance(failure, WorkerUnknown):
+            self._worker.doubt(task.id)
+        else:
+            self._worker.release(task.id)
+        self.note_failure(failure)
+        return started
+
+    def note_failure(self, failure: WorkerFailure) -> None:
+        """Act on a failed dispatch: fence again, or stop placing here."""
+        if isinstance(failure, WorkerUnknown):
+            self._fence_wanted.set()
+            return
+        if not isinstance(failure, WorkerRefused):
+            return
+        if failure.stale_epoch:
+            self._worker.guard.unconfirm()
+            self._fence_wanted.set()
+        if failure.leaving and self._worker.mark_leaving():
+            self._state.record("worker.leaving", self._worker.name)
+
+    async def _serve_once(self) -> bool:
+        if self._worker.in_doubt or not self._worker.guard.may_dispatch(
+            self._state.now
+        ):
+            self._fence_wanted.set()
+        if self._fence_wanted.is_set() and not await self._fence():
+            return False
+        if not await self._renew_leases():
+            return False
+        if not await self._follow_report():
+            return False
+        await self._record_ends()
+        await self._requeue_missing()
+        await self._stop_unwanted()
+        return True
+
+    async def _fence(self) -> bool:
+        self._fence_wanted.clear()
+        token = self._worker.begin_fence()
+        sent_at = self._state.now
+        answer = await self._port.fence(self._state.settings.name, token)
+        if self._worker.guard.revoked:
+            return False
+        if not isinstance(answer, Ok):
+            self._fence_failed(answer.err_value)
+            return False
+        self._see_clock(answer.ok_value.clock_s)
+        # Earlier owners may have renewed leases until the fence took effect.
+        self._next_lease_end()
+        self._worker.inherit(answer.ok_value, sent_at)
+        self._renewed_at = None
+        self._state.record("worker.fenced", self._worker.name, token=token)
+        self._state.notify_room()
+        return True
+
+    def _fence_failed(self, failure: WorkerFailure) -> None:
+        self._fence_wanted.set()
+        if isinstance(failure, WorkerRefused) and failure.stale_epoch:
+            self._worker.guard.revoke()
+            self._state.record("worker.lost", self._worker.name)
+            return
+        self._mark_unreachable()
+
+    def _see_clock(self, clock_s: float) -> None:
+        self._clock_s = clock_s
+        self._clock_seen_at = self._state.now
+
+    def _next_lease_end(self) -> float:
+        """Return the end of a lease that is sent now, by the worker's clock.
+
+        The worker's clock was at least ``_clock_s`` when it was seen, so the
+        lease has ended ``lease_s`` later by the clock of this process too,
+        but for the drift that the margin covers.
+        """
+        lease_s = self._state.settings.tasks.lease_s
+        self._leases_end_at = max(
+            self._leases_end_at, self._clock_seen_at + lease_s
+        )
+        return self._clock_s + lease_s
+
+    async def _renew_leases(self) -> bool:
+        now = self._state.now
+        settings = self._state.settings.tasks
+        due = self._renewed_at is None or (
+            now - self._renewed_at >= settings.renew_s
+        )
+        if not due:
+            return True
+        attempts = [
+            (held.id, held.attempt)
+            for held in self._worker.reservations
+            if held.kind is WorkKind.TASK
+        ]
+        if attempts:
+            renewed = await self._port.renew_leases(
+                attempts, self._next_lease_end(), self._worker.guard.token
+            )
+            if not isinstance(renewed, Ok):
+                self._call_failed(renewed.err_value)
+                return False
+        self._renewed_at = now
+        return True
+
+    async def _follow_report(self) -> bool:
+        """Wait for the next report, or until a fence is wanted."""
+        wait_s = min(
+            self._state.settings.workers.report_wait_s,
+            self._state.settings.tasks.renew_s / 2,
+        )
+        if self._unrecorded:
+            wait_s = min(wait_s, 1.0)
+        poll = asyncio.create_task(
+            self._port.report(self._since, wait_s, self._acknowledged())
+        )
+        wanted = asyncio.create_task(self._fence_wanted.wait())
+        try:
+            await asyncio.wait(
+                (poll, wanted), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not poll.done():
+                return True
+            report = poll.result()
+        finally:
+            wanted.cancel()
+            poll.cancel()
+        if not isinstance(report, Ok):
+            self._call_failed(report.err_value)
+            return False
+        self._take_report(report.ok_value)
+        return True
+
+    def _acknowledged(self) -> int:
+        """Return the sequence up to which all ends are stored."""
+        if not self._unrecorded:
+            return self._since
+        first = min(ended.sequence for ended in self._unrecorded.values())
+        return first - 1
+
+    def _take_report(self, report: WorkerReport) -> None:
+        self._see_clock(report.clock_s)
+        self._reported = True
+        if self._worker.mark_reachable(True):
+            self._state.record("worker.reachable", self._worker.name)
+        if report.leaving and self._worker.mark_leaving():
+            self._state.record("worker.leaving", self._worker.name)
+        for ended in report.ended:
+            held = self._worker.find(ended.id)
+            if held is not None and held.attempt == ended.attempt:
+                self._worker.release(ended.id)
+            self._unrecorded[(ended.id, ended.attempt)] = ended
+        self._worker.reconcile(report)
+        # A lower sequence than before means that the worker has restarted.
+        if report.sequence < self._since:
+            self._fence_wanted.set()
+        if report.sequence != self._since:
+            self._state.notify_room()
+        self._since = report.sequence
+
+    async def _stop_unwanted(self) -> None:
+        """Stop cancelled tasks, and inherited ones that were replaced."""
+        orphans = {held.id for held in self._worker.orphans}
+        for held in self._worker.reservations:
+            key = (held.id, held.attempt)
+            if held.kind is not WorkKind.TASK or key in self._stopped:
+                continue
+            if not self._unwanted(held, held.id in orphans):
+                continue
+            stopped = await self._port.stop_task(
+                held.id, held.attempt, self._worker.guard.token
+            )
+            if isinstance(stopped, Ok):
+                self._stopped.add(key)
+                self._state.counters.count("tasks_stopped")
+
+    def _unwanted(self, held: Reservation, orphan: bool) -> bool:
+        job = self._state.jobs.find(held.id)
+        if job is None:
+            return orphan and self._state.jobs.knows(held.id)
+        if job.state is JobState.CANCELLING:
+            return True
+        return orphan and not job.is_attempt(self._worker.name, held.attempt)
+
+    async def _requeue_missing(self) -> None:
+        """Requeue attempts that the worker neither runs nor has ended.
+
+        A reservation is held from before an attempt is written until its end
+        is reported, and the fence refuses every earlier owner. An attempt
+        without either was never started, or was lost in a restart.
+        """
+        if not self._reported or self._fence_wanted.is_set():
+            return
+        for job in self._state.jobs.assigned_to(self._worker.name):
+            held = self._worker.find(job.id)
+            if held is not None and held.attempt == job.attempt:
+                continue
+            if (job.id, job.attempt) in self._unrecorded:
+                continue
+            await self._requeue(job.id, job.attempt, "not running")
+
+    async def _record_ends(self) -> None:
+        for key, ended in list(self._unrecorded.items()):
+            if await self._record_end(ended):
+                self._unrecorded.pop(key, None)
+
+    async def _record_end(self, ended: EndedTask) -> bool:
+        """Store the end of an attempt.
+
+        :returns: False when the platform did not answer and it must be
+            stored later
+        """
+
+        def rule(job: Job) -> Job | None:
+            if not job.is_attempt(self._worker.name, ended.attempt):
+                return None
+            return self._after_end(job, ended)
+
+        jobs = self._state.jobs
+        if jobs.find(ended.id) is None and jobs.knows(ended.id):
+            return True
+        changed = await self._recorder.change(ended.id, rule, self._ownership)
+        if isinstance(changed, Ok):
+            self._state.counters.count(f"tasks_{ended.how.value}")
+            self._state.record(
+                "job.attempt-ended",
+                ended.id,
+                attempt=ended.attempt,
+                how=ended.how.value,
+                worker=self._worker.name,
+            )
+            return True
+        return self._ownership_lost(changed.err_value)
+
+    def _after_end(self, job: Job, ended: EndedTask) -> Job:
+        if ended.how is ExecutionEnd.DONE:
+            return job.finish()
+        if ended.how is ExecutionEnd.FAILED:
+            spec = self._state.spec(job.service)
+            limit = spec.max_attempts if spec is not None else 1
+            return job.fail(limit, ended.detail)
+        return job.requeue(ended.checkpoint or job.checkpoint)
+
+    async def _requeue_lapsed(self) -> None:
+        """Requeue attempts whose lease has certainly ended.
+
+        Only this owner can renew them, and the write checks that it still is
+        the owner.
+        """
+        if not self._reported or self._worker.reachable:
+            return
+        margin_s = self._state.settings.tasks.margin_s
+        if self._state.now < self._leases_end_at + margin_s:
+            return
+        for job in self._state.jobs.assigned_to(self._worker.name):
+            await self._requeue(job.id, job.attempt, "lease lapsed")
+
+    async def _requeue(self, job_id: str, attempt: int, reason: str) -> None:
+        def rule(job: Job) -> Job | None:
+            if not job.is_attempt(self._worker.name, attempt):
+                return None
+            return job.requeue(job.checkpoint)
+
+        changed = await self._recorder.change(job_id, rule, self._ownership)
+        if isinstance(changed, Ok):
+            self._state.record(
+                "job.requeued", job_id, attempt=attempt, reason=reason
+            )
+        else:
+            self._ownership_lost(changed.err_value)
+
+    def _ownership_lost(self, failure: TableFailure) -> bool:
+        """Revoke the ownership when a write failed its owner check."""
+        if not isinstance(failure, TableConflict):
+            return False
+        if not any(table == OWNERS for table, _ in failure.versions):
+            return False
+        self._worker.guard.revoke()
+        self._state.record("worker.lost", self._worker.name)
+        return True
+
+    def _call_failed(self, failure: WorkerFailure) -> None:
+        self._fence_wanted.set()
+        if isinstance(failure, WorkerRefused) and failure.stale_epoch:
+            return
+        self._mark_unreachable()
+
+    def _mark_unreachable(self) -> None:
+        if self._worker.mark_reachable(False):
+            self._state.record("worker.unreachable", self._worker.name)
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._retry_s * random.uniform(0.5, 1.0))
+        self._retry_s = min(self._retry_s * 2, _RETRY_LIMIT_S)
--- a/src/carawaystep/job/job.py
+++ b/src/carawaystep/job/job.py
@@ -76,6 +76,10 @@
             JobState.CANCELLING,
         )
 
+    def at_version(self, version: int) -> Job:
+        """Return the job as stored under a row version."""
+        return replace(self, version=version)
+
     def urgency(self, declared: int, wall_now: float) -> float:
         """Return the urgency after waiting.
 
@@ -139,6 +143,10 @@
         """Return the job on its way to cancellation."""
         return replace(self._moved("cancel"), reason="cancelled")
 
+    def revive(self) -> Job:
+        """Return a cancelled replica of a standing service queued again."""
+        return replace(self._moved("revive"), reason="", failures=0)
+
     def park(self, reason: str) -> Job:
         """Return the job set aside because it can never run."""
         return replace(self._moved("park"), worker="", reason=reason)
--- a/src/carawaystep/job/job_lifecycle.py
+++ b/src/carawaystep/job/job_lifecycle.py
@@ -24,6 +24,7 @@
     ("cancel", JobState.ASSIGNED, JobState.CANCELLING),
     ("cancel", JobState.CHECKPOINTING, JobState.CANCELLING),
     ("cancel", JobState.CANCELLING, JobState.CANCELLING),
+    ("revive", JobState.CANCELLED, JobState.QUEUED),
 )
 
 
@@ -51,7 +52,7 @@
         """Return the state after a trigger, None when it is not allowed.
 
         :param state: present state
-        :param trigger: assign, checkpoint, requeue, finish, park or cancel
+        :param trigger: name of a transition, such as ``assign``
         """
         try:
             found = self._machine.get_transitions(
--- a/src/carawaystep/membership/assignment.py
+++ b/src/carawaystep/membership/assignment.py
@@ -52,6 +52,8 @@
     ) -> Ownership | None:
         """Return the ownership to write when this process should take over.
 
+        It is asked only while this process does not serve the worker.
+
         :param worker: name of the worker
         :param availability_zone: where it is
         :param present: its row, None when there is none
@@ -61,10 +63,9 @@
             return None
         if present is None:
             return Ownership(worker, self._entry, self._incarnation, 1, 0)
-        if present.incarnation == self._incarnation:
-            return None
-        restarted = present.entry == self._entry
-        if not restarted and self._holds(present, now):
+        # A row that names this entry is of an earlier process, or of an
+        # epoch that this process no longer serves.
+        if present.entry != self._entry and self._holds(present, now):
             return None
         return Ownership(
             worker,
--- a/src/carawaystep/membership/entry_directory.py
+++ b/src/carawaystep/membership/entry_directory.py
@@ -12,6 +12,10 @@
 # entry that dies has its workers owned again within 10 s.
 DEAD_AFTER_S = 6.0
 
+# Rows of other availability zones are read less often; nobody takes over
+# workers there, so a late verdict does no harm.
+FAR_DEAD_AFTER_S = 20.0
+
 
 @dataclass(slots=True)
 class _Sighting:
@@ -28,12 +32,14 @@
     answered, and no peer heartbeat came in that time.
     """
 
-    def __init__(self, own_name: str) -> None:
+    def __init__(self, own_name: str, own_zone: str) -> None:
         """Create an empty directory.
 
         :param own_name: name of this process's entry, always alive
+        :param own_zone: its availability zone
         """
         self._own_name = own_name
+        self._own_zone = own_zone
         self._sightings: dict[str, _Sighting] = {}
         self._observed_since: float | None = None
         self._platform_seen_at: float | None = None
@@ -86,9 +92,10 @@
         seen = self._sightings.get(name)
         if seen is None:
             return False
-        if seen.heard_at is not None and now - seen.heard_at < DEAD_AFTER_S:
+        limit_s = self._limit_s(seen.record)
+        if seen.heard_at is not None and now - seen.heard_at < limit_s:
             return True
-        if now - seen.changed_at < DEAD_AFTER_S:
+        if now - seen.changed_at < limit_s:
             return True
         return not self._observed_long_enough(now)
 
@@ -121,6 +128,11 @@
         seen = self._sightings.get(name)
         return None if seen is None else seen.record
 
+    def _limit_s(self, record: EntryRecord) -> float:
+        if record.availability_zone == self._own_zone:
+            return DEAD_AFTER_S
+        return FAR_DEAD_AFTER_S
+
     def _observed_long_enough(self, now: float) -> bool:
         if self._observed_since is None or self._platform_seen_at is None:
             return False
--- a/src/carawaystep/membership/ownership.py
+++ b/src/carawaystep/membership/ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +22,7 @@
     incarnation: str
     epoch: int
     version: int
+
+    def at_version(self, version: int) -> Ownership:
+        """Return the ownership as stored under a row version."""
+        return replace(self, version=version)
--- a/src/carawaystep/peer/messages.py
+++ b/src/carawaystep/peer/messages.py
@@ -104,6 +104,16 @@
     state: str
 
 
+class PeerRow(Struct, frozen=True):
+    """An entry as the sender knows it."""
+
+    name: str
+    incarnation: str
+    availability_zone: str
+    http_url: str
+    peer_address: str
+
+
 class FetchDocuments(Struct, frozen=True, tag="fetch-documents"):
     """Asks for documents and the VM list."""
 
@@ -111,12 +121,13 @@
 
 
 class DocumentsReply(Struct, frozen=True, tag="documents-reply"):
-    """Documents in force at the receiver and its VM list."""
+    """Documents in force at the receiver, its VM list and live entries."""
 
     sequence: int
     revision: int
     documents: tuple[DocumentRow, ...]
     vms: tuple[VmRow, ...]
+    entries: tuple[PeerRow, ...] = ()
 
 
 PeerMessage = (
--- a/src/carawaystep/request/request.py
+++ b/src/carawaystep/request/request.py
@@ -42,7 +42,8 @@
         self._body = body
         self._deadline = deadline
         self._dispatches = 0
-        self._in_doubt = False
+        self._pending = False
+        self._lost = False
         self._reply: Reply | None = None
 
     @property
@@ -78,7 +79,7 @@
     @property
     def in_doubt(self) -> bool:
         """Tell whether a dispatch may have had an effect."""
-        return self._in_doubt
+        return self._pending or self._lost
 
     @property
     def reply(self) -> Reply | None:
@@ -97,7 +98,7 @@
         """Tell whether it may be sent (again)."""
         if self._reply is not None or self.expired(now):
             return False
-        return self._spec.idempotent or not self._in_doubt
+        return self._spec.idempotent or not self.in_doubt
 
     def begin_dispatch(self, now: float) -> str:
         """Record a dispatch and return its id.
@@ -108,22 +109,26 @@
         if not self.may_dispatch(now):
             raise BrokenInvariant(f"request {self._id}: dispatched too often")
         self._dispatches += 1
-        self._in_doubt = True
+        self._pending = True
         return f"{self._id}.{self._dispatches}"
 
     def dispatch_refused(self) -> None:
-        """Record that the last dispatch certainly had no effect.
+        """Record that the last dispatch certainly had no effect."""
+        self._pending = False
 
-        A doubt that remains from an earlier dispatch of an idempotent
-        request does no harm to it, so one flag suffices.
+    def dispatch_lost(self) -> None:
+        """Record that the answer to the last dispatch was lost.
+
+        A later refusal of a retry does not undo this.
         """
-        self._in_doubt = False
+        self._pending = False
+        self._lost = True
 
     def finish(self, reply: Reply) -> None:
         """Record the only reply."""
         if self._reply is not None:
             raise BrokenInvariant(f"request {self._id}: replied twice")
-        if reply.outcome is Outcome.NOT_RUN and self._in_doubt:
+        if reply.outcome is Outcome.NOT_RUN and self.in_doubt:
             raise BrokenInvariant(
                 f"request {self._id}: told as not run while in doubt"
             )
--- a/src/carawaystep/settings/entry_settings.py
+++ b/src/carawaystep/settings/entry_settings.py
@@ -31,6 +31,18 @@
         le=5,
         description="interval of reading changes, seconds",
     )
+    far_poll_s: float = Field(
+        default=5.0,
+        ge=1,
+        le=120,
+        description="interval of reading entries of all zones, seconds",
+    )
+    heartbeat_s: float = Field(
+        default=2.0,
+        ge=0.2,
+        le=2.0,
+        description="interval of writing the own row, seconds",
+    )
 
 
 class AccessSettings(SettingsModel):
@@ -108,6 +120,11 @@
         pattern=r"^tcp://",
         description="zmq address to bind and to advertise",
     )
+    seed_peers: list[str] = Field(
+        default=[],
+        description="zmq addresses of peers in the same availability zone, "
+        "asked for documents when the platform cannot be reached at start",
+    )
     platform: PlatformSettings
     access: AccessSettings
     requests: RequestSettings = RequestSettings()
--- a/src/carawaystep/worker/fence_answer.py
+++ b/src/carawaystep/worker/fence_answer.py
@@ -19,7 +19,8 @@
     :param leaving: True when the worker leaves the fleet
     :param capacity: limits of the worker
     :param running: everything that it runs, for earlier owners too
-    :param sequence: start of the reports that follow
+    :param sequence: number of the last event before the fence
+    :param clock_s: the worker's own monotonic clock at the fence, seconds
     """
 
     epoch: int
@@ -28,3 +29,4 @@
     capacity: Capacity
     running: tuple[Reservation, ...]
     sequence: int
+    clock_s: float
--- a/src/carawaystep/worker/fencing_guard.py
+++ b/src/carawaystep/worker/fencing_guard.py
@@ -18,9 +18,13 @@
         self._fenced = False
 
     def confirm(self, now: float) -> None:
-        """Record that the worker accepted this epoch."""
+        """Record that the worker accepted the present token."""
         self._fenced = True
 
+    def unconfirm(self) -> None:
+        """Record that the worker has not accepted the present token."""
+        self._fenced = False
+
     def may_dispatch(self, now: float) -> bool:
-        """Tell whether the worker accepted this epoch."""
+        """Tell whether the worker accepted the present token."""
         return self._fenced and not self._revoked
--- a/src/carawaystep/worker/lease_guard.py
+++ b/src/carawaystep/worker/lease_guard.py
@@ -23,6 +23,10 @@
         """Record a renewal that was sent at ``now`` and answered."""
         self._confirmed_at = now
 
+    def unconfirm(self) -> None:
+        """Record that no lease covers the present token."""
+        self._confirmed_at = None
+
     def may_dispatch(self, now: float) -> bool:
         """Tell whether the lease, less the margin, still runs."""
         if self._revoked or self._confirmed_at is None:
--- a/src/carawaystep/worker/worker.py
+++ b/src/carawaystep/worker/worker.py
@@ -9,12 +9,12 @@
 from carawaystep.worker.work_kind import WorkKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from carawaystep.platform.vm import Vm
     from carawaystep.worker.capacity import Capacity
+    from carawaystep.worker.fence_answer import FenceAnswer
     from carawaystep.worker.ownership_guard import OwnershipGuard
     from carawaystep.worker.reservation import Reservation
+    from carawaystep.worker.worker_report import WorkerReport
 
 
 class Worker:
@@ -37,6 +37,12 @@
         self._used = Resources()
         self._leaving = False
         self._reachable = False
+        # Executions whose end only the worker's report tells: those of
+        # earlier owners and those whose answer was lost.
+        self._orphans: set[str] = set()
+        self._in_doubt: set[str] = set()
+        self._fenced_clock_s = 0.0
+        self._released_in_fence: set[str] | None = None
 
     @property
     def name(self) -> str:
@@ -94,6 +100,16 @@
             if held.kind is WorkKind.TASK
         )
 
+    @property
+    def in_doubt(self) -> bool:
+        """Tell whether a fence is needed to account for lost answers."""
+        return bool(self._in_doubt)
+
+    @property
+    def orphans(self) -> list[Reservation]:
+        """Return the executions whose end only the report tells."""
+        return [self._reservations[name] for name in self._orphans]
+
     def may_receive(self, now: float) -> bool:
         """Tell whether this process may give the worker new work.
 
@@ -112,20 +128,57 @@
             return False
         return (self._used + needs).fits_in(self._capacity.resources)
 
-    def inherit(
-        self, capacity: Capacity, running: Iterable[Reservation]
-    ) -> None:
-        """Take over what the worker runs for earlier owners.
+    def begin_fence(self) -> int:
+        """Return the token of the next fence; dispatch waits for it."""
+        self._released_in_fence = set()
+        return self._guard.renew_token()
+
+    def inherit(self, answer: FenceAnswer, sent_at: float) -> None:
+        """Take over what the worker runs, for earlier owners too.
+
+        Whatever it does not list has ended or was refused by the fence.
 
-        :param capacity: limits that the worker reported
-        :param running: executions listed in the answer to the fence
+        :param answer: the worker's answer to the fence
+        :param sent_at: when the fence was sent, monotonic seconds
         """
-        self._capacity = capacity
-        self._reservations = {held.id: held for held in running}
+        released = self._released_in_fence or set()
+        self._released_in_fence = None
+        tracked = set(self._reservations) - self._in_doubt - self._orphans
+        self._capacity = answer.capacity
+        self._reservations = {
+            held.id: held for held in answer.running if held.id not in released
+        }
         self._used = sum(
             (held.needs for held in self._reservations.values()), Resources()
         )
+        self._orphans = set(self._reservations) - tracked
+        self._in_doubt = set()
+        self._fenced_clock_s = answer.clock_s
         self._reachable = True
+        self._leaving = self._leaving or answer.leaving
+        self._guard.confirm(sent_at)
+
+    def reconcile(self, report: WorkerReport) -> list[str]:
+        """Release orphans that the worker no longer runs.
+
+        A report that lags behind the fence says nothing about them.
+
+        :returns: ids that were released
+        """
+        if report.clock_s < self._fenced_clock_s:
+            return []
+        gone = [name for name in self._orphans if name not in report.running]
+        for name in gone:
+            self.release(name)
+        return gone
+
+    def doubt(self, reservation_id: str) -> None:
+        """Record that the answer to a dispatch was lost.
+
+        Its capacity stays held until a fence tells whether it runs.
+        """
+        if reservation_id in self._reservations:
+            self._in_doubt.add(reservation_id)
 
     def reserve(self, reservation: Reservation, now: float) -> bool:
         """Hold capacity for one execution.
@@ -151,9 +204,13 @@
         :param reservation_id: request id or job id
         :returns: False when nothing was held, as after a doubled report
         """
+        if self._released_in_fence is not None:
+            self._released_in_fence.add(reservation_id)
         held = self._reservations.pop(reservation_id, None)
         if held is None:
             return False
+        self._orphans.discard(reservation_id)
+        self._in_doubt.discard(reservation_id)
         self._used = self._used - held.needs
         return True
 
--- a/src/carawaystep/worker/worker_port.py
+++ b/src/carawaystep/worker/worker_port.py
@@ -56,12 +56,15 @@
 
     @abstractmethod
     async def renew_leases(
-        self, attempts: Sequence[tuple[str, int]], lease_s: float, epoch: int
+        self, attempts: Sequence[tuple[str, int]], until_s: float, epoch: int
     ) -> Result[frozenset[str], WorkerFailure]:
         """Renew the leases of tasks.
 
+        The end is given by the worker's own clock, so that a renewal that
+        was delayed on its way extends nothing beyond what its sender counts.
+
         :param attempts: job ids with attempt numbers
-        :param lease_s: seconds from the arrival at the worker
+        :param until_s: end of the leases by the worker's own clock
         :param epoch: epoch of the caller's ownership
         :returns: job ids whose attempt the worker does not run
         """
@@ -86,12 +89,13 @@
 
     @abstractmethod
     async def report(
-        self, since: int, wait_s: float
+        self, since: int, wait_s: float, acknowledged: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news from the worker.
 
         :param since: sequence of the last report
         :param wait_s: seconds after which the worker answers without news
+        :param acknowledged: the worker may forget ends up to this sequence
         """
 
     @abstractmethod
--- a/src/carawaystep/worker/worker_report.py
+++ b/src/carawaystep/worker/worker_report.py
@@ -17,9 +17,12 @@
     :param leaving: True when the worker leaves the fleet
     :param running: ids of all executions now running
     :param ended: tasks that ended after ``since``
+    :param clock_s: the worker's own monotonic clock at the time that the
+        report shows, seconds
     """
 
     sequence: int
     leaving: bool
     running: frozenset[str]
     ended: tuple[EndedTask, ...]
+    clock_s: float
--- a/src/carawaystep/worker/worker_task.py
+++ b/src/carawaystep/worker/worker_task.py
@@ -18,7 +18,7 @@
     :param service: name of the service
     :param needs: resources that it holds while it runs
     :param run_s: declared run time in seconds, None for endless work
-    :param lease_s: seconds that it may run without a renewal
+    :param lease_until_s: end of its lease by the worker's own clock
     :param checkpoint: object key to resume from, or None
     """
 
@@ -27,5 +27,5 @@
     service: str
     needs: Resources
     run_s: float | None
-    lease_s: float
+    lease_until_s: float
     checkpoint: str | None
