Add the HTTP front end, tokens and metrics

Callers and operators had no way to reach an entry. Handlers are grouped by aggregate; statuses of outcomes and failures stand in one module; calls to the service run in tasks of their own, so that a caller that hangs up does not stop them.

The routes of jobs, documents and operations and the behaviour on real sockets are not tested yet.

--- /dev/null
+++ b/src/carawaystep/access/__init__.py
@@ -0,0 +1,1 @@
+"""The access aggregate: tokens and what they allow."""
--- /dev/null
+++ b/src/carawaystep/access/token_entry.py
@@ -0,0 +1,41 @@
+"""One token as the tokens file has it."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+from carawaystep.access.grant import Grant
+from carawaystep.access.role import Role
+from carawaystep.settings.entry_settings import NAME_PATTERN
+
+_TEAM_PATTERN = rf"^\*$|{NAME_PATTERN}"
+_TOKEN_PATTERN = r"^[\x21-\x7e]{16,256}$"  # noqa: S105
+
+ServiceName = Annotated[str, Field(pattern=NAME_PATTERN)]
+
+
+class TokenEntry(BaseModel):
+    """A validated item of the list; its token never appears in errors."""
+
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, hide_input_in_errors=True
+    )
+
+    token: str = Field(
+        pattern=_TOKEN_PATTERN,
+        repr=False,
+        description="16 to 256 visible ASCII characters",
+    )
+    team: str = Field(pattern=_TEAM_PATTERN, description="team, or *")
+    roles: frozenset[Role] = Field(min_length=1, description="what it may do")
+    services: frozenset[ServiceName] | None = Field(
+        default=None, description="services it is limited to"
+    )
+
+    def grant(self) -> Grant:
+        """Return the rights without the token."""
+        return Grant(self.team, self.roles, self.services)
--- /dev/null
+++ b/src/carawaystep/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of outside systems and protocols to the ports."""
--- /dev/null
+++ b/src/carawaystep/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end of an entry for callers and operators."""
--- /dev/null
+++ b/src/carawaystep/adapters/http/application.py
@@ -0,0 +1,89 @@
+"""Composition of the HTTP front end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
+
+from carawaystep.adapters.http.authenticator import Authenticator
+from carawaystep.adapters.http.call_runner import CallRunner
+from carawaystep.adapters.http.context import Context
+from carawaystep.adapters.http.document_handlers import DocumentHandlers
+from carawaystep.adapters.http.fault_barrier import FaultBarrier
+from carawaystep.adapters.http.fault_reporter import FaultReporter
+from carawaystep.adapters.http.job_handlers import JobHandlers
+from carawaystep.adapters.http.lingering_close import LingeringClose
+from carawaystep.adapters.http.operation_handlers import OperationHandlers
+from carawaystep.adapters.http.refusal import Refusal
+from carawaystep.adapters.http.replies import error_reply
+from carawaystep.adapters.http.request_handlers import RequestHandlers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from carawaystep.access.token_table import TokenTable
+    from carawaystep.adapters.metrics.process_metrics import ProcessMetrics
+    from carawaystep.entry.entry_service import EntryService
+    from carawaystep.errors.broken_invariant import BrokenInvariant
+    from carawaystep.settings.entry_settings import EntrySettings
+
+_ERRORS = {
+    404: ("not-found", "this path does not exist; see docs/callers.md"),
+    405: (
+        "method-not-allowed",
+        "this path does not take this method; use one named in Allow",
+    ),
+}
+
+
+def create_app(
+    service: EntryService,
+    tokens: TokenTable,
+    settings: EntrySettings,
+    metrics: ProcessMetrics,
+    on_broken_invariant: Callable[[BrokenInvariant], None],
+) -> Starlette:
+    """Return the application that serves callers and operators.
+
+    :param service: the entry
+    :param tokens: accepted tokens
+    :param settings: limits of bodies and deadlines
+    :param metrics: counts calls and is served at ``/metrics``
+    :param on_broken_invariant: told of a broken invariant, to stop the
+        process
+    """
+    faults = FaultReporter(metrics, on_broken_invariant)
+    context = Context(
+        service, Authenticator(tokens), CallRunner(faults), settings, metrics
+    )
+    app = Starlette(
+        routes=[
+            *RequestHandlers(context).routes(),
+            *JobHandlers(context).routes(),
+            *DocumentHandlers(context).routes(),
+            *OperationHandlers(context).routes(),
+        ],
+        middleware=[
+            Middleware(LingeringClose),
+            Middleware(FaultBarrier, faults=faults),
+        ],
+        exception_handlers={HTTPException: _routing_error},
+    )
+    app.router.redirect_slashes = False
+    return app
+
+
+async def _routing_error(request: Request, error: Exception) -> Response:
+    if not isinstance(error, HTTPException):
+        raise error
+    code, detail = _ERRORS.get(
+        error.status_code, ("bad-request", "see docs/callers.md")
+    )
+    headers = dict(error.headers or {})
+    return error_reply(Refusal(error.status_code, code, detail, headers))
--- /dev/null
+++ b/src/carawaystep/adapters/http/body_reader.py
@@ -0,0 +1,72 @@
+"""Reading of bodies within limits of size and time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.http.refusal import Refusal
+
+if TYPE_CHECKING:
+    from result import Result
+    from starlette.requests import Request
+
+
+async def read_body(
+    request: Request, limit_bytes: int, timeout_s: float
+) -> Result[bytes, Refusal]:
+    """Return the whole body.
+
+    :param request: the call
+    :param limit_bytes: largest body
+    :param timeout_s: longest time until its end
+    """
+    declared = request.headers.get("content-length", "")
+    if declared.isdecimal() and int(declared) > limit_bytes:
+        return Err(_too_large(limit_bytes))
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _collect(request, limit_bytes)
+    except TimeoutError:
+        return Err(
+            Refusal(
+                408,
+                "body-too-slow",
+                f"the body did not arrive within {timeout_s:g} s; send it"
+                " faster or make it smaller",
+            )
+        )
+
+
+async def _collect(
+    request: Request, limit_bytes: int
+) -> Result[bytes, Refusal]:
+    body = bytearray()
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return Err(_truncated())
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
+            return Err(_too_large(limit_bytes))
+        if not message.get("more_body", False):
+            return Ok(bytes(body))
+
+
+def _too_large(limit_bytes: int) -> Refusal:
+    return Refusal(
+        413,
+        "body-too-large",
+        f"the body is larger than {limit_bytes} bytes; send a smaller one",
+    )
+
+
+def _truncated() -> Refusal:
+    return Refusal(
+        400,
+        "body-truncated",
+        "the connection closed before the end of the body; send it again",
+    )
--- /dev/null
+++ b/src/carawaystep/adapters/http/call_headers.py
@@ -0,0 +1,124 @@
+"""Validation of the headers of a call."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.http.refusal import Refusal
+
+if TYPE_CHECKING:
+    from result import Result
+    from starlette.requests import Request
+
+DEADLINE = "Carawaystep-Deadline"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+OUTCOME = "Carawaystep-Outcome"
+REQUEST_ID = "Carawaystep-Request-Id"
+
+# Bounded, so that the value is finite and its conversion is cheap.
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_KEY = re.compile(r"[\x21-\x7e]{1,128}")
+
+
+def single_header(request: Request, name: str) -> Result[str | None, Refusal]:
+    """Return the value of a header that may be given once."""
+    values = request.headers.getlist(name)
+    if len(values) > 1:
+        return Err(
+            Refusal(
+                400, "bad-header", f"{name} is given twice; send one value"
+            )
+        )
+    return Ok(values[0] if values else None)
+
+
+def deadline(
+    request: Request, default_s: float, max_s: float
+) -> Result[float, Refusal]:
+    """Return the seconds that the caller is willing to wait.
+
+    :param request: the call
+    :param default_s: used when the caller names none
+    :param max_s: longest deadline; a later one is brought down to it
+    """
+    value = single_header(request, DEADLINE)
+    if isinstance(value, Err):
+        return value
+    text = value.ok_value
+    if text is None:
+        return Ok(min(default_s, max_s))
+    seconds = float(text) if _SECONDS.fullmatch(text) else 0.0
+    if seconds <= 0.0:
+        return Err(
+            Refusal(
+                400,
+                "bad-deadline",
+                f"{DEADLINE} must be a decimal number of seconds above 0,"
+                " such as 1.5",
+            )
+        )
+    return Ok(min(seconds, max_s))
+
+
+def idempotency_key(
+    request: Request, required: bool
+) -> Result[str | None, Refusal]:
+    """Return the caller's key.
+
+    :param request: the call
+    :param required: whether the service demands one
+    """
+    value = single_header(request, IDEMPOTENCY_KEY)
+    if isinstance(value, Err):
+        return value
+    key = value.ok_value
+    if key is None and required:
+        return Err(
+            Refusal(
+                400,
+                "idempotency-key-required",
+                f"the service is not idempotent; send {IDEMPOTENCY_KEY} with"
+                " a value that is unique to this piece of work",
+            )
+        )
+    if key is not None and not _KEY.fullmatch(key):
+        return Err(
+            Refusal(
+                400,
+                "bad-idempotency-key",
+                f"{IDEMPOTENCY_KEY} must be 1 to 128 visible ASCII"
+                " characters; send such a key",
+            )
+        )
+    return Ok(key)
+
+
+def check_content(
+    request: Request, allowed: tuple[str, ...]
+) -> Refusal | None:
+    """Return the refusal of a body in a format that is not supported.
+
+    :param request: the call; without a content type it is accepted
+    :param allowed: media types
+    """
+    encoding = request.headers.get("content-encoding", "identity")
+    if encoding.lower() != "identity":
+        return Refusal(
+            415,
+            "unsupported-encoding",
+            "the body must not be compressed; send it without"
+            " Content-Encoding",
+        )
+    content_type = request.headers.get("content-type", "")
+    media_type = content_type.partition(";")[0].strip().lower()
+    if media_type and media_type not in allowed:
+        return Refusal(
+            415,
+            "unsupported-content-type",
+            f"send the body with Content-Type {' or '.join(allowed)}",
+        )
+    return None
--- /dev/null
+++ b/src/carawaystep/adapters/http/document_handlers.py
@@ -0,0 +1,211 @@
+"""Service documents."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from starlette.routing import Route
+
+from carawaystep.access.role import Role
+from carawaystep.adapters.http.authenticator import forbidden
+from carawaystep.adapters.http.body_reader import read_body
+from carawaystep.adapters.http.call_headers import check_content
+from carawaystep.adapters.http.context import CALL_LIMIT_S
+from carawaystep.adapters.http.document_commit_view import DocumentCommitView
+from carawaystep.adapters.http.document_list_view import DocumentListView
+from carawaystep.adapters.http.document_status_view import DocumentStatusView
+from carawaystep.adapters.http.document_view import DocumentView
+from carawaystep.adapters.http.refusal import Refusal
+from carawaystep.adapters.http.replies import error_reply
+from carawaystep.adapters.http.replies import model_reply
+from carawaystep.adapters.http.statuses import refusal_of
+from carawaystep.settings.entry_settings import NAME_PATTERN
+
+if TYPE_CHECKING:
+    from result import Result
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from carawaystep.access.grant import Grant
+    from carawaystep.adapters.http.context import Context
+
+_MAX_BODY_BYTES = 4 * 64 * 1024
+_CONTENT_TYPES = (
+    "application/yaml",
+    "application/x-yaml",
+    "text/yaml",
+    "text/plain",
+)
+_NAME = re.compile(NAME_PATTERN)
+_VERSION = re.compile(r"[0-9]{1,15}")
+
+
+class DocumentHandlers:
+    """The paths below ``/v1/documents``."""
+
+    def __init__(self, context: Context) -> None:
+        """Create the handlers.
+
+        :param context: collaborators
+        """
+        self._context = context
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        one = "/v1/documents/{service}"
+        return [
+            Route("/v1/documents", self.list_all, methods=["GET"]),
+            Route(one, self.document, methods=["GET", "PUT"]),
+            Route(f"{one}/status", self.status, methods=["GET"]),
+        ]
+
+    async def list_all(self, request: Request) -> Response:
+        """Return all documents in force."""
+        grant = self._grant(request)
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        views = [
+            DocumentView.of(document)
+            for document in self._context.service.documents()
+            if grant.ok_value.covers(document.service)
+        ]
+        return model_reply(DocumentListView(documents=views))
+
+    async def document(self, request: Request) -> Response:
+        """Return or write a document."""
+        name = request.path_params["service"]
+        grant = self._grant(request, name)
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        if request.method == "PUT":
+            return await self._put(request, name, grant.ok_value)
+        for document in self._context.service.documents():
+            if document.service == name:
+                return model_reply(DocumentView.of(document))
+        return error_reply(_unknown_document())
+
+    async def status(self, request: Request) -> Response:
+        """Tell where a document is in force."""
+        name = request.path_params["service"]
+        grant = self._grant(request, name)
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        if not _NAME.fullmatch(name):
+            return error_reply(_unknown_document())
+        result = await self._context.runner.run(
+            self._context.service.document_status(name), CALL_LIMIT_S
+        )
+        if isinstance(result, Err):
+            return error_reply(result.err_value)
+        if isinstance(result.ok_value, Err):
+            return error_reply(refusal_of(result.ok_value.err_value))
+        status = result.ok_value.ok_value
+        return model_reply(
+            DocumentStatusView(
+                version=status.version,
+                revision=status.revision,
+                entries=status.entries,
+                in_force=status.in_force,
+            )
+        )
+
+    async def _put(
+        self, request: Request, name: str, grant: Grant
+    ) -> Response:
+        refusal = self._check_owner(name, grant) or check_content(
+            request, _CONTENT_TYPES
+        )
+        if refusal is not None:
+            return error_reply(refusal)
+        expected = _expected(request)
+        if isinstance(expected, Err):
+            return error_reply(expected.err_value)
+        text = await self._text(request)
+        if isinstance(text, Err):
+            return error_reply(text.err_value)
+        result = await self._context.runner.run(
+            self._context.service.put_document(
+                name, text.ok_value, expected.ok_value, grant.document_team
+            ),
+            CALL_LIMIT_S,
+        )
+        if isinstance(result, Err):
+            return error_reply(result.err_value)
+        if isinstance(result.ok_value, Err):
+            return error_reply(refusal_of(result.ok_value.err_value))
+        commit = result.ok_value.ok_value
+        return model_reply(
+            DocumentCommitView(
+                version=commit.version, revision=commit.revision
+            )
+        )
+
+    async def _text(self, request: Request) -> Result[str, Refusal]:
+        body = await read_body(
+            request,
+            _MAX_BODY_BYTES,
+            self._context.settings.requests.body_timeout_s,
+        )
+        if isinstance(body, Err):
+            return body
+        try:
+            return Ok(body.ok_value.decode("utf-8"))
+        except UnicodeDecodeError:
+            return Err(
+                Refusal(
+                    400, "invalid", "the document must be UTF-8; convert it"
+                )
+            )
+
+    def _check_owner(self, name: str, grant: Grant) -> Refusal | None:
+        """Return the refusal of a write to another team's document.
+
+        The service checks the team that the new text names. Without this
+        check an operator could take over a service by naming its own team.
+        """
+        if not _NAME.fullmatch(name):
+            return Refusal(
+                400,
+                "invalid",
+                "the name of a service has 1 to 63 characters of a-z, 0-9"
+                " and -; rename it",
+            )
+        spec = self._context.service.spec(name)
+        if spec is None or grant.may_write_for(spec.team):
+            return None
+        return forbidden(
+            f"the document belongs to the team {spec.team}; ask one of its"
+            " operators"
+        )
+
+    def _grant(
+        self, request: Request, service: str | None = None
+    ) -> Result[Grant, Refusal]:
+        return self._context.authenticator.grant(
+            request, Role.OPERATOR, service=service
+        )
+
+
+def _expected(request: Request) -> Result[int, Refusal]:
+    values = request.query_params.getlist("expected")
+    if len(values) == 1 and _VERSION.fullmatch(values[0]):
+        return Ok(int(values[0]))
+    return Err(
+        Refusal(
+            400,
+            "bad-expected",
+            "add ?expected=N with the version that the document replaces, 0"
+            " for a new one",
+        )
+    )
+
+
+def _unknown_document() -> Refusal:
+    return Refusal(
+        404,
+        "not-found",
+        "no document of this service is in force; check the name",
+    )
--- /dev/null
+++ b/src/carawaystep/adapters/http/document_list_view.py
@@ -0,0 +1,13 @@
+"""All documents in force."""
+
+from __future__ import annotations
+
+from pydantic import BaseModel
+
+from carawaystep.adapters.http.document_view import DocumentView
+
+
+class DocumentListView(BaseModel):
+    """Documents, ordered by service."""
+
+    documents: list[DocumentView]
--- /dev/null
+++ b/src/carawaystep/adapters/http/job_handlers.py
@@ -0,0 +1,172 @@
+"""Jobs of batch services."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from pydantic import ValidationError
+from result import Err
+from result import Ok
+from starlette.routing import Route
+
+from carawaystep.access.role import Role
+from carawaystep.adapters.http.body_reader import read_body
+from carawaystep.adapters.http.call_headers import check_content
+from carawaystep.adapters.http.call_headers import idempotency_key
+from carawaystep.adapters.http.context import CALL_LIMIT_S
+from carawaystep.adapters.http.job_receipt import JobReceipt
+from carawaystep.adapters.http.job_submission import JobSubmission
+from carawaystep.adapters.http.job_view import JobView
+from carawaystep.adapters.http.refusal import Refusal
+from carawaystep.adapters.http.replies import error_reply
+from carawaystep.adapters.http.replies import model_reply
+from carawaystep.adapters.http.service_checks import find_spec
+from carawaystep.adapters.http.statuses import refusal_of
+from carawaystep.document.service_kind import ServiceKind
+from carawaystep.entry.job_call import JobCall
+
+if TYPE_CHECKING:
+    from result import Result
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from carawaystep.access.grant import Grant
+    from carawaystep.adapters.http.context import Context
+    from carawaystep.job.job import Job
+
+_MAX_BODY_BYTES = 256 * 1024
+_ID = re.compile(r"[0-9a-f]{2}-[0-9a-f]{30}")
+
+
+class JobHandlers:
+    """The paths ``/v1/services/{service}/jobs`` and ``/v1/jobs/{id}``."""
+
+    def __init__(self, context: Context) -> None:
+        """Create the handlers.
+
+        :param context: collaborators
+        """
+        self._context = context
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        submit = "/v1/services/{service}/jobs"
+        return [
+            Route(submit, self.post, methods=["POST"]),
+            Route("/v1/jobs/{id}", self.job, methods=["GET", "DELETE"]),
+        ]
+
+    async def post(self, request: Request) -> Response:
+        """Accept a job."""
+        call = await self._read(request)
+        if isinstance(call, Err):
+            return error_reply(call.err_value)
+        result = await self._context.runner.run(
+            self._context.service.submit_job(call.ok_value), CALL_LIMIT_S
+        )
+        if isinstance(result, Err):
+            return error_reply(result.err_value)
+        if isinstance(result.ok_value, Err):
+            return error_reply(refusal_of(result.ok_value.err_value))
+        job = result.ok_value.ok_value
+        self._context.metrics.job_accepted(job.service)
+        return model_reply(JobReceipt(id=job.id, state=job.state), 202)
+
+    async def job(self, request: Request) -> Response:
+        """Return or cancel a job."""
+        grant = self._context.authenticator.grant(
+            request, Role.CALLER, Role.OPERATOR
+        )
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        job_id = request.path_params["id"]
+        if request.method != "DELETE":
+            return _encode(await self._find(job_id, grant.ok_value))
+        return _encode(await self._cancel(job_id, grant.ok_value), 202)
+
+    async def _find(self, job_id: str, grant: Grant) -> Result[Job, Refusal]:
+        if not _ID.fullmatch(job_id):
+            return Err(_unknown_job())
+        result = await self._context.runner.run(
+            self._context.service.find_job(job_id), CALL_LIMIT_S
+        )
+        if isinstance(result, Err):
+            return result
+        if isinstance(result.ok_value, Err):
+            return Err(refusal_of(result.ok_value.err_value))
+        job = result.ok_value.ok_value
+        return Ok(job) if grant.covers(job.service) else Err(_unknown_job())
+
+    async def _cancel(self, job_id: str, grant: Grant) -> Result[Job, Refusal]:
+        found = await self._find(job_id, grant)
+        if isinstance(found, Err):
+            return found
+        result = await self._context.runner.run(
+            self._context.service.cancel_job(job_id), CALL_LIMIT_S
+        )
+        if isinstance(result, Err):
+            return result
+        return result.ok_value.map_err(refusal_of)
+
+    async def _read(self, request: Request) -> Result[JobCall, Refusal]:
+        context = self._context
+        name = request.path_params["service"]
+        grant = context.authenticator.grant(request, Role.CALLER, service=name)
+        if isinstance(grant, Err):
+            return grant
+        spec = find_spec(context.service, name, ServiceKind.BATCH)
+        if isinstance(spec, Err):
+            return spec
+        key = idempotency_key(request, required=False)
+        if isinstance(key, Err):
+            return key
+        refusal = check_content(request, ("application/json",))
+        if refusal is not None:
+            return Err(refusal)
+        body = await read_body(
+            request, _MAX_BODY_BYTES, context.settings.requests.body_timeout_s
+        )
+        if isinstance(body, Err):
+            return body
+        return _parse(name, key.ok_value, body.ok_value)
+
+
+def _parse(
+    service: str, key: str | None, body: bytes
+) -> Result[JobCall, Refusal]:
+    try:
+        submission = JobSubmission.model_validate_json(body)
+    except ValidationError as error:
+        return Err(_invalid(error))
+    try:
+        text = submission.input_text()
+    except (ValueError, RecursionError):
+        detail = "input has a number or a nesting that cannot be stored"
+        return Err(Refusal(400, "invalid", f"{detail}; send plain JSON"))
+    return Ok(JobCall(service, key, text, submission.due_s, submission.run_s))
+
+
+def _invalid(error: ValidationError) -> Refusal:
+    problem = error.errors(
+        include_input=False, include_url=False, include_context=False
+    )[0]
+    place = ".".join(str(part) for part in problem["loc"]) or "body"
+    return Refusal(
+        400,
+        "invalid",
+        f"{place}: {problem['msg']}; send a JSON object with input and, if"
+        " needed, due_s and run_s",
+    )
+
+
+def _encode(job: Result[Job, Refusal], status: int = 200) -> Response:
+    if isinstance(job, Err):
+        return error_reply(job.err_value)
+    return model_reply(JobView.of(job.ok_value), status)
+
+
+def _unknown_job() -> Refusal:
+    return Refusal(
+        404, "not-found", "this job does not exist; check the id and the token"
+    )
--- /dev/null
+++ b/src/carawaystep/adapters/http/job_receipt.py
@@ -0,0 +1,12 @@
+"""Reply to a job submission."""
+
+from __future__ import annotations
+
+from pydantic import BaseModel
+
+
+class JobReceipt(BaseModel):
+    """Where the caller finds its job."""
+
+    id: str
+    state: str
--- /dev/null
+++ b/src/carawaystep/adapters/http/operation_handlers.py
@@ -0,0 +1,111 @@
+"""Status, time line, checks and metrics."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from starlette.responses import JSONResponse
+from starlette.responses import Response
+from starlette.routing import Route
+
+from carawaystep.access.role import Role
+from carawaystep.adapters.http.readiness_view import ReadinessView
+from carawaystep.adapters.http.refusal import Refusal
+from carawaystep.adapters.http.replies import error_reply
+from carawaystep.adapters.http.replies import model_reply
+from carawaystep.adapters.http.statuses import retry_headers
+from carawaystep.adapters.http.timeline_event_view import TimelineEventView
+from carawaystep.adapters.http.timeline_view import TimelineView
+
+if TYPE_CHECKING:
+    from result import Result
+    from starlette.requests import Request
+
+    from carawaystep.adapters.http.context import Context
+
+_DEFAULT_SINCE_S = "300"
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
+
+class OperationHandlers:
+    """Paths of operators and of the platform's load balancer."""
+
+    def __init__(self, context: Context) -> None:
+        """Create the handlers.
+
+        :param context: collaborators
+        """
+        self._context = context
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/v1/status", self.status, methods=["GET"]),
+            Route("/v1/timeline", self.timeline, methods=["GET"]),
+            Route("/healthz", self.healthz, methods=["GET"]),
+            Route("/readyz", self.readyz, methods=["GET"]),
+            Route("/metrics", self.metrics, methods=["GET"]),
+        ]
+
+    async def status(self, request: Request) -> Response:
+        """Return workers, queues and peers."""
+        grant = self._context.authenticator.grant(request, Role.OPERATOR)
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        return JSONResponse(self._context.service.status())
+
+    async def timeline(self, request: Request) -> Response:
+        """Return recent events."""
+        grant = self._context.authenticator.grant(request, Role.OPERATOR)
+        if isinstance(grant, Err):
+            return error_reply(grant.err_value)
+        since_s = _since(request)
+        if isinstance(since_s, Err):
+            return error_reply(since_s.err_value)
+        now, events = self._context.service.timeline(since_s.ok_value)
+        return model_reply(
+            TimelineView(
+                entry=self._context.settings.name,
+                now=now,
+                events=[TimelineEventView.of(event) for event in events],
+            )
+        )
+
+    async def healthz(self, request: Request) -> Response:
+        """Tell that the process runs."""
+        return model_reply(ReadinessView(status="ok"))
+
+    async def readyz(self, request: Request) -> Response:
+        """Tell whether the process takes requests."""
+        if self._context.service.ready:
+            return model_reply(ReadinessView(status="ready"))
+        refusal = Refusal(
+            503,
+            "not-ready",
+            "this entry takes no work now; send it to another entry",
+            retry_headers(503),
+        )
+        return error_reply(refusal)
+
+    async def metrics(self, request: Request) -> Response:
+        """Return the metrics in the Prometheus text format."""
+        metrics = self._context.metrics
+        return Response(
+            metrics.render(), headers={"Content-Type": metrics.content_type}
+        )
+
+
+def _since(request: Request) -> Result[float, Refusal]:
+    text = request.query_params.get("since_s", _DEFAULT_SINCE_S)
+    if _SECONDS.fullmatch(text):
+        return Ok(float(text))
+    return Err(
+        Refusal(
+            400,
+            "bad-since",
+            "since_s must be a decimal number of seconds, such as 60",
+        )
+    )
--- /dev/null
+++ b/src/carawaystep/adapters/http/readiness_view.py
@@ -0,0 +1,11 @@
+"""Reply of the liveness and readiness checks."""
+
+from __future__ import annotations
+
+from pydantic import BaseModel
+
+
+class ReadinessView(BaseModel):
+    """State of the process in one word."""
+
+    status: str
--- /dev/null
+++ b/src/carawaystep/adapters/http/statuses.py
@@ -0,0 +1,58 @@
+"""HTTP statuses of outcomes and failures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.adapters.http.refusal import Refusal
+from carawaystep.entry.call_failure import CallFailureCode
+from carawaystep.request.outcome import Outcome
+from carawaystep.request.outcome_reason import OutcomeReason
+
+if TYPE_CHECKING:
+    from carawaystep.entry.call_failure import CallFailure
+    from carawaystep.request.reply import Reply
+
+_RETRY_AFTER_S = "1"
+_RETRY_STATUSES = frozenset((429, 503))
+
+_NOT_RUN_STATUSES = {OutcomeReason.SHED: 429, OutcomeReason.DEADLINE: 504}
+_UNKNOWN_STATUSES = {OutcomeReason.DEADLINE: 504, OutcomeReason.DUPLICATE: 409}
+
+FAILURE_STATUSES = {
+    CallFailureCode.NOT_FOUND: 404,
+    CallFailureCode.INVALID: 400,
+    CallFailureCode.CONFLICT: 409,
+    CallFailureCode.DRAINING: 503,
+    CallFailureCode.PLATFORM_UNAVAILABLE: 503,
+    CallFailureCode.UNKNOWN: 502,
+}
+
+
+def reply_status(reply: Reply) -> int:
+    """Return the status of a reply to a request."""
+    if reply.outcome is Outcome.ANSWERED:
+        return 200
+    if reply.outcome is Outcome.NOT_RUN:
+        return _NOT_RUN_STATUSES.get(reply.reason, 503)
+    return _UNKNOWN_STATUSES.get(reply.reason, 502)
+
+
+def retry_headers(status: int) -> dict[str, str]:
+    """Return the headers that tell when to try again, if it helps."""
+    if status not in _RETRY_STATUSES:
+        return {}
+    return {"Retry-After": _RETRY_AFTER_S}
+
+
+def refusal_of(failure: CallFailure) -> Refusal:
+    """Return the error reply of a failed call."""
+    status = FAILURE_STATUSES[failure.code]
+    conflict = failure.code is CallFailureCode.CONFLICT and failure.version
+    return Refusal(
+        status,
+        str(failure.code),
+        failure.detail,
+        retry_headers(status),
+        failure.version if conflict else None,
+    )
--- /dev/null
+++ b/src/carawaystep/adapters/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics in the Prometheus text format."""
--- /dev/null
+++ b/src/carawaystep/adapters/metrics/process_metrics.py
@@ -0,0 +1,125 @@
+"""Metrics of one process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Histogram
+from aioprometheus.collectors import Registry
+from aioprometheus.formats.text import TEXT_CONTENT_TYPE
+from aioprometheus.formats.text import TextFormatter
+
+if TYPE_CHECKING:
+    from carawaystep.request.outcome import Outcome
+    from carawaystep.request.outcome_reason import OutcomeReason
+
+_PREFIX = "carawaystep"
+
+# From 1 ms to 60 s, the longest deadline by default.
+_LATENCY_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+
+
+class ProcessMetrics:
+    """Owner of the registry; a process has one of these."""
+
+    content_type: str = TEXT_CONTENT_TYPE
+
+    def __init__(self) -> None:
+        """Create an empty registry with the request and job metrics."""
+        self._registry = Registry()
+        self._requests = Counter(
+            f"{_PREFIX}_requests_total",
+            "Requests by service, outcome and reason",
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            f"{_PREFIX}_request_seconds",
+            "Seconds from the arrival of a request to its reply",
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self._jobs = Counter(
+            f"{_PREFIX}_jobs_accepted_total",
+            "Accepted jobs by service",
+            registry=self._registry,
+        )
+        self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
+
+    def request_finished(
+        self,
+        service: str,
+        outcome: Outcome,
+        reason: OutcomeReason,
+        seconds: float,
+    ) -> None:
+        """Count the reply to a request.
+
+        :param service: name of a service that exists
+        :param outcome: what the caller is told
+        :param reason: why it was not run or is unknown
+        :param seconds: time since its arrival
+        """
+        labels = {"service": service}
+        self._latency.observe(labels, seconds)
+        self._requests.inc(
+            {**labels, "outcome": str(outcome), "reason": str(reason)}
+        )
+
+    def job_accepted(self, service: str) -> None:
+        """Count a job that is stored."""
+        self._jobs.inc({"service": service})
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Raise a counter without labels.
+
+        :param name: snake case, without prefix and ``_total``
+        :param n: by how much
+        """
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = Counter(
+                f"{_PREFIX}_{name}_total",
+                name.replace("_", " "),
+                registry=self._registry,
+            )
+            self._counters[name] = counter
+        counter.add({}, n)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge without labels.
+
+        :param name: snake case, without prefix
+        :param value: present value
+        """
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(
+                f"{_PREFIX}_{name}",
+                name.replace("_", " "),
+                registry=self._registry,
+            )
+            self._gauges[name] = gauge
+        gauge.set({}, value)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return TextFormatter().marshall(self._registry)
--- /dev/null
+++ b/tests/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP front end."""
