--- /dev/null
+++ b/tests/adapters/http/test_connections.py
@@ -0,0 +1,202 @@
+"""Tests on real connections that break or are slow."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from tests.adapters.http.front_end import BODY_TIMEOUT_S
+from tests.adapters.http.front_end import CALLER
+from tests.adapters.http.front_end import FrontEnd
+
+if TYPE_CHECKING:
+    from asyncio import StreamReader
+    from asyncio import StreamWriter
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+_LIMIT_S = 10.0
+_CHUNKED = "Transfer-Encoding: chunked"
+
+
+def _head(*headers: str) -> bytes:
+    lines = [
+        "POST /v1/services/bookings/requests HTTP/1.1",
+        "Host: entry",
+        f"Authorization: Bearer {CALLER}",
+        *headers,
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@asynccontextmanager
+async def _connection(
+    front: FrontEnd,
+) -> AsyncIterator[tuple[StreamReader, StreamWriter]]:
+    async with asyncio.timeout(_LIMIT_S), front.listening() as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            yield reader, writer
+        finally:
+            writer.close()
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(_LIMIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+class ConnectionsTest(TestCase):
+    """What reaches the service, and what the caller learns."""
+
+    def _run(self, scenario: Callable[[FrontEnd], Awaitable[None]]) -> None:
+        async def main() -> None:
+            await scenario(FrontEnd())
+
+        asyncio.run(main())
+
+    def test_truncated_bodies_are_not_dispatched(self) -> None:
+        """Guards against half a booking that runs."""
+
+        async def scenario(front: FrontEnd) -> None:
+            for sent in (
+                _head("Content-Length: 10") + b"12345",
+                _head(_CHUNKED) + _chunk(b"12345"),
+            ):
+                for half_close in (False, True):
+                    async with _connection(front) as (reader, writer):
+                        writer.write(sent)
+                        await writer.drain()
+                        if half_close:
+                            writer.write_eof()
+                            await reader.read()
+                        else:
+                            writer.close()
+                        await asyncio.sleep(0.05)
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
+    def test_slow_body_is_refused_in_time(self) -> None:
+        """Guards against a connection that is held by one byte a second."""
+
+        async def scenario(front: FrontEnd) -> None:
+            began = monotonic()
+            async with _connection(front) as (reader, writer):
+                writer.write(_head("Content-Length: 10") + b"1")
+                reply = await reader.readuntil(b"}")
+                self.assertIn(b" 408 ", reply)
+                self.assertIn(b"carawaystep-outcome: not-run", reply)
+                took_s = monotonic() - began
+                self.assertGreaterEqual(took_s, BODY_TIMEOUT_S)
+                self.assertLess(took_s, BODY_TIMEOUT_S + 1.0)
+                self.assertEqual(b"", await reader.read())
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
+    def test_oversized_bodies_are_refused_before_their_end(self) -> None:
+        """Guards against memory spent on a body that is refused anyway."""
+
+        async def scenario(front: FrontEnd) -> None:
+            for sent in (
+                _head("Content-Length: 1001"),
+                _head("Content-Length: 1001", "Expect: 100-continue"),
+                _head(_CHUNKED) + _chunk(b"x" * 600) + _chunk(b"x" * 401),
+            ):
+                began = monotonic()
+                async with _connection(front) as (reader, writer):
+                    writer.write(sent)
+                    reply = await reader.readuntil(b"}")
+                    self.assertIn(b" 413 ", reply)
+                    self.assertIn(b"connection: close", reply)
+                    self.assertLess(monotonic() - began, BODY_TIMEOUT_S)
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
+    def test_refusal_survives_a_caller_that_keeps_sending(self) -> None:
+        """Guards against a reset that hides the refusal."""
+
+        async def scenario(front: FrontEnd) -> None:
+            size = 8_000_000
+            async with _connection(front) as (reader, writer):
+                writer.write(_head(f"Content-Length: {size}"))
+                writer.write(b"x" * size)
+                await writer.drain()
+                reply = await reader.read()
+                self.assertIn(b" 413 ", reply)
+                self.assertIn(b"body-too-large", reply)
+
+        self._run(scenario)
+
+    def test_body_at_the_limit_is_dispatched_once(self) -> None:
+        """Guards against a limit that is off by one."""
+
+        async def scenario(front: FrontEnd) -> None:
+            chunks = _chunk(b"x" * 500) + _chunk(b"x" * 500) + b"0\r\n\r\n"
+            for sent in (
+                _head("Content-Length: 1000") + b"x" * 1000,
+                _head(_CHUNKED) + chunks,
+            ):
+                async with _connection(front) as (reader, writer):
+                    writer.write(sent)
+                    reply = await reader.readuntil(b"42")
+                    self.assertIn(b" 200 ", reply)
+            bodies = [call.body for call in front.service.started]
+            self.assertEqual([b"x" * 1000] * 2, bodies)
+
+        self._run(scenario)
+
+    def test_run_outlives_its_caller(self) -> None:
+        """Guards against a key that stays claimed after a hang-up."""
+
+        async def scenario(front: FrontEnd) -> None:
+            front.service.gate.clear()
+            async with _connection(front) as (_, writer):
+                writer.write(_head("Content-Length: 1") + b"x")
+                await _until(lambda: bool(front.service.started))
+                writer.close()
+                await asyncio.sleep(0.05)
+                front.service.gate.set()
+                await _until(lambda: front.service.finished == 1)
+
+        self._run(scenario)
+
+    def test_run_outlives_its_connection_task(self) -> None:
+        """Guards against a run that a server shutdown cancels."""
+
+        async def scenario(front: FrontEnd) -> None:
+            front.service.gate.clear()
+            path = "/v1/services/bookings/requests"
+            task = asyncio.create_task(front.call("POST", path, body=b"x"))
+            await _until(lambda: bool(front.service.started))
+            task.cancel()
+            await asyncio.wait({task})
+            self.assertTrue(task.cancelled())
+            front.service.gate.set()
+            await _until(lambda: front.service.finished == 1)
+
+        self._run(scenario)
+
+    def test_connection_is_used_again(self) -> None:
+        """Guards against a new connection for each request."""
+
+        async def scenario(front: FrontEnd) -> None:
+            async with _connection(front) as (reader, writer):
+                for number in range(1, 4):
+                    writer.write(_head("Content-Length: 1") + b"x")
+                    await reader.readuntil(b"42")
+                    self.assertEqual(number, front.service.finished)
+
+        self._run(scenario)
