Count refused requests and tell the version of a missing document

A conflict on a document that does not exist carried no version, because 0 was taken for "none". Refused requests and calls without a result were not counted, and a starting entry called itself draining.

The conflict of a document write now always has its version; refusals are counted by code; the code of an entry that takes no work is "not-ready".

--- a/src/carawaystep/adapters/http/document_handlers.py
+++ b/src/carawaystep/adapters/http/document_handlers.py
@@ -135,7 +135,8 @@
         if isinstance(result, Err):
             return error_reply(result.err_value)
         if isinstance(result.ok_value, Err):
-            return error_reply(refusal_of(result.ok_value.err_value))
+            failure = result.ok_value.err_value
+            return error_reply(refusal_of(failure, versioned=True))
         commit = result.ok_value.ok_value
         return model_reply(
             DocumentCommitView(
--- a/src/carawaystep/adapters/http/operation_handlers.py
+++ b/src/carawaystep/adapters/http/operation_handlers.py
@@ -93,6 +93,7 @@
     async def metrics(self, request: Request) -> Response:
         """Return the metrics in the Prometheus text format."""
         metrics = self._context.metrics
+        metrics.set_gauge("http_calls_running", self._context.runner.running)
         return Response(
             metrics.render(), headers={"Content-Type": metrics.content_type}
         )
--- a/src/carawaystep/adapters/http/request_handlers.py
+++ b/src/carawaystep/adapters/http/request_handlers.py
@@ -26,6 +26,7 @@
 from carawaystep.document.service_kind import ServiceKind
 from carawaystep.entry.request_call import RequestCall
 from carawaystep.request.outcome import Outcome
+from carawaystep.request.outcome_reason import OutcomeReason
 
 if TYPE_CHECKING:
     from result import Result
@@ -66,7 +67,7 @@
         request.state.reply_headers = refused
         call = await self._read(request, began)
         if isinstance(call, Err):
-            return error_reply(call.err_value, refused)
+            return self._refuse(call.err_value, refused)
         # From here on an unexpected exception leaves the outcome open.
         in_doubt = {**refused, OUTCOME: str(Outcome.UNKNOWN)}
         request.state.reply_headers = in_doubt
@@ -74,9 +75,15 @@
             self._context.service.run_request(call.ok_value),
             (call.ok_value.deadline_s or 0.0) + _SETTLE_S,
         )
+        outcome, reason = Outcome.UNKNOWN, OutcomeReason.NONE
+        if isinstance(result, Ok):
+            outcome = result.ok_value.reply.outcome
+            reason = result.ok_value.reply.reason
+        self._context.metrics.request_finished(
+            call.ok_value.service, outcome, reason, monotonic() - began
+        )
         if isinstance(result, Err):
             return error_reply(result.err_value, in_doubt)
-        self._count(call.ok_value, result.ok_value, began)
         return _encode(result.ok_value)
 
     async def _read(
@@ -112,15 +119,11 @@
             return Err(_expired())
         return Ok(RequestCall(name, key.ok_value, left_s, body.ok_value))
 
-    def _count(
-        self, call: RequestCall, result: RequestResult, began: float
-    ) -> None:
-        self._context.metrics.request_finished(
-            call.service,
-            result.reply.outcome,
-            result.reply.reason,
-            monotonic() - began,
-        )
+    def _refuse(self, refusal: Refusal, headers: dict[str, str]) -> Response:
+        # Without a service label, because a refused name may be made up.
+        code = refusal.error.replace("-", "_")
+        self._context.metrics.count(f"requests_refused_{code}")
+        return error_reply(refusal, headers)
 
 
 def _encode(result: RequestResult) -> Response:
--- a/src/carawaystep/adapters/http/service_checks.py
+++ b/src/carawaystep/adapters/http/service_checks.py
@@ -34,7 +34,7 @@
         return Err(
             Refusal(
                 503,
-                "draining",
+                "not-ready",
                 "this entry takes no work now; send it to another entry",
                 retry_headers(503),
             )
--- a/src/carawaystep/adapters/http/statuses.py
+++ b/src/carawaystep/adapters/http/statuses.py
@@ -45,10 +45,15 @@
     return {"Retry-After": _RETRY_AFTER_S}
 
 
-def refusal_of(failure: CallFailure) -> Refusal:
-    """Return the error reply of a failed call."""
+def refusal_of(failure: CallFailure, versioned: bool = False) -> Refusal:
+    """Return the error reply of a failed call.
+
+    :param failure: why the call failed
+    :param versioned: whether a conflict tells the present version, which is
+        0 when there is no document
+    """
     status = FAILURE_STATUSES[failure.code]
-    conflict = failure.code is CallFailureCode.CONFLICT and failure.version
+    conflict = versioned and failure.code is CallFailureCode.CONFLICT
     return Refusal(
         status,
         str(failure.code),
--- a/tests/adapters/http/fake_entry_service.py
+++ b/tests/adapters/http/fake_entry_service.py
@@ -101,7 +101,7 @@
     ) -> Result[DocumentCommit, CallFailure]:
         self.puts.append((service, text, expected, team))
         if expected != 3:
-            failure = CallFailure(CallFailureCode.CONFLICT, "read it again", 3)
+            failure = CallFailure(CallFailureCode.CONFLICT, "read it again", 0)
             return Err(failure)
         return Ok(DocumentCommit(4, 99))
 
--- /dev/null
+++ b/tests/adapters/http/test_document_handlers.py
@@ -0,0 +1,89 @@
+"""Tests of documents over HTTP."""
+
+from __future__ import annotations
+
+from tests.adapters.http.front_end import ADMIN
+from tests.adapters.http.front_end import CALLER
+from tests.adapters.http.front_end import OPERATOR
+from tests.adapters.http.front_end_test_case import FrontEndTestCase
+
+_DOCUMENT = "/v1/documents/bookings"
+
+
+class DocumentsTest(FrontEndTestCase):
+    """Reading and writing of documents."""
+
+    def test_documents_are_read(self) -> None:
+        """Guards against a missing document or version."""
+        reply = self.call("GET", "/v1/documents", OPERATOR)
+        self.assertEqual(
+            ["bookings", "charges", "routes"],
+            [document["service"] for document in reply.json["documents"]],
+        )
+        self.assertEqual(
+            {"service": "bookings", "version": 3,
+             "text": "service: bookings\n"},
+            self.call("GET", _DOCUMENT, OPERATOR).json,
+        )  # fmt: skip
+        self.assertEqual(
+            {"version": 3, "revision": 98, "entries": {"e1": 98},
+             "in_force": True},
+            self.call("GET", f"{_DOCUMENT}/status", OPERATOR).json,
+        )  # fmt: skip
+        missing = self.call("GET", "/v1/documents/none", OPERATOR)
+        self.assert_error(404, "not-found", missing)
+
+    def test_write_carries_version_and_team(self) -> None:
+        """Guards against writes that skip the race or team check."""
+        path = f"{_DOCUMENT}?expected=3"
+        reply = self.call("PUT", path, OPERATOR, "é: 1".encode())
+        self.assertEqual({"version": 4, "revision": 99}, reply.json)
+        self.call("PUT", path, ADMIN, b"a: 1")
+        self.assertEqual(
+            [("bookings", "é: 1", 3, "desk"), ("bookings", "a: 1", 3, None)],
+            self.front.service.puts,
+        )
+
+    def test_loser_of_a_race_learns_the_version(self) -> None:
+        """Guards against a conflict that cannot be resolved."""
+        reply = self.call("PUT", f"{_DOCUMENT}?expected=2", OPERATOR, b"a: 1")
+        self.assert_error(409, "conflict", reply)
+        self.assertEqual(0, reply.json["version"])
+
+    def test_bad_writes_are_refused(self) -> None:
+        """Guards against writes that nobody may make or read."""
+        call = self.call
+        write = f"{_DOCUMENT}?expected=3"
+        for query in ("", "?expected=", "?expected=-1", "?expected=x",
+                      "?expected=1&expected=2"):  # fmt: skip
+            reply = call("PUT", _DOCUMENT + query, OPERATOR, b"a: 1")
+            self.assert_error(400, "bad-expected", reply)
+        self.assert_error(400, "invalid", call("PUT", write, ADMIN, b"\xff"))
+        odd = "/v1/documents/Bad_Name?expected=0"
+        self.assert_error(400, "invalid", call("PUT", odd, ADMIN, b"a: 1"))
+        form = ("Content-Type", "application/x-www-form-urlencoded")
+        self.assert_error(
+            415, "unsupported-content-type",
+            call("PUT", write, OPERATOR, b"a: 1", form),
+        )  # fmt: skip
+        big = b"#" * 262_145
+        self.assert_error(
+            413, "body-too-large", call("PUT", write, OPERATOR, big)
+        )
+        self.assert_error(
+            403, "forbidden", call("PUT", write, CALLER, b"a: 1")
+        )
+        self.assertEqual([], self.front.service.puts)
+
+    def test_team_cannot_take_over_a_service(self) -> None:
+        """Guards against a text that names the operator's own team."""
+        spec = self.front.service.specs["bookings"]
+        other = type(spec)(
+            **{name: getattr(spec, name) for name in spec.__slots__}
+            | {"team": "pensions"}
+        )
+        self.front.service.specs["bookings"] = other
+        path = f"{_DOCUMENT}?expected=3"
+        reply = self.call("PUT", path, OPERATOR, b"team: desk")
+        self.assert_error(403, "forbidden", reply)
+        self.assertEqual([], self.front.service.puts)
--- a/tests/adapters/http/test_requests.py
+++ b/tests/adapters/http/test_request_handlers.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from carawaystep.adapters.http import request_handlers
 from carawaystep.adapters.http.statuses import FAILURE_STATUSES
 from carawaystep.entry.call_failure import CallFailureCode
 from carawaystep.errors.broken_invariant import BrokenInvariant
@@ -159,6 +160,15 @@
         self.assertNotIn(b"hidden", reply.body)
         self.assertEqual([], front.broken)
 
+    def test_overdue_call_is_unknown(self) -> None:
+        """Guards against a connection that waits for a stuck service."""
+        self.patch(request_handlers, "_SETTLE_S", 0.01)
+        front = FrontEnd()
+        front.service.gate.clear()
+        reply = self._post(front, ("Carawaystep-Deadline", "0.05"))
+        self.assertEqual((504, "unknown"), (reply.status, reply.json["error"]))
+        self.assertEqual("unknown", reply.headers["carawaystep-outcome"])
+
     def test_broken_invariant_is_handed_on(self) -> None:
         """Guards against a process that goes on with a wrong state."""
         front = FrontEnd()
