Add a uvicorn server without signal handlers

Cause: the entry and the stand-ins serve HTTP inside their own event loop and leave signals to the process. uvicorn's serve() installs handlers, exits the process when an address is taken and wakes ten times a second.

Change: UvicornServer starts and stops the listener itself. It binds its own socket, so that a taken address raises OSError, and keeps idle connections for 75 s. stop() aborts what is open after its grace time.

--- /dev/null
+++ b/src/carawaystep/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the ports and the network."""
--- /dev/null
+++ b/src/carawaystep/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers."""
--- /dev/null
+++ b/src/carawaystep/adapters/http/uvicorn_server.py
@@ -0,0 +1,117 @@
+"""A uvicorn server that lives inside an event loop of the process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+from uvicorn import Config
+from uvicorn import Server
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+if TYPE_CHECKING:
+    from starlette.types import ASGIApp
+    from starlette.types import Receive
+    from starlette.types import Scope
+    from starlette.types import Send
+
+# A client that sends on a kept connection while the server closes it cannot
+# tell whether its call ran, so idle connections stay open for long.
+_KEEP_ALIVE_S = 75
+_BACKLOG = 1024
+
+
+class UvicornServer:
+    """Serves one ASGI application on one address.
+
+    It installs no signal handlers and runs no periodic task: uvicorn's main
+    loop, which wakes up ten times a second, is not used.
+    """
+
+    def __init__(self, app: ASGIApp, host: str, port: int) -> None:
+        """Create a server that does not listen yet.
+
+        :param app: ASGI application
+        :param host: IP address to listen on
+        :param port: TCP port to listen on
+        """
+        self._app = app
+        self._host = host
+        self._port = port
+        self._aborting = False
+        self._server = Server(
+            Config(
+                self._run_app,
+                http=self._protocol_class(),
+                ws="none",
+                lifespan="off",
+                interface="asgi3",
+                log_config=None,
+                log_level="error",
+                access_log=False,
+                proxy_headers=False,
+                server_header=False,
+                date_header=False,
+                timeout_keep_alive=_KEEP_ALIVE_S,
+            )
+        )
+
+    async def start(self) -> None:
+        """Listen, and return once connections are accepted.
+
+        :raises OSError: when the address cannot be bound
+        """
+        listener = self._bind()
+        config = self._server.config
+        config.load()
+        self._server.lifespan = config.lifespan_class(config)
+        await self._server.startup(sockets=[listener])
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop listening and end all connections.
+
+        :param grace_s: seconds that calls in flight may take to finish;
+            connections that are still open afterwards are aborted
+        """
+        if not self._server.started:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s):
+                await self._server.shutdown()
+        self._aborting = True
+        state = self._server.server_state
+        for connection in list(state.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        tasks = list(state.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run_app(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        try:
+            await self._app(scope, receive, send)
+        except asyncio.CancelledError:
+            # uvicorn would log the cancelled call as an application error.
+            if not self._aborting:
+                raise
+
+    def _protocol_class(self) -> type[H11Protocol]:
+        return H11Protocol
+
+    def _bind(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((self._host, self._port))
+            listener.listen(_BACKLOG)
+            listener.setblocking(False)
+        except OSError:
+            listener.close()
+            raise
+        return listener
