Add the stand-in platform

Cause: entries meet the platform only through its wire format, so tests and the demo need a platform that can be slow, refuse and lose answers.

Change: the table, the rate limits and the lagging VM list are plain classes that take the present time; a starlette front end validates bodies and one ASGI layer applies the faults. The layer reads a call whole before it has an effect, so that a call runs to its end when its caller hangs up.

--- /dev/null
+++ b/src/carawaystep/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the workers, for tests and the demo."""
--- /dev/null
+++ b/src/carawaystep/standin/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP parts that both stand-ins share."""
--- /dev/null
+++ b/src/carawaystep/standin/http/json_errors.py
@@ -0,0 +1,57 @@
+"""Errors as JSON bodies."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import ValidationError
+from starlette.exceptions import HTTPException
+from starlette.responses import JSONResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from starlette.requests import Request
+    from starlette.types import ExceptionHandler
+
+
+def json_error(
+    status: int,
+    code: str,
+    detail: str,
+    headers: Mapping[str, str] | None = None,
+) -> JSONResponse:
+    """Return an error response.
+
+    :param status: HTTP status
+    :param code: short name of the error
+    :param detail: sentence for people
+    :param headers: further headers
+    """
+    return JSONResponse(
+        {"error": code, "detail": detail},
+        status_code=status,
+        headers=dict(headers or {}),
+    )
+
+
+async def _malformed(request: Request, exc: Exception) -> JSONResponse:
+    assert isinstance(exc, ValidationError)
+    detail = "; ".join(
+        f"{'.'.join(str(part) for part in error['loc']) or 'body'}: "
+        f"{error['msg']}"
+        for error in exc.errors(include_context=False)
+    )
+    return json_error(400, "malformed", detail)
+
+
+async def _http_error(request: Request, exc: Exception) -> JSONResponse:
+    assert isinstance(exc, HTTPException)
+    code = "not_found" if exc.status_code == 404 else "http_error"
+    return json_error(exc.status_code, code, exc.detail)
+
+
+EXCEPTION_HANDLERS: dict[type[Exception] | int, ExceptionHandler] = {
+    ValidationError: _malformed,
+    HTTPException: _http_error,
+}
--- /dev/null
+++ b/src/carawaystep/standin/platform/application.py
@@ -0,0 +1,210 @@
+"""HTTP front end of the stand-in platform."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict
+from typing import Any
+from typing import TYPE_CHECKING
+
+from result import Err
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.responses import Response
+from starlette.routing import Route
+
+from carawaystep.platform.table_failure import TableConflict
+from carawaystep.standin.http.fault_gate import FaultGate
+from carawaystep.standin.http.fault_switch import FaultSwitch
+from carawaystep.standin.http.json_errors import EXCEPTION_HANDLERS
+from carawaystep.standin.http.json_errors import json_error
+from carawaystep.standin.platform.bodies import ChangesQuery
+from carawaystep.standin.platform.bodies import TransactionBody
+from carawaystep.standin.platform.bodies import VmPhaseBody
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.types import ASGIApp
+
+    from carawaystep.platform.row import Row
+    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.standin.platform.standin_platform import StandinPlatform
+
+_CONTROL_PATHS = ("/faults", "/stats", "/vms/")
+
+
+class PlatformApplication:
+    """Turns HTTP calls into calls of the platform."""
+
+    def __init__(self, platform: StandinPlatform) -> None:
+        """Create the front end.
+
+        :param platform: the stand-in platform
+        """
+        self._platform = platform
+        self._switch = FaultSwitch(platform.faults)
+
+    def asgi(self) -> ASGIApp:
+        """Return the ASGI application."""
+        app = Starlette(
+            routes=[
+                Route("/v1/transactions", self._transact, methods=["POST"]),
+                Route(
+                    "/v1/tables/{table}/rows", self._changes, methods=["GET"]
+                ),
+                Route(
+                    "/v1/tables/{table}/rows/{key:path}",
+                    self._row,
+                    methods=["GET"],
+                ),
+                Route(
+                    "/v1/objects/{key:path}",
+                    self._put_object,
+                    methods=["PUT"],
+                ),
+                Route(
+                    "/v1/objects/{key:path}",
+                    self._get_object,
+                    methods=["GET"],
+                ),
+                Route(
+                    "/v1/objects/{key:path}",
+                    self._delete_object,
+                    methods=["DELETE"],
+                ),
+                Route("/v1/vms", self._vms, methods=["GET"]),
+                Route("/vms/{name}", self._set_vm_phase, methods=["POST"]),
+                Route("/faults", self._switch.replace, methods=["POST"]),
+                Route("/stats", self._stats, methods=["GET"]),
+            ],
+            exception_handlers=EXCEPTION_HANDLERS,
+        )
+        return FaultGate(app, self._switch, _CONTROL_PATHS, {})
+
+    async def _transact(self, request: Request) -> Response:
+        body = TransactionBody.model_validate_json(await request.body())
+        operations = [part.operation() for part in body.operations]
+        outcome = self._platform.transact(operations, _now())
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        commit = outcome.ok_value
+        return JSONResponse(
+            {"revision": commit.revision, "versions": list(commit.versions)}
+        )
+
+    async def _row(self, request: Request) -> Response:
+        table, key = request.path_params["table"], request.path_params["key"]
+        outcome = self._platform.get_row(table, key, _now())
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        row = outcome.ok_value
+        if row is None:
+            return json_error(404, "not_found", f"no row {table}/{key}")
+        return JSONResponse(
+            {
+                "value": row.value,
+                "version": row.version,
+                "revision": row.revision,
+            }
+        )
+
+    async def _changes(self, request: Request) -> Response:
+        query = ChangesQuery.model_validate(
+            {
+                **request.query_params,
+                "prefix": request.query_params.getlist("prefix"),
+            }
+        )
+        outcome = self._platform.changes(
+            request.path_params["table"], query.since, query.prefix, _now()
+        )
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        page = outcome.ok_value
+        return JSONResponse(
+            {
+                "rows": [_row_json(row) for row in page.rows],
+                "revision": page.revision,
+                "more": page.more,
+            }
+        )
+
+    async def _put_object(self, request: Request) -> Response:
+        outcome = self._platform.put_object(
+            request.path_params["key"], await request.body(), _now()
+        )
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        return JSONResponse({})
+
+    async def _get_object(self, request: Request) -> Response:
+        key = request.path_params["key"]
+        outcome = self._platform.get_object(key, _now())
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        if outcome.ok_value is None:
+            return json_error(404, "not_found", f"no object {key}")
+        return Response(
+            outcome.ok_value, media_type="application/octet-stream"
+        )
+
+    async def _delete_object(self, request: Request) -> Response:
+        key = request.path_params["key"]
+        outcome = self._platform.delete_object(key, _now())
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        if not outcome.ok_value:
+            return json_error(404, "not_found", f"no object {key}")
+        return JSONResponse({})
+
+    async def _vms(self, request: Request) -> Response:
+        outcome = self._platform.vms(_now())
+        if isinstance(outcome, Err):
+            return _failure(outcome.err_value)
+        return JSONResponse({"vms": [asdict(vm) for vm in outcome.ok_value]})
+
+    async def _set_vm_phase(self, request: Request) -> Response:
+        body = VmPhaseBody.model_validate_json(await request.body())
+        name = request.path_params["name"]
+        if not self._platform.set_vm_phase(name, body.state, _now()):
+            return json_error(404, "not_found", f"no VM {name}")
+        return JSONResponse({})
+
+    async def _stats(self, request: Request) -> Response:
+        counts = self._platform.counts
+        refused = counts.refused + self._platform.faults.refused_calls
+        return JSONResponse(
+            {
+                "reads": counts.reads,
+                "writes": counts.writes,
+                "conflicts": counts.conflicts,
+                "refused": refused,
+            }
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _row_json(row: Row) -> dict[str, Any]:
+    return {
+        "key": row.key,
+        "value": row.value,
+        "version": row.version,
+        "revision": row.revision,
+    }
+
+
+def _failure(failure: TableFailure) -> Response:
+    if not isinstance(failure, TableConflict):
+        return json_error(429, "rate_exceeded", failure.detail)
+    return JSONResponse(
+        {
+            "conflicts": [
+                {"table": table, "key": key, "version": version}
+                for (table, key), version in failure.versions.items()
+            ]
+        },
+        status_code=409,
+    )
--- /dev/null
+++ b/src/carawaystep/standin/platform/transactional_table.py
@@ -0,0 +1,126 @@
+"""Rows of all tables of the stand-in platform."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from carawaystep.platform.operation import CheckRow
+from carawaystep.platform.operation import PutRow
+from carawaystep.platform.row import Row
+from carawaystep.platform.table_changes import TableChanges
+from carawaystep.platform.table_commit import TableCommit
+from carawaystep.platform.table_failure import TableConflict
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from result import Result
+
+    from carawaystep.platform.operation import Operation
+
+PAGE_ROWS = 1000
+# A log is rewritten when it holds this many entries beyond twice its rows.
+_LOG_SLACK = 1000
+
+
+class TransactionalTable:
+    """Rows with versions, changed all or nothing.
+
+    A deleted row remains as a row without a value, so that its version goes
+    on rising when it is written again. Each write has its own revision, so
+    a page never has to hold several rows of one revision.
+    """
+
+    def __init__(self) -> None:
+        """Create a table service without rows."""
+        self._revision = 0
+        self._rows: dict[str, dict[str, Row]] = {}
+        self._logs: dict[str, list[tuple[int, str]]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last write."""
+        return self._revision
+
+    def transact(
+        self, operations: Sequence[Operation]
+    ) -> Result[TableCommit, TableConflict]:
+        """Apply all operations or none.
+
+        Expected versions are those before the transaction. A transaction
+        writes a row at most once; the caller ensures this.
+
+        :param operations: what to check, write and delete
+        """
+        conflicts: dict[tuple[str, str], int] = {}
+        for operation in operations:
+            version = self._version(operation)
+            if operation.expected not in (None, version):
+                conflicts[operation.table, operation.key] = version
+        if conflicts:
+            return Err(TableConflict("rows have other versions", conflicts))
+        versions = tuple(self._apply(operation) for operation in operations)
+        return Ok(TableCommit(self._revision, versions))
+
+    def get(self, table: str, key: str) -> Row | None:
+        """Return a row, None when it does not exist."""
+        row = self._rows.get(table, {}).get(key)
+        if row is None or row.value is None:
+            return None
+        return row
+
+    def changes(
+        self, table: str, since: int, prefixes: Sequence[str] = ()
+    ) -> TableChanges:
+        """Return one page of the rows written after a revision.
+
+        :param table: name of the table
+        :param since: revision of the last page, 0 for all rows
+        :param prefixes: only keys with one of these prefixes; all when empty
+        """
+        log = self._logs.get(table, [])
+        wanted = tuple(prefixes) or ("",)
+        rows: list[Row] = []
+        for position in range(bisect_left(log, (since + 1,)), len(log)):
+            revision, key = log[position]
+            row = self._rows[table][key]
+            if row.revision != revision or not key.startswith(wanted):
+                continue
+            if len(rows) == PAGE_ROWS:
+                return TableChanges(tuple(rows), rows[-1].revision, True)
+            rows.append(row)
+        return TableChanges(tuple(rows), self._revision, False)
+
+    def _version(self, operation: Operation) -> int:
+        """Return the present version, 0 when the row does not exist."""
+        row = self.get(operation.table, operation.key)
+        return 0 if row is None else row.version
+
+    def _apply(self, operation: Operation) -> int:
+        if isinstance(operation, CheckRow):
+            return self._version(operation)
+        rows = self._rows.setdefault(operation.table, {})
+        earlier = rows.get(operation.key)
+        version = 1 if earlier is None else earlier.version + 1
+        value = operation.value if isinstance(operation, PutRow) else None
+        self._revision += 1
+        row = Row(operation.key, value, version, self._revision)
+        rows[operation.key] = row
+        self._log(operation.table, row)
+        return version
+
+    def _log(self, table: str, row: Row) -> None:
+        log = self._logs.setdefault(table, [])
+        log.append((row.revision, row.key))
+        rows = self._rows[table]
+        if len(log) <= 2 * len(rows) + _LOG_SLACK:
+            return
+        self._logs[table] = [
+            (revision, key)
+            for revision, key in log
+            if rows[key].revision == revision
+        ]
--- /dev/null
+++ b/src/carawaystep/standin/worker/__init__.py
@@ -0,0 +1,1 @@
+"""The stand-in workers."""
