Add the stand-in workers

Cause: entries meet workers only through their wire format. Tests need workers that fence, refuse, run under leases, report late and keep a ledger from which lost or doubled work can be proved.

Connections beyond the limit are closed when they are accepted.

--- a/src/carawaystep/standin/http/fault_switch.py
+++ b/src/carawaystep/standin/http/fault_switch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from starlette.responses import JSONResponse
@@ -14,18 +13,20 @@
     from starlette.requests import Request
 
     from carawaystep.standin.fault_plan import FaultPlan
+    from carawaystep.standin.http.signal import Signal
 
 
 class FaultSwitch:
     """The fault plan of a stand-in and the calls that it holds up."""
 
-    def __init__(self, plan: FaultPlan) -> None:
+    def __init__(self, plan: FaultPlan, replaced: Signal) -> None:
         """Create the switch.
 
         :param plan: faults of the stand-in
+        :param replaced: notified when the faults were replaced
         """
         self._plan = plan
-        self._replaced = asyncio.Event()
+        self._replaced = replaced
 
     @property
     def plan(self) -> FaultPlan:
@@ -37,8 +38,7 @@
         body = FaultBody.model_validate_json(await request.body())
         now = asyncio.get_running_loop().time()
         self._plan.replace(body.faults(), now)
-        replaced, self._replaced = self._replaced, asyncio.Event()
-        replaced.set()
+        self._replaced.notify()
         return JSONResponse({})
 
     async def hold_up(self) -> None:
@@ -47,6 +47,4 @@
         if self._plan.half_delay_s > 0:
             await asyncio.sleep(self._plan.half_delay_s)
         while (frozen_s := self._plan.frozen_s(loop.time())) > 0:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(frozen_s):
-                    await self._replaced.wait()
+            await self._replaced.wait_until(loop.time() + frozen_s)
--- a/src/carawaystep/standin/platform/application.py
+++ b/src/carawaystep/standin/platform/application.py
@@ -18,6 +18,7 @@
 from carawaystep.standin.http.fault_switch import FaultSwitch
 from carawaystep.standin.http.json_errors import EXCEPTION_HANDLERS
 from carawaystep.standin.http.json_errors import json_error
+from carawaystep.standin.http.signal import Signal
 from carawaystep.standin.platform.bodies import ChangesQuery
 from carawaystep.standin.platform.bodies import TransactionBody
 from carawaystep.standin.platform.bodies import VmPhaseBody
@@ -42,7 +43,7 @@
         :param platform: the stand-in platform
         """
         self._platform = platform
-        self._switch = FaultSwitch(platform.faults)
+        self._switch = FaultSwitch(platform.faults, Signal())
 
     def asgi(self) -> ASGIApp:
         """Return the ASGI application."""
--- /dev/null
+++ b/src/carawaystep/standin/worker/guarded_admission.py
@@ -0,0 +1,54 @@
+"""Admission of a worker that guards its limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.standin.worker.admission import Admission
+from carawaystep.standin.worker.refusal import Leaving
+from carawaystep.standin.worker.refusal import NoRoom
+from carawaystep.standin.worker.refusal import StaleEpoch
+
+if TYPE_CHECKING:
+    from carawaystep.standin.worker.ledger import Ledger
+    from carawaystep.standin.worker.refusal import Refusal
+    from carawaystep.worker.capacity import Capacity
+    from carawaystep.worker.resources import Resources
+
+
+class GuardedAdmission(Admission):
+    """Refuses lower epochs and everything beyond the limits."""
+
+    def __init__(self, capacity: Capacity) -> None:
+        """Create the admission.
+
+        :param capacity: limits of the worker
+        """
+        self._capacity = capacity
+
+    @property
+    def guards(self) -> bool:
+        """Return True."""
+        return True
+
+    def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
+        """Refuse an epoch below the fence."""
+        if epoch >= fenced:
+            return None
+        return StaleEpoch(f"epoch {epoch} is below {fenced}", fenced)
+
+    def check_work(
+        self, needs: Resources, ledger: Ledger, leaving: bool
+    ) -> Refusal | None:
+        """Refuse work when leaving, without a slot or without resources."""
+        if leaving:
+            return Leaving("the worker is leaving the fleet")
+        if len(ledger.running) >= self._capacity.slots:
+            return NoRoom("no slot is free")
+        if not (ledger.used + needs).fits_in(self._capacity.resources):
+            return NoRoom(f"{needs} does not fit beside {ledger.used}")
+        return None
+
+    def admits_connection(self, ledger: Ledger) -> bool:
+        """Refuse connections beyond the limit."""
+        return ledger.open_connections < self._capacity.connections
--- /dev/null
+++ b/src/carawaystep/standin/worker/open_admission.py
@@ -0,0 +1,35 @@
+"""Admission of a worker without guards."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.standin.worker.admission import Admission
+
+if TYPE_CHECKING:
+    from carawaystep.standin.worker.ledger import Ledger
+    from carawaystep.standin.worker.refusal import Refusal
+    from carawaystep.worker.resources import Resources
+
+
+class OpenAdmission(Admission):
+    """Accepts everything, also beyond the limits."""
+
+    @property
+    def guards(self) -> bool:
+        """Return False."""
+        return False
+
+    def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
+        """Accept every epoch."""
+        return None
+
+    def check_work(
+        self, needs: Resources, ledger: Ledger, leaving: bool
+    ) -> Refusal | None:
+        """Accept all work."""
+        return None
+
+    def admits_connection(self, ledger: Ledger) -> bool:
+        """Accept every connection."""
+        return True
--- /dev/null
+++ b/src/carawaystep/standin/worker/run_time_model.py
@@ -0,0 +1,58 @@
+"""Random run times and failures of a stand-in worker."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from carawaystep.settings.standin_worker_settings import StandinServiceSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+
+class RunTimeModel:
+    """Draws run times and failures per service.
+
+    A service without settings has the default ones.
+    """
+
+    def __init__(
+        self, services: Mapping[str, StandinServiceSettings], random: Random
+    ) -> None:
+        """Create the model.
+
+        :param services: settings by service name
+        :param random: source of chance of this worker
+        """
+        self._services = services
+        self._default = StandinServiceSettings()
+        self._random = random
+
+    def request_s(self, service: str) -> float:
+        """Draw the run time of a request in seconds."""
+        settings = self._settings(service)
+        median_s = settings.median_ms / 1000
+        return self._random.lognormvariate(math.log(median_s), settings.sigma)
+
+    def task_s(self, service: str, run_s: float | None) -> float | None:
+        """Return the real run time of a whole task.
+
+        :param service: name of the service
+        :param run_s: declared run time, None for endless work
+        """
+        if run_s is None:
+            return None
+        return run_s * self._settings(service).task_scale
+
+    def fails(self, service: str) -> bool:
+        """Draw whether an execution fails."""
+        return self._random.random() < self._settings(service).fail_share
+
+    def share(self) -> float:
+        """Draw a share between 0 and 1."""
+        return self._random.random()
+
+    def _settings(self, service: str) -> StandinServiceSettings:
+        return self._services.get(service, self._default)
