Add HTTP clients of the platform and of workers

Cause: entries need adapters for the platform and worker ports that send each call at most once.

The platform and worker adapters map its failures.

--- /dev/null
+++ b/src/carawaystep/adapters/http_client/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client on which the platform and worker adapters are built."""
--- /dev/null
+++ b/src/carawaystep/adapters/http_client/malformed_answer.py
@@ -0,0 +1,7 @@
+"""Error of an answer that breaks the protocol."""
+
+from __future__ import annotations
+
+
+class MalformedAnswer(Exception):  # noqa: N818
+    """The answer cannot be trusted; the client returns it as a failure."""
--- /dev/null
+++ b/src/carawaystep/adapters/platform_http/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform over HTTP."""
--- /dev/null
+++ b/src/carawaystep/adapters/platform_http/http_object_store.py
@@ -0,0 +1,64 @@
+"""Object store over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.platform_http.platform_client import PlatformClient
+from carawaystep.platform.object_store import ObjectStore
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.settings.entry_settings import PlatformSettings
+
+_STORED = frozenset({200, 201, 204})
+
+_CONNECTIONS = 4
+
+
+class HttpObjectStore(ObjectStore):
+    """Calls of the object store; none is repeated.
+
+    :param settings: where the platform is and how long a call may take
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Open nothing yet."""
+        self._client = PlatformClient(settings, _CONNECTIONS)
+
+    async def put(self, key: str, body: bytes) -> Result[None, TableFailure]:
+        """Store an object, replacing an earlier one."""
+        result = await self._client.call(
+            "PUT", self._path(key), body, "application/octet-stream"
+        )
+        if isinstance(result, Err):
+            return result
+        if result.ok_value.status not in _STORED:
+            return self._client.unexpected(result.ok_value)
+        return Ok(None)
+
+    async def get(self, key: str) -> Result[bytes | None, TableFailure]:
+        """Read an object, None when it does not exist."""
+        result = await self._client.call("GET", self._path(key))
+        if isinstance(result, Err):
+            return result
+        answer = result.ok_value
+        if answer.status == 404:
+            return Ok(None)
+        if answer.status != 200:
+            return self._client.unexpected(answer)
+        return Ok(answer.body)
+
+    async def close(self) -> None:
+        """Close all connections; calls under way fail."""
+        await self._client.close()
+
+    @staticmethod
+    def _path(key: str) -> str:
+        return f"/v1/objects/{quote(key)}"
--- /dev/null
+++ b/src/carawaystep/adapters/platform_http/http_vm_directory.py
@@ -0,0 +1,61 @@
+"""List of target VMs over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.platform_http.platform_bodies import VmsBody
+from carawaystep.adapters.platform_http.platform_client import PlatformClient
+from carawaystep.platform.vm import Vm
+from carawaystep.platform.vm_directory import VmDirectory
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.settings.entry_settings import PlatformSettings
+
+
+_CONNECTIONS = 1
+
+
+class HttpVmDirectory(VmDirectory):
+    """Reads the list of VMs.
+
+    :param settings: where the platform is and how long a call may take
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Open nothing yet."""
+        self._client = PlatformClient(settings, _CONNECTIONS)
+
+    async def vms(self) -> Result[tuple[Vm, ...], TableFailure]:
+        """Read the whole list."""
+        result = await self._client.call("GET", "/v1/vms")
+        if isinstance(result, Err):
+            return result
+        answer = result.ok_value
+        if answer.status != 200:
+            return self._client.unexpected(answer)
+        parsed = self._client.parse(VmsBody, answer)
+        if isinstance(parsed, Err):
+            return parsed
+        return Ok(
+            tuple(
+                Vm(
+                    vm.name,
+                    vm.availability_zone,
+                    vm.rack,
+                    vm.url,
+                    vm.state,
+                )
+                for vm in parsed.ok_value.vms
+            )
+        )
+
+    async def close(self) -> None:
+        """Close all connections; calls under way fail."""
+        await self._client.close()
--- /dev/null
+++ b/src/carawaystep/adapters/worker_http/__init__.py
@@ -0,0 +1,1 @@
+"""Client of a worker over HTTP."""
--- /dev/null
+++ b/src/carawaystep/adapters/worker_http/http_worker.py
@@ -0,0 +1,331 @@
+"""Worker over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from pydantic import BaseModel
+from pydantic import ValidationError
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.http_client.http_client import HttpClient
+from carawaystep.adapters.http_client.http_failure import HttpNotSent
+from carawaystep.adapters.worker_http.worker_bodies import FenceBody
+from carawaystep.adapters.worker_http.worker_bodies import LeasesBody
+from carawaystep.adapters.worker_http.worker_bodies import ReportBody
+from carawaystep.worker.capacity import Capacity
+from carawaystep.worker.ended_task import EndedTask
+from carawaystep.worker.fence_answer import FenceAnswer
+from carawaystep.worker.reservation import Reservation
+from carawaystep.worker.resources import Resources
+from carawaystep.worker.worker_failure import WorkerRefused
+from carawaystep.worker.worker_failure import WorkerUnknown
+from carawaystep.worker.worker_port import WorkerPort
+from carawaystep.worker.worker_report import WorkerReport
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from result import Result
+
+    from carawaystep.adapters.http_client.http_answer import HttpAnswer
+    from carawaystep.adapters.http_client.http_failure import HttpFailure
+    from carawaystep.settings.entry_settings import WorkerSettings
+    from carawaystep.worker.worker_failure import WorkerFailure
+    from carawaystep.worker.worker_request import WorkerRequest
+    from carawaystep.worker.worker_task import WorkerTask
+
+# Kept free for the long poll, its successor after a silent connection, and
+# control calls.
+RESERVED_CONNECTIONS = 4
+CONTROL_CONNECTIONS = 2
+REPORT_CONNECTIONS = 1
+
+# A worker answers a poll after wait_s at the latest; the rest is for the way.
+REPORT_MARGIN_S = 2.0
+
+_REFUSALS = frozenset({409, 429, 503})
+_DONE = frozenset({200, 202, 204})
+
+Body = TypeVar("Body", bound=BaseModel)
+
+
+class HttpWorker(WorkerPort):
+    """Calls to one worker; none is repeated."""
+
+    def __init__(self, url: str, settings: WorkerSettings) -> None:
+        """Open nothing yet.
+
+        :param url: base URL of the worker
+        :param settings: time limits of calls
+        """
+        self._settings = settings
+        # The fence tells how many connections the worker takes.
+        self._requests = HttpClient(url, connections=1)
+        self._control = HttpClient(url, CONTROL_CONNECTIONS)
+        self._reports = HttpClient(url, REPORT_CONNECTIONS)
+
+    async def fence(
+        self, owner: str, epoch: int
+    ) -> Result[FenceAnswer, WorkerFailure]:
+        """Make the worker refuse all epochs below this one."""
+        result = await self._post(
+            "/v1/fence", {"owner": owner, "epoch": epoch}
+        )
+        if isinstance(result, Err):
+            return result
+        answer = result.ok_value
+        if answer.status == 409:
+            detail = "the worker was fenced with a higher epoch"
+            return Err(WorkerRefused(detail, stale_epoch=True))
+        parsed = self._parse(FenceBody, answer)
+        if isinstance(parsed, Err):
+            return parsed
+        body = parsed.ok_value
+        if body.epoch != epoch:
+            return Err(WorkerUnknown(f"fence answered epoch {body.epoch}"))
+        limit = body.capacity.connections - RESERVED_CONNECTIONS
+        self._requests.limit_connections(max(1, limit))
+        return Ok(self._fence_answer(body))
+
+    async def run_request(
+        self, request: WorkerRequest, epoch: int, timeout_s: float
+    ) -> Result[bytes, WorkerFailure]:
+        """Run a request and return its whole answer."""
+        result = await self._requests.request(
+            "POST",
+            "/v1/requests",
+            timeout_s,
+            self._request_headers(request, epoch),
+            request.body,
+        )
+        if isinstance(result, Err):
+            return self._failure(result.err_value)
+        answer = result.ok_value
+        echo = answer.headers.get("carawaystep-request-id")
+        if echo is not None and echo != request.request_id:
+            detail = f"the worker answered another request: {echo}"
+            return Err(WorkerUnknown(detail))
+        refusal = self._refusal(answer)
+        if refusal is not None:
+            return Err(refusal)
+        if answer.status != 200:
+            return Err(WorkerUnknown(f"the worker answered {answer.status}"))
+        if echo is None or "content-length" not in answer.headers:
+            detail = "answer without request id or Content-Length"
+            return Err(WorkerUnknown(detail))
+        return Ok(answer.body)
+
+    async def start_task(
+        self, task: WorkerTask, epoch: int
+    ) -> Result[None, WorkerFailure]:
+        """Start an attempt; repeating it has no further effect."""
+        return await self._command(
+            "/v1/tasks",
+            {
+                "id": task.id,
+                "attempt": task.attempt,
+                "epoch": epoch,
+                "service": task.service,
+                "lease_s": task.lease_s,
+                "run_s": task.run_s,
+                "needs": {
+                    "cpu": task.needs.cpu,
+                    "memory_mb": task.needs.memory_mb,
+                    "accelerators": task.needs.accelerators,
+                },
+                "checkpoint": task.checkpoint,
+            },
+        )
+
+    async def renew_leases(
+        self, attempts: Sequence[tuple[str, int]], lease_s: float, epoch: int
+    ) -> Result[frozenset[str], WorkerFailure]:
+        """Renew the leases of tasks."""
+        tasks = [{"id": id_, "attempt": attempt} for id_, attempt in attempts]
+        result = await self._post(
+            "/v1/leases",
+            {"epoch": epoch, "lease_s": lease_s, "tasks": tasks},
+        )
+        if isinstance(result, Err):
+            return result
+        refusal = self._refusal(result.ok_value)
+        if refusal is not None:
+            return Err(refusal)
+        parsed = self._parse(LeasesBody, result.ok_value)
+        if isinstance(parsed, Err):
+            return parsed
+        return Ok(parsed.ok_value.unknown)
+
+    async def checkpoint_task(
+        self, job_id: str, attempt: int, epoch: int
+    ) -> Result[None, WorkerFailure]:
+        """Checkpoint a task and end it as evicted."""
+        return await self._task_command("checkpoint", job_id, attempt, epoch)
+
+    async def throttle_task(
+        self, job_id: str, attempt: int, epoch: int
+    ) -> Result[None, WorkerFailure]:
+        """Slow a task down."""
+        return await self._task_command("throttle", job_id, attempt, epoch)
+
+    async def stop_task(
+        self, job_id: str, attempt: int, epoch: int
+    ) -> Result[None, WorkerFailure]:
+        """Stop a task without a checkpoint."""
+        return await self._task_command("stop", job_id, attempt, epoch)
+
+    async def report(
+        self, since: int, wait_s: float
+    ) -> Result[WorkerReport, WorkerFailure]:
+        """Wait for news from the worker."""
+        query = urlencode({"since": since, "wait_s": wait_s})
+        result = await self._reports.request(
+            "GET", f"/v1/report?{query}", wait_s + REPORT_MARGIN_S
+        )
+        if isinstance(result, Err):
+            return self._failure(result.err_value)
+        parsed = self._parse(ReportBody, result.ok_value)
+        if isinstance(parsed, Err):
+            return parsed
+        body = parsed.ok_value
+        ended = tuple(
+            EndedTask(
+                task.sequence,
+                task.id,
+                task.attempt,
+                task.how,
+                task.checkpoint,
+                task.detail,
+            )
+            for task in body.ended
+        )
+        return Ok(
+            WorkerReport(body.sequence, body.leaving, body.running, ended)
+        )
+
+    async def close(self) -> None:
+        """Close all connections to the worker."""
+        for client in (self._requests, self._control, self._reports):
+            await client.close()
+
+    async def _task_command(
+        self, verb: str, job_id: str, attempt: int, epoch: int
+    ) -> Result[None, WorkerFailure]:
+        return await self._command(
+            f"/v1/tasks/{quote(job_id, '')}/{verb}",
+            {"epoch": epoch, "attempt": attempt},
+        )
+
+    async def _command(
+        self, path: str, body: dict[str, Any]
+    ) -> Result[None, WorkerFailure]:
+        result = await self._post(path, body)
+        if isinstance(result, Err):
+            return result
+        answer = result.ok_value
+        refusal = self._refusal(answer)
+        if refusal is not None:
+            return Err(refusal)
+        if answer.status not in _DONE:
+            return Err(WorkerUnknown(f"the worker answered {answer.status}"))
+        return Ok(None)
+
+    async def _post(
+        self, path: str, body: dict[str, Any]
+    ) -> Result[HttpAnswer, WorkerFailure]:
+        result = await self._control.request(
+            "POST",
+            path,
+            self._settings.timeout_s,
+            {"Content-Type": "application/json"},
+            json.dumps(body).encode(),
+        )
+        if isinstance(result, Err):
+            return self._failure(result.err_value)
+        return Ok(result.ok_value)
+
+    @staticmethod
+    def _failure(failure: HttpFailure) -> Err[WorkerFailure]:
+        if isinstance(failure, HttpNotSent):
+            return Err(WorkerRefused(failure.detail))
+        return Err(WorkerUnknown(failure.detail))
+
+    @staticmethod
+    def _refusal(answer: HttpAnswer) -> WorkerRefused | None:
+        """Return the refusal when the worker said that nothing ran."""
+        if answer.status not in _REFUSALS:
+            return None
+        if answer.headers.get("carawaystep-not-run") != "1":
+            return None
+        return WorkerRefused(
+            f"the worker refused with status {answer.status}",
+            stale_epoch=answer.status == 409,
+            leaving=answer.status == 503,
+        )
+
+    @staticmethod
+    def _parse(
+        model: type[Body], answer: HttpAnswer
+    ) -> Result[Body, WorkerFailure]:
+        if answer.status != 200:
+            return Err(WorkerUnknown(f"the worker answered {answer.status}"))
+        try:
+            return Ok(model.model_validate_json(answer.body))
+        except ValidationError as error:
+            first = error.errors()[0]
+            where = ".".join(str(part) for part in first["loc"])
+            return Err(
+                WorkerUnknown(
+                    f"malformed {model.__name__} from the worker:"
+                    f" {where or 'body'}: {first['msg']}"
+                )
+            )
+
+    @staticmethod
+    def _request_headers(request: WorkerRequest, epoch: int) -> dict[str, str]:
+        needs = request.needs
+        headers = {
+            "Content-Type": "application/octet-stream",
+            "Carawaystep-Epoch": str(epoch),
+            "Carawaystep-Request-Id": request.request_id,
+            "Carawaystep-Service": request.service,
+            "Carawaystep-Needs": f"cpu={needs.cpu}"
+            f";memory_mb={needs.memory_mb}"
+            f";accelerators={needs.accelerators}",
+        }
+        if request.idempotency_key is not None:
+            headers["Idempotency-Key"] = request.idempotency_key
+        return headers
+
+    @staticmethod
+    def _fence_answer(body: FenceBody) -> FenceAnswer:
+        limits = body.capacity
+        capacity = Capacity(
+            Resources(limits.cpu, limits.memory_mb, limits.accelerators),
+            limits.slots,
+            limits.connections,
+        )
+        running = tuple(
+            Reservation(
+                item.id,
+                item.kind,
+                item.attempt,
+                Resources(item.cpu, item.memory_mb, item.accelerators),
+            )
+            for item in body.running
+        )
+        return FenceAnswer(
+            body.epoch,
+            body.guards,
+            body.leaving,
+            capacity,
+            running,
+            body.sequence,
+        )
--- /dev/null
+++ b/src/carawaystep/adapters/worker_http/worker_bodies.py
@@ -0,0 +1,71 @@
+"""Bodies of a worker's HTTP answers.
+
+The models stand in one module, because together they are the protocol.
+Unknown keys are ignored, so that a worker can add some.
+"""
+
+from __future__ import annotations
+
+from pydantic import BaseModel
+from pydantic import Field
+
+from carawaystep.worker.execution_end import ExecutionEnd
+from carawaystep.worker.work_kind import WorkKind
+
+
+class CapacityBody(BaseModel):
+    """Limits of the worker."""
+
+    cpu: float = Field(ge=0, allow_inf_nan=False)
+    memory_mb: int = Field(ge=0)
+    accelerators: int = Field(ge=0)
+    slots: int = Field(ge=0)
+    connections: int = Field(ge=1)
+
+
+class RunningBody(BaseModel):
+    """An execution that the worker still runs."""
+
+    id: str
+    kind: WorkKind
+    attempt: int = Field(ge=0)
+    cpu: float = Field(ge=0, allow_inf_nan=False)
+    memory_mb: int = Field(ge=0)
+    accelerators: int = Field(ge=0)
+
+
+class FenceBody(BaseModel):
+    """Answer to an accepted fence."""
+
+    epoch: int
+    guards: bool
+    leaving: bool
+    capacity: CapacityBody
+    running: tuple[RunningBody, ...]
+    sequence: int
+
+
+class LeasesBody(BaseModel):
+    """Answer to a renewal of leases."""
+
+    unknown: frozenset[str]
+
+
+class EndedBody(BaseModel):
+    """End of a task."""
+
+    sequence: int
+    id: str
+    attempt: int
+    how: ExecutionEnd
+    checkpoint: str | None
+    detail: str
+
+
+class ReportBody(BaseModel):
+    """Answer to a long poll."""
+
+    sequence: int
+    leaving: bool
+    running: frozenset[str]
+    ended: tuple[EndedBody, ...]
--- /dev/null
+++ b/src/carawaystep/adapters/zmq/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry processes over zmq."""
