Add links between entries over zmq, and tests of the adapters

Cause: entries exchange loads, forwarded requests and documents, and the HTTP adapters had no tests of their own.

Change: PeerServer serves one ROUTER socket with a task for each forwarded request; PeerClient holds one DEALER socket that queues nothing for a peer that is not connected. Malformed, late and doubled messages are dropped and counted. Tests of the worker, platform and peer adapters cover lost, truncated, late and foreign answers.

A send to a peer that is not connected fails at once with EAGAIN.

Conclusion: the ports of platform, worker and peer have adapters.

--- /dev/null
+++ b/src/carawaystep/adapters/zmq/peer_client.py
@@ -0,0 +1,207 @@
+"""Link to one other entry process over zmq."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from msgspec.structs import replace
+from result import Err
+from result import Ok
+
+from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
+from carawaystep.adapters.zmq.peer_codec import PeerCodec
+from carawaystep.peer.messages import DocumentsReply
+from carawaystep.peer.messages import FetchDocuments
+from carawaystep.peer.messages import ForwardReply
+from carawaystep.peer.messages import Heartbeat
+from carawaystep.peer.messages import HeartbeatReply
+from carawaystep.peer.peer_failure import PeerFailure
+from carawaystep.peer.peer_port import PeerPort
+from zmq import DEALER
+from zmq import IMMEDIATE
+from zmq import LINGER
+from zmq import MAXMSGSIZE
+from zmq import NOBLOCK
+from zmq import RECONNECT_IVL
+from zmq import RECONNECT_IVL_MAX
+from zmq import SNDHWM
+from zmq import ZMQError
+from zmq.asyncio import Context
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from carawaystep.peer.messages import EntryLoad
+    from carawaystep.peer.messages import ForwardRequest
+    from carawaystep.peer.messages import PeerMessage
+    from zmq.asyncio import Socket
+
+# Messages to a slow peer that may wait in this process.
+SEND_QUEUE_MESSAGES = 1000
+
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 1000
+
+Reply = TypeVar("Reply", HeartbeatReply, ForwardReply, DocumentsReply)
+Pending = asyncio.Future[HeartbeatReply | ForwardReply | DocumentsReply | None]
+
+
+class PeerClient(PeerPort):
+    """One DEALER socket and the calls that wait for a reply on it.
+
+    A message that was queued is delivered at most once, and nobody learns
+    whether it was: it is lost when the connection breaks before libzmq wrote
+    it, and its reply is lost when the connection breaks later. Such calls
+    fail with ``sent=True``.
+    """
+
+    # Shared by all links of the process, so that no reply can match a call
+    # of another or an earlier link.
+    _sequences = count(1)
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet.
+
+        :param address: zmq address on which the other entry listens
+        """
+        self._address = address
+        self._codec = PeerCodec()
+        self._pending: dict[int, tuple[type, Pending]] = {}
+        self._socket: Socket | None = None
+        self._receiver: asyncio.Task[None] | None = None
+        self._problem = "the link is not started"
+        self._late_replies = 0
+        self._malformed_messages = 0
+
+    @property
+    def late_replies(self) -> int:
+        """Replies dropped because no call waited for them."""
+        return self._late_replies
+
+    @property
+    def malformed_messages(self) -> int:
+        """Messages dropped because they break the protocol."""
+        return self._malformed_messages
+
+    async def start(self) -> None:
+        """Connect in the background and receive replies.
+
+        A bad address shows as failed calls, because addresses come from
+        other processes.
+        """
+        socket = Context.instance().socket(DEALER)
+        socket.setsockopt(LINGER, 0)
+        socket.setsockopt(SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(IMMEDIATE, 1)
+        socket.setsockopt(MAXMSGSIZE, MAX_BUFFERED_BYTES)
+        socket.setsockopt(RECONNECT_IVL, _RECONNECT_MS)
+        socket.setsockopt(RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        try:
+            socket.connect(self._address)
+        except ZMQError as error:
+            socket.close()
+            self._problem = f"cannot connect to {self._address}: {error}"
+            return
+        self._socket = socket
+        self._receiver = asyncio.create_task(self._receive(socket))
+
+    async def heartbeat(
+        self, load: EntryLoad, timeout_s: float
+    ) -> Result[EntryLoad, PeerFailure]:
+        """Exchange loads."""
+        message = Heartbeat(next(self._sequences), load)
+        result = await self._call(message, HeartbeatReply, timeout_s)
+        return result.map(lambda reply: reply.load)
+
+    async def forward(
+        self, request: ForwardRequest, timeout_s: float
+    ) -> Result[ForwardReply, PeerFailure]:
+        """Have a request run on a worker of the other entry."""
+        message = replace(request, sequence=next(self._sequences))
+        result = await self._call(message, ForwardReply, timeout_s)
+        if isinstance(result, Err):
+            return result
+        reply = result.ok_value
+        if reply.request_id != request.request_id:
+            self._malformed_messages += 1
+            detail = f"the peer answered another request: {reply.request_id}"
+            return Err(PeerFailure(detail, sent=True))
+        return Ok(reply)
+
+    async def fetch_documents(
+        self, timeout_s: float
+    ) -> Result[DocumentsReply, PeerFailure]:
+        """Read documents in force and the VM list."""
+        message = FetchDocuments(next(self._sequences))
+        return await self._call(message, DocumentsReply, timeout_s)
+
+    async def close(self) -> None:
+        """Close the link; every pending call fails as sent."""
+        socket, self._socket = self._socket, None
+        self._problem = "the link is closed"
+        if self._receiver is not None:
+            self._receiver.cancel()
+            await asyncio.gather(self._receiver, return_exceptions=True)
+            self._receiver = None
+        if socket is not None:
+            socket.close()
+        for _, future in self._pending.values():
+            if not future.done():
+                future.set_result(None)
+
+    async def _call(
+        self,
+        message: Heartbeat | ForwardRequest | FetchDocuments,
+        kind: type[Reply],
+        timeout_s: float,
+    ) -> Result[Reply, PeerFailure]:
+        data = self._codec.encode(message)
+        if data is None:
+            return Err(PeerFailure("the message is too large", sent=False))
+        if self._socket is None:
+            return Err(PeerFailure(self._problem, sent=False))
+        future: Pending = asyncio.get_running_loop().create_future()
+        self._pending[message.sequence] = (kind, future)
+        try:
+            async with asyncio.timeout(timeout_s):
+                try:
+                    await self._socket.send(data, NOBLOCK)
+                except ZMQError as error:
+                    detail = f"{self._address} is not connected: {error}"
+                    return Err(PeerFailure(detail, sent=False))
+                reply = await future
+        except TimeoutError:
+            detail = f"no reply from {self._address} in {timeout_s:.3f} s"
+            return Err(PeerFailure(detail, sent=True))
+        finally:
+            del self._pending[message.sequence]
+        if not isinstance(reply, kind):
+            return Err(PeerFailure("the link was closed", sent=True))
+        return Ok(reply)
+
+    async def _receive(self, socket: Socket) -> None:
+        while True:
+            frames = await socket.recv_multipart()
+            message = self._codec.decode(frames[0])
+            if len(frames) != 1 or message is None:
+                self._malformed_messages += 1
+                continue
+            self._take(message)
+
+    def _take(self, message: PeerMessage) -> None:
+        if not isinstance(
+            message, HeartbeatReply | ForwardReply | DocumentsReply
+        ):
+            self._malformed_messages += 1
+            return
+        kind, future = self._pending.get(message.sequence, (None, None))
+        if kind is None or future is None or future.done():
+            self._late_replies += 1
+            return
+        if not isinstance(message, kind):
+            self._malformed_messages += 1
+            return
+        future.set_result(message)
--- /dev/null
+++ b/tests/adapters/platform_http/test_platform_http.py
@@ -0,0 +1,226 @@
+"""Tests of the platform clients against a misbehaving platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from testtools import TestCase
+
+from carawaystep.adapters.platform_http.object_store import HttpObjectStore
+from carawaystep.adapters.platform_http.table_service import HttpTableService
+from carawaystep.adapters.platform_http.vm_directory import HttpVmDirectory
+from carawaystep.platform.operation import CheckRow
+from carawaystep.platform.operation import DeleteRow
+from carawaystep.platform.operation import PutRow
+from carawaystep.platform.row import Row
+from carawaystep.platform.table_commit import TableCommit
+from carawaystep.platform.table_failure import TableConflict
+from carawaystep.platform.table_failure import TableRefused
+from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.platform.vm import Vm
+from carawaystep.platform.vm_state import VmState
+from carawaystep.settings.entry_settings import PlatformSettings
+from tests.adapters.http_client.scripted_server import answer
+from tests.adapters.http_client.scripted_server import CLOSE
+from tests.adapters.http_client.scripted_server import ScriptedServer
+from tests.adapters.http_client.scripted_server import Step
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from result import Result
+
+    from carawaystep.platform.table_failure import TableFailure
+
+_OPERATIONS = (
+    CheckRow("owners", "w1", 4),
+    PutRow("jobs", "a/b?c", None, {"state": "assigned"}),
+    DeleteRow("jobs", "d", 0),
+)
+
+
+def _json(value: object, status: int = 200) -> bytes:
+    return answer(json.dumps(value).encode(), status)
+
+
+async def _transact(settings: PlatformSettings) -> Any:
+    tables = HttpTableService(settings)
+    result = await tables.transact(_OPERATIONS)
+    await tables.close()
+    return result
+
+
+async def _get(settings: PlatformSettings) -> Any:
+    tables = HttpTableService(settings)
+    result = await tables.get("jobs", "a/b?c")
+    await tables.close()
+    return result
+
+
+async def _changes(settings: PlatformSettings) -> Any:
+    tables = HttpTableService(settings)
+    result = await tables.changes("jobs", 5, ("0a", "f&"))
+    await tables.close()
+    return result
+
+
+async def _vms(settings: PlatformSettings) -> Any:
+    directory = HttpVmDirectory(settings)
+    result = await directory.vms()
+    await directory.close()
+    return result
+
+
+async def _put_object(settings: PlatformSettings) -> Any:
+    store = HttpObjectStore(settings)
+    result = await store.put("c/j 1", b"\0state")
+    await store.close()
+    return result
+
+
+async def _get_object(settings: PlatformSettings) -> Any:
+    store = HttpObjectStore(settings)
+    result = await store.get("c/j 1")
+    await store.close()
+    return result
+
+
+_JSON_CALLS = (_transact, _get, _changes, _vms)
+_CALLS = (*_JSON_CALLS, _put_object, _get_object)
+
+
+class PlatformHttpTest(TestCase):
+    """What a caller may conclude from each answer."""
+
+    def _call(
+        self, call: Callable[[PlatformSettings], Awaitable[Any]], *script: Step
+    ) -> tuple[Result[Any, TableFailure], list[tuple[int, bytes, bytes]]]:
+        async def run() -> Any:
+            async with ScriptedServer(list(script)) as server:
+                settings = PlatformSettings(url=server.url, timeout_s=0.2)
+                return await call(settings), server.seen
+
+        return asyncio.run(run())
+
+    def _fails(self, kind: type[TableFailure], call: Any, *step: Step) -> None:
+        result, seen = self._call(call, *step)
+        self.assertIsInstance(result, Err, (call, step))
+        self.assertIs(kind, type(result.err_value), (call, step))
+        self.assertEqual(1, len(seen), (call, step))
+
+    def test_refusals(self) -> None:
+        """Guards against an unknown result where nothing was written."""
+        for call in _CALLS:
+            for status in (429, 503):
+                self._fails(TableRefused, call, answer(b"", status))
+
+    def test_every_doubt_is_unknown(self) -> None:
+        """Guards against a refusal reported after a write took effect."""
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"
+        for call in _CALLS:
+            self._fails(TableUnknown, call, CLOSE)
+            self._fails(TableUnknown, call, cut, CLOSE)
+            self._fails(TableUnknown, call, 0.5)
+            self._fails(TableUnknown, call, answer(b"{}", 500))
+            self._fails(TableUnknown, call, answer(b"{}", 302))
+
+    def test_malformed_json_is_unknown(self) -> None:
+        """Guards against guesses from a body outside the protocol."""
+        bodies = (b"", b"{", b"[]", b'{"revision": "x"}', b"\xff")
+        for call in _JSON_CALLS:
+            for body in bodies:
+                self._fails(TableUnknown, call, answer(body))
+        self._fails(TableUnknown, _transact, answer(b"{}", 409))
+        few = {"revision": 1, "versions": [1]}
+        self._fails(TableUnknown, _transact, _json(few))
+
+    def test_no_connection_is_a_refusal(self) -> None:
+        """Guards against reads back while the platform is down."""
+
+        async def run() -> None:
+            async with ScriptedServer() as server:
+                pass
+            settings = PlatformSettings(url=server.url, timeout_s=0.2)
+            for call in _CALLS:
+                result = await call(settings)
+                self.assertIs(TableRefused, type(result.err_value))
+
+        asyncio.run(run())
+
+    def test_transaction(self) -> None:
+        """Guards against wrong encoding and repeated transaction ids."""
+        commit = _json({"revision": 9, "versions": [4, 1, 2]})
+        ids = set()
+        for _ in range(2):
+            result, seen = self._call(_transact, commit)
+            self.assertEqual(Ok(TableCommit(9, (4, 1, 2))), result)
+            sent = json.loads(seen[0][2])
+            ids.add(sent["id"])
+        self.assertEqual(2, len(ids))
+        put = {
+            "op": "put",
+            "table": "jobs",
+            "key": "a/b?c",
+            "expected": None,
+            "value": {"state": "assigned"},
+        }
+        check, sent_put, delete = sent["operations"]
+        self.assertEqual(put, sent_put)
+        self.assertEqual(("check", 4), (check["op"], check["expected"]))
+        self.assertEqual(("delete", 0), (delete["op"], delete["expected"]))
+
+    def test_conflict(self) -> None:
+        """Guards against a loser of a race that does not see it."""
+        conflict = {"table": "owners", "key": "w1", "version": 6}
+        result, _ = self._call(
+            _transact, _json({"conflicts": [conflict]}, 409)
+        )
+        self.assertIsInstance(result.err_value, TableConflict)
+        self.assertEqual({("owners", "w1"): 6}, result.err_value.versions)
+
+    def test_reads(self) -> None:
+        """Guards against keys that are not quoted and lost deletions."""
+        row = {"value": [1], "version": 2, "revision": 3}
+        result, seen = self._call(_get, _json(row))
+        self.assertEqual(Ok(Row("a/b?c", [1], 2, 3)), result)
+        self.assertIn(b"GET /v1/tables/jobs/rows/a%2Fb%3Fc ", seen[0][1])
+        result, _ = self._call(_get, answer(b"", 404))
+        self.assertEqual(Ok(None), result)
+        deleted = {"key": "0a1", "value": None, "version": 2, "revision": 8}
+        page = {"rows": [deleted], "revision": 8, "more": True}
+        result, seen = self._call(_changes, _json(page))
+        self.assertEqual((Row("0a1", None, 2, 8),), result.ok_value.rows)
+        self.assertTrue(result.ok_value.more)
+        query = b"/rows?since=5&prefix=0a&prefix=f%26 "
+        self.assertIn(query, seen[0][1])
+
+    def test_objects_and_vms(self) -> None:
+        """Guards against changed bytes and unknown VM states."""
+        result, seen = self._call(_put_object, answer(b"", 201))
+        self.assertEqual(Ok(None), result)
+        self.assertEqual(b"\0state", seen[0][2])
+        self.assertIn(b"PUT /v1/objects/c/j%201 ", seen[0][1])
+        result, _ = self._call(_get_object, answer(b"\0state"))
+        self.assertEqual(Ok(b"\0state"), result)
+        result, _ = self._call(_get_object, answer(b"", 404))
+        self.assertEqual(Ok(None), result)
+        vm = {
+            "name": "w1",
+            "availability_zone": "arima",
+            "rack": "r1",
+            "url": "http://127.0.0.1:1",
+            "state": "leaving",
+        }
+        result, _ = self._call(_vms, _json({"vms": [vm]}))
+        expected = Vm(
+            "w1", "arima", "r1", "http://127.0.0.1:1", VmState.LEAVING
+        )
+        self.assertEqual(Ok((expected,)), result)
+        lost = {"vms": [{**vm, "state": "lost"}]}
+        self._fails(TableUnknown, _vms, _json(lost))
