Give leases and reports the worker's own clock

A lease counted from its arrival at the worker ended later than its owner assumed when the message was delayed. The stand-in worker accepts only the fenced token and forgets acknowledged ends. A failed execution is a value of its own and leaves no slot in doubt.

--- a/src/carawaystep/adapters/http/statuses.py
+++ b/src/carawaystep/adapters/http/statuses.py
@@ -22,6 +22,7 @@
 FAILURE_STATUSES = {
     CallFailureCode.NOT_FOUND: 404,
     CallFailureCode.INVALID: 400,
+    CallFailureCode.FORBIDDEN: 403,
     CallFailureCode.CONFLICT: 409,
     CallFailureCode.DRAINING: 503,
     CallFailureCode.PLATFORM_UNAVAILABLE: 503,
--- a/src/carawaystep/adapters/system_ports.py
+++ b/src/carawaystep/adapters/system_ports.py
@@ -4,12 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from carawaystep.adapters.platform_http.http_table_service import (
-    HttpTableService,
-)
-from carawaystep.adapters.platform_http.http_vm_directory import (
-    HttpVmDirectory,
-)
+from carawaystep.adapters.platform_http.table_service import HttpTableService
+from carawaystep.adapters.platform_http.vm_directory import HttpVmDirectory
 from carawaystep.adapters.worker_http.http_worker import HttpWorker
 from carawaystep.adapters.zmq.peer_client import PeerClient
 from carawaystep.entry.loop_clock import LoopClock
--- a/src/carawaystep/adapters/worker_http/http_worker.py
+++ b/src/carawaystep/adapters/worker_http/http_worker.py
@@ -24,6 +24,7 @@
 from carawaystep.worker.fence_answer import FenceAnswer
 from carawaystep.worker.reservation import Reservation
 from carawaystep.worker.resources import Resources
+from carawaystep.worker.worker_failure import WorkerFailed
 from carawaystep.worker.worker_failure import WorkerRefused
 from carawaystep.worker.worker_failure import WorkerUnknown
 from carawaystep.worker.worker_port import WorkerPort
@@ -115,6 +116,8 @@
         refusal = self._refusal(answer)
         if refusal is not None:
             return Err(refusal)
+        if answer.status == 500 and echo is not None:
+            return Err(WorkerFailed("the execution failed on the worker"))
         if answer.status != 200:
             return Err(WorkerUnknown(f"the worker answered {answer.status}"))
         if echo is None or "content-length" not in answer.headers:
@@ -133,7 +136,7 @@
                 "attempt": task.attempt,
                 "epoch": epoch,
                 "service": task.service,
-                "lease_s": task.lease_s,
+                "lease_until_s": task.lease_until_s,
                 "run_s": task.run_s,
                 "needs": {
                     "cpu": task.needs.cpu,
@@ -145,13 +148,13 @@
         )
 
     async def renew_leases(
-        self, attempts: Sequence[tuple[str, int]], lease_s: float, epoch: int
+        self, attempts: Sequence[tuple[str, int]], until_s: float, epoch: int
     ) -> Result[frozenset[str], WorkerFailure]:
         """Renew the leases of tasks."""
         tasks = [{"id": id_, "attempt": attempt} for id_, attempt in attempts]
         result = await self._post(
             "/v1/leases",
-            {"epoch": epoch, "lease_s": lease_s, "tasks": tasks},
+            {"epoch": epoch, "until_s": until_s, "tasks": tasks},
         )
         if isinstance(result, Err):
             return result
@@ -182,10 +185,16 @@
         return await self._task_command("stop", job_id, attempt, epoch)
 
     async def report(
-        self, since: int, wait_s: float
+        self, since: int, wait_s: float, acknowledged: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news from the worker."""
-        query = urlencode({"since": since, "wait_s": wait_s})
+        query = urlencode(
+            {
+                "since": since,
+                "wait_s": wait_s,
+                "acknowledged": acknowledged,
+            }
+        )
         result = await self._reports.request(
             "GET", f"/v1/report?{query}", wait_s + REPORT_MARGIN_S
         )
@@ -207,7 +216,13 @@
             for task in body.ended
         )
         return Ok(
-            WorkerReport(body.sequence, body.leaving, body.running, ended)
+            WorkerReport(
+                body.sequence,
+                body.leaving,
+                body.running,
+                ended,
+                body.clock_s,
+            )
         )
 
     async def close(self) -> None:
@@ -328,4 +343,5 @@
             capacity,
             running,
             body.sequence,
+            body.clock_s,
         )
--- a/src/carawaystep/adapters/worker_http/worker_bodies.py
+++ b/src/carawaystep/adapters/worker_http/worker_bodies.py
@@ -43,6 +43,7 @@
     capacity: CapacityBody
     running: tuple[RunningBody, ...]
     sequence: int
+    clock_s: float = Field(ge=0, allow_inf_nan=False)
 
 
 class LeasesBody(BaseModel):
@@ -69,3 +70,4 @@
     leaving: bool
     running: frozenset[str]
     ended: tuple[EndedBody, ...]
+    clock_s: float = Field(allow_inf_nan=False)
--- a/src/carawaystep/adapters/zmq/peer_client.py
+++ b/src/carawaystep/adapters/zmq/peer_client.py
@@ -10,16 +10,6 @@
 from msgspec.structs import replace
 from result import Err
 from result import Ok
-
-from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
-from carawaystep.adapters.zmq.peer_codec import PeerCodec
-from carawaystep.peer.messages import DocumentsReply
-from carawaystep.peer.messages import FetchDocuments
-from carawaystep.peer.messages import ForwardReply
-from carawaystep.peer.messages import Heartbeat
-from carawaystep.peer.messages import HeartbeatReply
-from carawaystep.peer.peer_failure import PeerFailure
-from carawaystep.peer.peer_port import PeerPort
 from zmq import DEALER
 from zmq import IMMEDIATE
 from zmq import LINGER
@@ -31,13 +21,23 @@
 from zmq import ZMQError
 from zmq.asyncio import Context
 
+from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
+from carawaystep.adapters.zmq.peer_codec import PeerCodec
+from carawaystep.peer.messages import DocumentsReply
+from carawaystep.peer.messages import FetchDocuments
+from carawaystep.peer.messages import ForwardReply
+from carawaystep.peer.messages import Heartbeat
+from carawaystep.peer.messages import HeartbeatReply
+from carawaystep.peer.peer_failure import PeerFailure
+from carawaystep.peer.peer_port import PeerPort
+
 if TYPE_CHECKING:
     from result import Result
+    from zmq.asyncio import Socket
 
     from carawaystep.peer.messages import EntryLoad
     from carawaystep.peer.messages import ForwardRequest
     from carawaystep.peer.messages import PeerMessage
-    from zmq.asyncio import Socket
 
 # Messages to a slow peer that may wait in this process.
 SEND_QUEUE_MESSAGES = 1000
--- a/src/carawaystep/adapters/zmq/peer_server.py
+++ b/src/carawaystep/adapters/zmq/peer_server.py
@@ -6,13 +6,6 @@
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
-
-from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
-from carawaystep.adapters.zmq.peer_codec import PeerCodec
-from carawaystep.peer.messages import FetchDocuments
-from carawaystep.peer.messages import ForwardRequest
-from carawaystep.peer.messages import Heartbeat
-from carawaystep.peer.messages import HeartbeatReply
 from zmq import LINGER
 from zmq import MAXMSGSIZE
 from zmq import NOBLOCK
@@ -22,10 +15,18 @@
 from zmq import ZMQError
 from zmq.asyncio import Context
 
+from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
+from carawaystep.adapters.zmq.peer_codec import PeerCodec
+from carawaystep.peer.messages import FetchDocuments
+from carawaystep.peer.messages import ForwardRequest
+from carawaystep.peer.messages import Heartbeat
+from carawaystep.peer.messages import HeartbeatReply
+
 if TYPE_CHECKING:
+    from zmq.asyncio import Socket
+
     from carawaystep.peer.messages import PeerMessage
     from carawaystep.peer.peer_handler import PeerHandler
-    from zmq.asyncio import Socket
 
 # Replies to one slow peer that may wait in this process.
 SEND_QUEUE_MESSAGES = 1000
--- a/src/carawaystep/entry/request_dispatcher.py
+++ b/src/carawaystep/entry/request_dispatcher.py
@@ -19,6 +19,7 @@
 from carawaystep.request.retry_budget import RetryBudget
 from carawaystep.worker.reservation import Reservation
 from carawaystep.worker.work_kind import WorkKind
+from carawaystep.worker.worker_failure import WorkerFailed
 from carawaystep.worker.worker_failure import WorkerUnknown
 from carawaystep.worker.worker_request import WorkerRequest
 
@@ -320,6 +321,8 @@
             session.note_failure(failure)
             return Reply.unknown(OutcomeReason.WORKER_SILENT, failure.detail)
         worker.release(dispatch_id)
+        if isinstance(failure, WorkerFailed):
+            return Reply.unknown(OutcomeReason.WORKER_FAILED, failure.detail)
         session.note_failure(failure)
         request.dispatch_refused()
         self._state.counters.count("dispatches_refused")
--- a/src/carawaystep/request/outcome_reason.py
+++ b/src/carawaystep/request/outcome_reason.py
@@ -15,6 +15,7 @@
     DRAINING = "draining"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     WORKER_REFUSED = "worker-refused"
+    WORKER_FAILED = "worker-failed"
     WORKER_SILENT = "worker-silent"
     PEER_SILENT = "peer-silent"
     DUPLICATE = "duplicate"
--- a/src/carawaystep/standin/worker/admission.py
+++ b/src/carawaystep/standin/worker/admission.py
@@ -20,12 +20,20 @@
     def guards(self) -> bool:
         """Tell whether anything is ever refused."""
 
+    @abstractmethod
+    def check_fence(self, epoch: int, fenced: int) -> Refusal | None:
+        """Decide about a fence.
+
+        :param epoch: epoch of the fence
+        :param fenced: epoch of the last fence, 0 when there was none
+        """
+
     @abstractmethod
     def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
         """Decide about the epoch of a call.
 
         :param epoch: epoch of the caller's ownership
-        :param fenced: highest epoch of a fence
+        :param fenced: epoch of the last fence, 0 when there was none
         """
 
     @abstractmethod
--- a/src/carawaystep/standin/worker/application.py
+++ b/src/carawaystep/standin/worker/application.py
@@ -127,7 +127,7 @@
         body = LeasesBody.model_validate_json(await request.body())
         attempts = [(task.id, task.attempt) for task in body.tasks]
         outcome = self._worker.renew_leases(
-            attempts, body.lease_s, body.epoch, _now()
+            attempts, body.until_s, body.epoch, _now()
         )
         self._changed.notify()
         if isinstance(outcome, Err):
@@ -150,6 +150,7 @@
 
     async def _report(self, request: Request) -> Response:
         query = ReportQuery.model_validate(dict(request.query_params))
+        self._worker.acknowledge(query.acknowledged)
         deadline = _now() + query.wait_s
         while (now := _now()) < deadline:
             news_at = self._worker.news_at(query.since)
@@ -203,6 +204,7 @@
         },
         "running": [_running_json(held) for held in answer.running],
         "sequence": answer.sequence,
+        "clock_s": answer.clock_s,
     }
 
 
@@ -218,6 +220,7 @@
 def _report_json(report: Report) -> dict[str, Any]:
     return {
         "sequence": report.sequence,
+        "clock_s": report.clock_s,
         "leaving": report.leaving,
         "running": list(report.running),
         "ended": [asdict(ended) for ended in report.ended],
--- a/src/carawaystep/standin/worker/bodies.py
+++ b/src/carawaystep/standin/worker/bodies.py
@@ -26,7 +26,7 @@
 JobId = Annotated[str, Field(pattern=r"^[^/]{1,128}$")]
 Epoch = Annotated[int, Field(ge=0)]
 Attempt = Annotated[int, Field(ge=1)]
-LeaseSeconds = Annotated[float, Field(gt=0)]
+ClockSeconds = Annotated[float, Field(ge=0)]
 
 
 class FenceBody(BaseModel):
@@ -105,7 +105,7 @@
     attempt: Attempt
     epoch: Epoch
     service: Name
-    lease_s: LeaseSeconds
+    lease_until_s: ClockSeconds
     run_s: Annotated[float, Field(gt=0)] | None = None
     needs: NeedsBody
     checkpoint: Annotated[str, Field(pattern=CHECKPOINT_PATTERN)] | None = None
@@ -118,7 +118,7 @@
             self.service,
             self.needs.resources(),
             self.run_s,
-            self.lease_s,
+            self.lease_until_s,
             self.checkpoint,
         )
 
@@ -138,7 +138,7 @@
     model_config = BODY_CONFIG
 
     epoch: Epoch
-    lease_s: LeaseSeconds
+    until_s: ClockSeconds
     tasks: list[AttemptBody]
 
 
@@ -167,3 +167,4 @@
 
     since: int = Field(ge=0)
     wait_s: float = Field(ge=0, le=_MAX_WAIT_S)
+    acknowledged: int = Field(default=0, ge=0)
--- a/src/carawaystep/standin/worker/guarded_admission.py
+++ b/src/carawaystep/standin/worker/guarded_admission.py
@@ -17,7 +17,7 @@
 
 
 class GuardedAdmission(Admission):
-    """Refuses lower epochs and everything beyond the limits."""
+    """Refuses other tokens than the fenced one and work beyond the limits."""
 
     def __init__(self, capacity: Capacity) -> None:
         """Create the admission.
@@ -31,12 +31,22 @@
         """Return True."""
         return True
 
-    def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
-        """Refuse an epoch below the fence."""
+    def check_fence(self, epoch: int, fenced: int) -> Refusal | None:
+        """Refuse a fence below the present one."""
         if epoch >= fenced:
             return None
         return StaleEpoch(f"epoch {epoch} is below {fenced}", fenced)
 
+    def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
+        """Refuse every epoch but the fenced one.
+
+        After a restart nothing is fenced, and a former owner's call must not
+        run beside those of the present owner.
+        """
+        if epoch == fenced and fenced > 0:
+            return None
+        return StaleEpoch(f"epoch {epoch} is not {fenced}", fenced)
+
     def check_work(
         self, needs: Resources, ledger: Ledger, leaving: bool
     ) -> Refusal | None:
--- a/src/carawaystep/standin/worker/open_admission.py
+++ b/src/carawaystep/standin/worker/open_admission.py
@@ -20,6 +20,10 @@
         """Return False."""
         return False
 
+    def check_fence(self, epoch: int, fenced: int) -> Refusal | None:
+        """Accept every fence."""
+        return None
+
     def check_epoch(self, epoch: int, fenced: int) -> Refusal | None:
         """Accept every epoch."""
         return None
--- a/src/carawaystep/standin/worker/refusal.py
+++ b/src/carawaystep/standin/worker/refusal.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StaleEpoch(Refusal):
-    """The worker was fenced with a higher epoch.
+    """The epoch of the call is not the fenced one.
 
     :param epoch: the epoch of the fence
     """
@@ -38,3 +38,8 @@
 @dataclass(frozen=True, slots=True)
 class UnknownTask(Refusal):
     """The worker never ran this attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseEnded(Refusal):
+    """The lease of a task ended before its start arrived."""
--- a/src/carawaystep/standin/worker/report.py
+++ b/src/carawaystep/standin/worker/report.py
@@ -19,6 +19,7 @@
     :param running: ids of the executions that run
     :param ended: ends after the last report
     :param usage: totals of ended executions
+    :param clock_s: the worker's clock at the time that the report shows
     """
 
     sequence: int
@@ -26,3 +27,4 @@
     running: tuple[str, ...]
     ended: tuple[EndedTask, ...]
     usage: tuple[UsageRow, ...]
+    clock_s: float
--- a/src/carawaystep/standin/worker/report_log.py
+++ b/src/carawaystep/standin/worker/report_log.py
@@ -52,6 +52,11 @@
         )
         self._ends.append((now, ended))
 
+    def forget(self, sequence: int) -> None:
+        """Drop the ends up to a sequence number."""
+        while self._ends and self._ends[0][1].sequence <= sequence:
+            self._ends.popleft()
+
     def append_leaving(self, now: float) -> None:
         """Add that the worker is leaving."""
         if self._left is None:
--- a/src/carawaystep/standin/worker/standin_worker.py
+++ b/src/carawaystep/standin/worker/standin_worker.py
@@ -14,6 +14,7 @@
 from carawaystep.standin.worker.guarded_admission import GuardedAdmission
 from carawaystep.standin.worker.ledger import Ledger
 from carawaystep.standin.worker.open_admission import OpenAdmission
+from carawaystep.standin.worker.refusal import LeaseEnded
 from carawaystep.standin.worker.refusal import UnknownTask
 from carawaystep.standin.worker.report import Report
 from carawaystep.standin.worker.report_log import ReportLog
@@ -120,7 +121,7 @@
         :param now: present time, seconds of a monotonic clock
         """
         self.advance(now)
-        refusal = self._admission.check_epoch(epoch, self._epoch)
+        refusal = self._admission.check_fence(epoch, self._epoch)
         if refusal is not None:
             return Err(refusal)
         self._epoch = epoch
@@ -135,6 +136,7 @@
                     for run in self._ledger.running
                 ),
                 self._reports.sequence,
+                now,
             )
         )
 
@@ -192,6 +194,8 @@
         refusal = self._check(epoch, task.needs, now)
         if refusal is not None:
             return Err(refusal)
+        if task.lease_until_s <= now:
+            return Err(LeaseEnded("the lease ended before the start arrived"))
         run = self._new_run(task, now)
         self._ledger.begin(run.execution)
         self._tasks[task.id, task.attempt] = run
@@ -201,14 +205,14 @@
     def renew_leases(
         self,
         attempts: Iterable[tuple[str, int]],
-        lease_s: float,
+        until_s: float,
         epoch: int,
         now: float,
     ) -> Result[tuple[str, ...], Refusal]:
         """Renew the leases of tasks.
 
         :param attempts: job ids with attempt numbers
-        :param lease_s: seconds from now
+        :param until_s: end of the leases, by this worker's clock
         :param epoch: epoch of the caller's ownership
         :param now: present time, seconds of a monotonic clock
         :returns: job ids whose attempt does not run here
@@ -223,7 +227,7 @@
             if run is None:
                 unknown.append(attempt[0])
             else:
-                run.renew(lease_s, now)
+                run.renew(until_s)
         return Ok(tuple(unknown))
 
     def checkpoint_task(
@@ -295,8 +299,17 @@
             tuple(execution.id for execution in running),
             self._reports.ended(since, seen_at),
             self._usage.rows(now, lag_s),
+            seen_at,
         )
 
+    def acknowledge(self, sequence: int) -> None:
+        """Forget ends that the owner has stored.
+
+        :param sequence: number of the last stored end
+        """
+        if sequence <= self._reports.sequence:
+            self._reports.forget(sequence)
+
     def open_connection(self) -> bool:
         """Count a new connection.
 
@@ -339,7 +352,11 @@
             fails_at_share = done + (1 - done) * self._run_times.share()
             total_s = total_s or _ENDLESS_FAILURE_S
         return TaskRun(
-            execution, total_s, fails_at_share, task.checkpoint, task.lease_s
+            execution,
+            total_s,
+            fails_at_share,
+            task.checkpoint,
+            task.lease_until_s,
         )
 
     def _find(
--- a/src/carawaystep/standin/worker/task_run.py
+++ b/src/carawaystep/standin/worker/task_run.py
@@ -28,7 +28,7 @@
         total_s: float | None,
         fails_at_share: float | None,
         checkpoint: str | None,
-        lease_s: float,
+        lease_until: float,
     ) -> None:
         """Start the task.
 
@@ -37,7 +37,7 @@
             endless work
         :param fails_at_share: share at which it fails, None when it does not
         :param checkpoint: object key to resume from, or None
-        :param lease_s: seconds that it may run without a renewal
+        :param lease_until: end of its lease, seconds of a monotonic clock
         """
         self._execution = execution
         self._total_s = total_s
@@ -50,7 +50,7 @@
             self._end = ExecutionEnd.FAILED
         self._speed = 1.0
         self._settled_at = execution.start
-        self._lease_until = execution.start + lease_s
+        self._lease_until = lease_until
 
     @property
     def execution(self) -> Execution:
@@ -69,13 +69,12 @@
             return self._lease_until, ExecutionEnd.LAPSED
         return finish, self._end
 
-    def renew(self, lease_s: float, now: float) -> None:
+    def renew(self, until: float) -> None:
         """Renew the lease; it never becomes shorter.
 
-        :param lease_s: seconds that it may run without a further renewal
-        :param now: present time, seconds of a monotonic clock
+        :param until: end of the lease, seconds of a monotonic clock
         """
-        self._lease_until = max(self._lease_until, now + lease_s)
+        self._lease_until = max(self._lease_until, until)
 
     def throttle(self, now: float) -> None:
         """Halve the speed; a repeated call changes nothing."""
--- a/src/carawaystep/worker/worker_failure.py
+++ b/src/carawaystep/worker/worker_failure.py
@@ -27,6 +27,11 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerFailed(WorkerFailure):
+    """The worker ran a request to its end, and it failed."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerUnknown(WorkerFailure):
     """No whole answer came: the call may have taken effect."""
