--- a/tests/adapters/http/test_connections.py
+++ b/tests/adapters/http/test_connections.py
@@ -21,6 +21,8 @@
     from collections.abc import Callable
 
 _LIMIT_S = 10.0
+# With the end of the headers, because the Date header may hold "42" as well.
+_ANSWER = b"\r\n\r\n42"
 _CHUNKED = "Transfer-Encoding: chunked"
 
 
@@ -105,6 +107,22 @@
 
         self._run(scenario)
 
+    def test_deadline_counts_from_the_headers(self) -> None:
+        """Guards against a run that starts after the caller gave up."""
+
+        async def scenario(front: FrontEnd) -> None:
+            async with _connection(front) as (reader, writer):
+                deadline = "Carawaystep-Deadline: 0.05"
+                writer.write(_head("Content-Length: 2", deadline) + b"1")
+                await asyncio.sleep(0.1)
+                writer.write(b"2")
+                reply = await reader.readuntil(b"}")
+                self.assertIn(b" 504 ", reply)
+                self.assertIn(b"carawaystep-outcome: not-run", reply)
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
     def test_oversized_bodies_are_refused_before_their_end(self) -> None:
         """Guards against memory spent on a body that is refused anyway."""
 
@@ -151,7 +169,7 @@
             ):
                 async with _connection(front) as (reader, writer):
                     writer.write(sent)
-                    reply = await reader.readuntil(b"42")
+                    reply = await reader.readuntil(_ANSWER)
                     self.assertIn(b" 200 ", reply)
             bodies = [call.body for call in front.service.started]
             self.assertEqual([b"x" * 1000] * 2, bodies)
@@ -196,7 +214,7 @@
             async with _connection(front) as (reader, writer):
                 for number in range(1, 4):
                     writer.write(_head("Content-Length: 1") + b"x")
-                    await reader.readuntil(b"42")
+                    await reader.readuntil(_ANSWER)
                     self.assertEqual(number, front.service.finished)
 
         self._run(scenario)
