Refuse a body with two lengths

A trial with raw sockets sent Content-Length together with Transfer-Encoding. h11 takes the chunked length and the request ran, while a load balancer may take the other one, so that a part of the body could pass as a call of another caller. Such a call now gives 400 and the connection closes. The oversize test starts its clock after the connection, because the start of the server is not what it measures.

--- a/src/carawaystep/adapters/http/body_reader.py
+++ b/src/carawaystep/adapters/http/body_reader.py
@@ -25,6 +25,8 @@
     :param timeout_s: longest time until its end
     """
     declared = request.headers.get("content-length", "")
+    if declared and "transfer-encoding" in request.headers:
+        return Err(_ambiguous())
     if declared.isdecimal() and int(declared) > limit_bytes:
         return Err(_too_large(limit_bytes))
     try:
@@ -56,6 +58,16 @@
             return Ok(bytes(body))
 
 
+def _ambiguous() -> Refusal:
+    # A load balancer may take the other length, so that the rest of the body
+    # becomes a call in another caller's name (RFC 9112, section 6.1).
+    return Refusal(
+        400,
+        "bad-header",
+        "Content-Length and Transfer-Encoding exclude each other; send one",
+    )
+
+
 def _too_large(limit_bytes: int) -> Refusal:
     return Refusal(
         413,
--- a/tests/adapters/http/test_connections.py
+++ b/tests/adapters/http/test_connections.py
@@ -89,6 +89,22 @@
 
         self._run(scenario)
 
+    def test_body_with_two_lengths_is_refused(self) -> None:
+        """Guards against a call hidden in the body of another one."""
+
+        async def scenario(front: FrontEnd) -> None:
+            async with _connection(front) as (reader, writer):
+                body = _chunk(b"x") + b"0\r\n\r\n"
+                hidden = _head("Content-Length: 1") + b"y"
+                writer.write(_head("Content-Length: 5", _CHUNKED) + body)
+                writer.write(hidden)
+                reply = await reader.read()
+                self.assertIn(b" 400 ", reply)
+                self.assertEqual(1, reply.count(b"HTTP/1.1"))
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
     def test_slow_body_is_refused_in_time(self) -> None:
         """Guards against a connection that is held by one byte a second."""
 
@@ -132,8 +148,8 @@
                 _head("Content-Length: 1001", "Expect: 100-continue"),
                 _head(_CHUNKED) + _chunk(b"x" * 600) + _chunk(b"x" * 401),
             ):
-                began = monotonic()
                 async with _connection(front) as (reader, writer):
+                    began = monotonic()
                     writer.write(sent)
                     reply = await reader.readuntil(b"}")
                     self.assertIn(b" 413 ", reply)
