--- a/tests/adapters/http/test_connections.py
+++ b/tests/adapters/http/test_connections.py
@@ -21,6 +21,8 @@
     from collections.abc import Callable
 
 _LIMIT_S = 10.0
+# With the end of the headers, because the Date header may hold "42" as well.
+_ANSWER = b"\r\n\r\n42"
 _CHUNKED = "Transfer-Encoding: chunked"
 
 
@@ -87,6 +89,22 @@
 
         self._run(scenario)
 
+    def test_body_with_two_lengths_is_refused(self) -> None:
+        """Guards against a call hidden in the body of another one."""
+
+        async def scenario(front: FrontEnd) -> None:
+            async with _connection(front) as (reader, writer):
+                body = _chunk(b"x") + b"0\r\n\r\n"
+                hidden = _head("Content-Length: 1") + b"y"
+                writer.write(_head("Content-Length: 5", _CHUNKED) + body)
+                writer.write(hidden)
+                reply = await reader.read()
+                self.assertIn(b" 400 ", reply)
+                self.assertEqual(1, reply.count(b"HTTP/1.1"))
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
     def test_slow_body_is_refused_in_time(self) -> None:
         """Guards against a connection that is held by one byte a second."""
 
@@ -105,6 +123,22 @@
 
         self._run(scenario)
 
+    def test_deadline_counts_from_the_headers(self) -> None:
+        """Guards against a run that starts after the caller gave up."""
+
+        async def scenario(front: FrontEnd) -> None:
+            async with _connection(front) as (reader, writer):
+                deadline = "Carawaystep-Deadline: 0.05"
+                writer.write(_head("Content-Length: 2", deadline) + b"1")
+                await asyncio.sleep(0.1)
+                writer.write(b"2")
+                reply = await reader.readuntil(b"}")
+                self.assertIn(b" 504 ", reply)
+                self.assertIn(b"carawaystep-outcome: not-run", reply)
+            self.assertEqual([], front.service.started)
+
+        self._run(scenario)
+
     def test_oversized_bodies_are_refused_before_their_end(self) -> None:
         """Guards against memory spent on a body that is refused anyway."""
 
@@ -114,8 +148,8 @@
                 _head("Content-Length: 1001", "Expect: 100-continue"),
                 _head(_CHUNKED) + _chunk(b"x" * 600) + _chunk(b"x" * 401),
             ):
-                began = monotonic()
                 async with _connection(front) as (reader, writer):
+                    began = monotonic()
                     writer.write(sent)
                     reply = await reader.readuntil(b"}")
                     self.assertIn(b" 413 ", reply)
@@ -151,7 +185,7 @@
             ):
                 async with _connection(front) as (reader, writer):
                     writer.write(sent)
-                    reply = await reader.readuntil(b"42")
+                    reply = await reader.readuntil(_ANSWER)
                     self.assertIn(b" 200 ", reply)
             bodies = [call.body for call in front.service.started]
             self.assertEqual([b"x" * 1000] * 2, bodies)
@@ -196,7 +230,7 @@
             async with _connection(front) as (reader, writer):
                 for number in range(1, 4):
                     writer.write(_head("Content-Length: 1") + b"x")
-                    await reader.readuntil(b"42")
+                    await reader.readuntil(_ANSWER)
                     self.assertEqual(number, front.service.finished)
 
         self._run(scenario)
