Test the stand-ins and fix what the tests found

Cause: an end of a task that another call found just before the timer did not wake the long polls. A value of NaN or 1e999 was stored and then broke every read of its table. A wait without a deadline used an infinite timer.

Change: the timer always wakes the polls once a task was due; a put with a number that JSON lacks gets 400; the wait takes no timer. leave() first ends the tasks that are due, as all other calls do. Tests cover lost answers and races, stale epochs, lapsed leases, limits, checkpoints, rates and lag; time is virtual but for the tests over loopback.

--- a/src/carawaystep/standin/http/signal.py
+++ b/src/carawaystep/standin/http/signal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 
 
 class Signal:
@@ -21,8 +22,10 @@
     async def wait_until(self, deadline: float) -> None:
         """Wait for the next change.
 
-        :param deadline: time of the loop at which to return without one
+        :param deadline: time of the loop at which to return without one;
+            infinity for none
         """
+        limit = None if deadline == math.inf else deadline
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(limit):
                 await self._changed.wait()
--- a/src/carawaystep/standin/platform/bodies.py
+++ b/src/carawaystep/standin/platform/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -62,6 +63,8 @@
     def _has_value(self) -> PutBody:
         if self.value is None:
             raise ValueError("the value of a put must not be null")
+        # pydantic reads NaN and 1e999, which no answer could hold again.
+        json.dumps(self.value, allow_nan=False)
         return self
 
     def operation(self) -> Operation:
--- a/src/carawaystep/standin/worker/application.py
+++ b/src/carawaystep/standin/worker/application.py
@@ -80,9 +80,12 @@
     async def end_tasks(self) -> None:
         """End tasks when they are due, until cancelled."""
         while True:
-            await self._changed.wait_until(self._worker.next_due())
-            if self._worker.next_due() <= _now():
-                self._worker.advance(_now())
+            due = self._worker.next_due()
+            await self._changed.wait_until(due)
+            self._worker.advance(_now())
+            # Another call may have ended the task just before this timer,
+            # and the pollers must learn of that too.
+            if due <= _now():
                 self._changed.notify()
 
     async def _fence(self, request: Request) -> Response:
--- a/src/carawaystep/standin/worker/checkpoint_name.py
+++ b/src/carawaystep/standin/worker/checkpoint_name.py
@@ -28,6 +28,6 @@
     """
     if checkpoint is None:
         return 0.0
-    if re.match(CHECKPOINT_PATTERN, checkpoint) is None:
+    if re.fullmatch(CHECKPOINT_PATTERN, checkpoint) is None:
         raise ValueError(f"{checkpoint!r} is not the key of a checkpoint")
     return float(checkpoint.rpartition("/")[2])
--- a/src/carawaystep/standin/worker/guarded_admission.py
+++ b/src/carawaystep/standin/worker/guarded_admission.py
@@ -43,7 +43,7 @@
         """Refuse work when leaving, without a slot or without resources."""
         if leaving:
             return Leaving("the worker is leaving the fleet")
-        if len(ledger.running) >= self._capacity.slots:
+        if ledger.running_count >= self._capacity.slots:
             return NoRoom("no slot is free")
         if not (ledger.used + needs).fits_in(self._capacity.resources):
             return NoRoom(f"{needs} does not fit beside {ledger.used}")
--- a/src/carawaystep/standin/worker/ledger.py
+++ b/src/carawaystep/standin/worker/ledger.py
@@ -45,6 +45,11 @@
         """Return the executions that have not ended."""
         return tuple(self._running)
 
+    @property
+    def running_count(self) -> int:
+        """Return the number of executions that have not ended."""
+        return len(self._running)
+
     @property
     def used(self) -> Resources:
         """Return what the running executions hold."""
--- a/src/carawaystep/standin/worker/standin_worker.py
+++ b/src/carawaystep/standin/worker/standin_worker.py
@@ -262,6 +262,7 @@
 
         :param now: present time, seconds of a monotonic clock
         """
+        self.advance(now)
         self._leaving = True
         self._reports.append_leaving(now)
 
--- /dev/null
+++ b/tests/standin/platform/test_application.py
@@ -0,0 +1,177 @@
+"""Tests of the stand-in platform over HTTP messages."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.settings.standin_platform_settings import (
+    StandinPlatformSettings,  # noqa: H301
+)
+from carawaystep.standin.platform.application import PlatformApplication
+from carawaystep.standin.platform.standin_platform import StandinPlatform
+from tests.standin.asgi_caller import Answer
+from tests.standin.asgi_caller import call
+from tests.standin.event_loops import virtual_time
+
+if TYPE_CHECKING:
+    from starlette.types import ASGIApp
+
+_VM = {
+    "name": "w1",
+    "availability_zone": "arima",
+    "rack": "r1",
+    "url": "http://127.0.0.1:1",
+}
+
+
+def _app(**limits: float) -> ASGIApp:
+    settings = StandinPlatformSettings.model_validate(
+        {"http": {"host": "127.0.0.1", "port": 1}, "vms": [_VM], **limits}
+    )
+    return PlatformApplication(StandinPlatform(settings)).asgi()
+
+
+def _put(key: str, **changes: Any) -> dict[str, Any]:
+    put = {"op": "put", "table": "t", "key": key, "value": 1, "expected": 0}
+    return {**put, **changes}
+
+
+async def _transact(app: ASGIApp, *operations: dict[str, Any]) -> Answer:
+    body = {"id": "x", "operations": list(operations)}
+    return await call(app, "POST", "/v1/transactions", body)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class PlatformApplicationTest(TestCase):
+    """Wire format, limits and faults."""
+
+    @virtual_time
+    async def test_malformed_bodies_are_refused(self) -> None:
+        """Guards against bad bodies that write or that end in a 500."""
+        app = _app()
+        for operation in (
+            _put("a", value=None),
+            _put("a", value=float("nan")),
+            _put("a", expected=-1),
+            _put("a", op="move"),
+            _put("a", more=1),
+            _put(""),
+        ):
+            answer = await _transact(app, operation)
+            self.assertEqual(400, answer.status, operation)
+            self.assertEqual("malformed", answer.json()["error"])
+        twice = await _transact(app, _put("a"), _put("a"))
+        many = await _transact(app, *(_put(f"{n}") for n in range(101)))
+        text = await call(app, "POST", "/v1/transactions", b"{")
+        query = await call(app, "GET", "/v1/tables/t/rows?since=x")
+        statuses = [a.status for a in (twice, many, text, query)]
+        self.assertEqual([400, 400, 400, 400], statuses)
+        rows = await call(app, "GET", "/v1/tables/t/rows?since=0")
+        self.assertEqual([], rows.json()["rows"])
+
+    @virtual_time
+    async def test_lost_answer_of_a_write(self) -> None:
+        """Guards against a lost answer without the effect, or on a read."""
+        app = _app()
+        await call(app, "POST", "/faults", {"lose_answers": 1})
+        row = "/v1/tables/t/rows/a"
+        self.assertEqual(404, (await call(app, "GET", row)).status)
+        with self.assertRaises(ConnectionError):
+            await _transact(app, _put("a"))
+        self.assertEqual(200, (await call(app, "GET", row)).status)
+        repeated = await _transact(app, _put("a"))
+        conflict = {"table": "t", "key": "a", "version": 1}
+        self.assertEqual(409, repeated.status)
+        self.assertEqual({"conflicts": [conflict]}, repeated.json())
+
+    @virtual_time
+    async def test_refused_write_has_no_effect(self) -> None:
+        """Guards against an outage in which writes take effect."""
+        app = _app()
+        await call(app, "POST", "/faults", {"refuse": True})
+        self.assertEqual(503, (await _transact(app, _put("a"))).status)
+        await call(app, "POST", "/faults", {})
+        self.assertEqual(200, (await _transact(app, _put("a"))).status)
+        stats = (await call(app, "GET", "/stats")).json()
+        expected = {"reads": 0, "writes": 1, "conflicts": 0, "refused": 1}
+        self.assertEqual(expected, stats)
+
+    @virtual_time
+    async def test_freeze_ends_with_new_faults(self) -> None:
+        """Guards against calls that stay frozen after the faults ended."""
+        app = _app()
+        await call(app, "POST", "/faults", {"freeze_s": 100})
+        start = _now()
+        frozen = asyncio.create_task(_transact(app, _put("a")))
+        await asyncio.sleep(5)
+        self.assertFalse(frozen.done())
+        await call(app, "POST", "/faults", {"delay_s": 2})
+        self.assertEqual(200, (await frozen).status)
+        self.assertAlmostEqual(start + 6, _now(), places=3)
+
+    @virtual_time
+    async def test_delayed_write_takes_effect_after_its_caller_gave_up(
+        self,
+    ) -> None:
+        """Guards against faults that hide late writes."""
+        app = _app()
+        await call(app, "POST", "/faults", {"delay_s": 4})
+        late = asyncio.create_task(_transact(app, _put("a")))
+        await asyncio.sleep(1.9)
+        await call(app, "POST", "/faults", {})
+        row = "/v1/tables/t/rows/a"
+        self.assertEqual(404, (await call(app, "GET", row)).status)
+        await asyncio.sleep(0.2)
+        self.assertEqual(200, (await call(app, "GET", row)).status)
+        self.assertEqual(200, (await late).status)
+
+    @virtual_time
+    async def test_rate_limits(self) -> None:
+        """Guards against limits that count checks, or that let writes by."""
+        app = _app(writes_per_s=3, reads_per_s=2)
+        check = {"op": "check", "table": "t", "key": "z", "expected": 0}
+        first = await _transact(app, check, _put("a"), _put("b"))
+        second = await _transact(app, _put("c"), _put("d"))
+        self.assertEqual([200, 429], [first.status, second.status])
+        reads = [await call(app, "GET", "/v1/vms") for _ in range(3)]
+        self.assertEqual([200, 200, 429], [a.status for a in reads])
+        await asyncio.sleep(1)
+        rows = await call(app, "GET", "/v1/tables/t/rows?since=0")
+        keys = [row["key"] for row in rows.json()["rows"]]
+        self.assertEqual(["a", "b"], keys)
+
+    @virtual_time
+    async def test_vm_list_lags(self) -> None:
+        """Guards against a VM list without the lag of settings and faults."""
+        app = _app(vm_lag_s=2)
+        await call(app, "POST", "/faults", {"lag_s": 3})
+        await call(app, "POST", "/vms/w1", {"state": "leaving"})
+        await asyncio.sleep(4.9)
+        listed = (await call(app, "GET", "/v1/vms")).json()
+        self.assertEqual([{**_VM, "state": "live"}], listed["vms"])
+        await asyncio.sleep(0.2)
+        listed = (await call(app, "GET", "/v1/vms")).json()
+        self.assertEqual("leaving", listed["vms"][0]["state"])
+        unknown = await call(app, "POST", "/vms/w2", {"state": "gone"})
+        self.assertEqual(404, unknown.status)
+
+    @virtual_time
+    async def test_objects_are_kept_as_bytes(self) -> None:
+        """Guards against checkpoints that change on the way."""
+        app = _app()
+        path = "/v1/objects/checkpoints/j1/1/0.5"
+        await call(app, "PUT", path, b"\x00\xff\r\n")
+        found = await call(app, "GET", path)
+        self.assertEqual(b"\x00\xff\r\n", found.body)
+        statuses = [
+            (await call(app, method, path)).status
+            for method in ("DELETE", "GET", "DELETE")
+        ]
+        self.assertEqual([200, 404, 404], statuses)
--- /dev/null
+++ b/tests/standin/platform/test_lagging_vm_list.py
@@ -0,0 +1,41 @@
+"""Tests of the stand-in platform's VM list."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from carawaystep.settings.standin_platform_settings import StandinVmSettings
+from carawaystep.standin.platform.lagging_vm_list import LaggingVmList
+from carawaystep.standin.platform.vm_phase import VmPhase
+
+
+class LaggingVmListTest(TestCase):
+    """Age of the list."""
+
+    def _states(self, now: float, further_lag_s: float = 0.0) -> list[str]:
+        return [vm.state for vm in self.vms.listed(now, further_lag_s)]
+
+    def setUp(self) -> None:
+        """Create a list that lags by one second."""
+        super().setUp()
+        vm = StandinVmSettings(
+            name="w1", availability_zone="arima", rack="r1", url="http://h:1"
+        )
+        self.vms = LaggingVmList([vm], 1.0)
+
+    def test_list_shows_past_states(self) -> None:
+        """Guards against a list that knows of a leaving VM at once."""
+        self.vms.set_phase("w1", VmPhase.LEAVING, 10.0)
+        self.vms.set_phase("w1", VmPhase.GONE, 12.0)
+        self.assertEqual(["live"], self._states(10.9))
+        self.assertEqual(["leaving"], self._states(11.0))
+        self.assertEqual(["leaving"], self._states(12.9))
+        self.assertEqual([], self._states(13.0))
+        self.assertEqual(["live"], self._states(13.0, further_lag_s=3.0))
+
+    def test_vm_may_return(self) -> None:
+        """Guards against a VM that stays gone after its return."""
+        self.vms.set_phase("w1", VmPhase.GONE, 10.0)
+        self.vms.set_phase("w1", VmPhase.LIVE, 20.0)
+        self.assertEqual(["live"], self._states(21.0))
+        self.assertFalse(self.vms.set_phase("w2", VmPhase.GONE, 21.0))
--- /dev/null
+++ b/tests/standin/platform/test_token_bucket.py
@@ -0,0 +1,32 @@
+"""Tests of the stand-in platform's rate limit."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from carawaystep.standin.platform.token_bucket import TokenBucket
+
+
+class TokenBucketTest(TestCase):
+    """Refusals beyond the rate."""
+
+    def test_sustained_rate_is_limited(self) -> None:
+        """Guards against more calls than the rate over a longer time."""
+        bucket = TokenBucket(10)
+        taken = sum(bucket.take(1, step / 100) for step in range(1000))
+        # One full bucket and the refill of 9.99 s.
+        self.assertEqual(109, taken)
+
+    def test_refused_call_takes_nothing(self) -> None:
+        """Guards against refused calls that keep the bucket empty."""
+        bucket = TokenBucket(10)
+        self.assertTrue(bucket.take(8, 0.0))
+        self.assertFalse(bucket.take(3, 0.0))
+        self.assertTrue(bucket.take(2, 0.0))
+
+    def test_large_call_leaves_debt(self) -> None:
+        """Guards against a large call that passes never, or for free."""
+        bucket = TokenBucket(10)
+        self.assertTrue(bucket.take(30, 0.0))
+        self.assertFalse(bucket.take(1, 2.0))
+        self.assertTrue(bucket.take(1, 2.2))
--- /dev/null
+++ b/tests/standin/worker/test_application.py
@@ -0,0 +1,246 @@
+"""Tests of a stand-in worker over HTTP messages."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from hashlib import sha256
+from random import Random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.settings.standin_worker_settings import StandinServiceSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkerSettings
+from carawaystep.standin.worker.application import WorkerApplication
+from carawaystep.standin.worker.run_time_model import RunTimeModel
+from carawaystep.standin.worker.standin_worker import StandinWorker
+from tests.standin.asgi_caller import call
+from tests.standin.event_loops import virtual_time
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.types import ASGIApp
+
+_HEADERS = {
+    "Carawaystep-Epoch": "3",
+    "Carawaystep-Request-Id": "e1-7",
+    "Carawaystep-Service": "bookings",
+    "Carawaystep-Needs": "cpu=0.5;memory_mb=256; accelerators=0",
+    "Idempotency-Key": "k1",
+}
+_NEEDS = {"cpu": 1.0, "memory_mb": 100, "accelerators": 0}
+_TASK = {
+    "id": "j1",
+    "attempt": 1,
+    "epoch": 3,
+    "service": "recheck",
+    "lease_s": 30,
+    "run_s": 20,
+    "needs": _NEEDS,
+    "checkpoint": None,
+}
+
+
+@asynccontextmanager
+async def _app(**settings: Any) -> AsyncIterator[ASGIApp]:
+    listen = {"host": "127.0.0.1", "port": 1}
+    services = {"failing": StandinServiceSettings(fail_share=1.0)}
+    application = WorkerApplication(
+        StandinWorker(
+            StandinWorkerSettings.model_validate(
+                {"name": "w1", "http": listen, **settings}
+            ),
+            RunTimeModel(services, Random(7)),
+        )
+    )
+    ending = asyncio.create_task(application.end_tasks())
+    app = application.asgi()
+    await call(app, "POST", "/v1/fence", {"owner": "e1", "epoch": 3})
+    yield app
+    ending.cancel()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class WorkerApplicationTest(TestCase):
+    """Wire format, long polls and faults."""
+
+    @virtual_time
+    async def test_answer_belongs_to_its_request(self) -> None:
+        """Guards against mixed up or shortened answers."""
+        async with _app(slots=50) as app:
+            bodies = [b"\x00" * size for size in range(50)]
+            answers = await asyncio.gather(
+                *(
+                    call(
+                        app,
+                        "POST",
+                        "/v1/requests",
+                        body,
+                        {**_HEADERS, "Carawaystep-Request-Id": f"r{size}"},
+                    )
+                    for size, body in enumerate(bodies)
+                )
+            )
+        for size, answer in enumerate(answers):
+            name = f"r{size}"
+            expected = {
+                "request_id": name,
+                "service": "bookings",
+                "worker": "w1",
+                "length": size,
+                "sha256": sha256(bodies[size]).hexdigest(),
+            }
+            self.assertEqual(expected, answer.json())
+            headers = answer.headers
+            self.assertEqual(name, headers["carawaystep-request-id"])
+            length = int(headers["content-length"])
+            self.assertEqual(length, len(answer.body))
+
+    @virtual_time
+    async def test_failure_is_not_told_as_not_run(self) -> None:
+        """Guards against a repeat of a request that did run."""
+        async with _app() as app:
+            headers = {**_HEADERS, "Carawaystep-Service": "failing"}
+            failed = await call(app, "POST", "/v1/requests", b"", headers)
+            self.assertEqual(500, failed.status)
+            self.assertNotIn("carawaystep-not-run", failed.headers)
+            ledger = (await call(app, "GET", "/ledger")).json()
+        (execution,) = ledger["executions"]
+        self.assertEqual("failed", execution["how"])
+        self.assertEqual("k1", execution["key"])
+        self.assertEqual([0.5, 32.0], ledger["peaks"]["cpu"])
+
+    @virtual_time
+    async def test_refusals_say_that_nothing_ran(self) -> None:
+        """Guards against refusals that the owner must take as unknown."""
+        async with _app(slots=1) as app:
+            await call(app, "POST", "/v1/tasks", _TASK)
+            stale = {**_HEADERS, "Carawaystep-Epoch": "2"}
+            second = {**_TASK, "id": "j2"}
+            refused = [
+                await call(app, "POST", "/v1/requests", b"", stale),
+                await call(app, "POST", "/v1/requests", b"", _HEADERS),
+                await call(app, "POST", "/v1/tasks", second),
+            ]
+            await call(app, "POST", "/v1/leave")
+            refused += [
+                await call(app, "POST", "/v1/requests", b"", _HEADERS),
+                await call(app, "POST", "/v1/tasks", second),
+            ]
+            await call(app, "POST", "/faults", {"refuse": True})
+            refused += [await call(app, "POST", "/v1/requests", b"", _HEADERS)]
+            ledger = (await call(app, "GET", "/ledger")).json()
+        self.assertEqual(
+            [409, 429, 429, 503, 503, 503],
+            [answer.status for answer in refused],
+        )
+        self.assertEqual({"epoch": 3}, refused[0].json())
+        for answer in refused:
+            self.assertEqual("1", answer.headers["carawaystep-not-run"])
+        self.assertEqual(1, len(ledger["executions"]))
+
+    @virtual_time
+    async def test_malformed_calls_are_refused(self) -> None:
+        """Guards against bad calls that run or that end in a 500."""
+        async with _app() as app:
+            for change in (
+                {"needs": {"cpu": -1}},
+                {"lease_s": 0},
+                {"checkpoint": "checkpoints/j1/1/half"},
+                {"id": "a/b"},
+                {"attempt": "1st"},
+                {"other": 1},
+            ):
+                body = {**_TASK, **change}
+                answer = await call(app, "POST", "/v1/tasks", body)
+                self.assertEqual(400, answer.status, change)
+            headers = {**_HEADERS, "Carawaystep-Needs": "cpu=many"}
+            bad = await call(app, "POST", "/v1/requests", b"", headers)
+            none = await call(app, "POST", "/v1/requests", b"")
+            poll = await call(app, "GET", "/v1/report?since=0&wait_s=-1")
+            what = await call(app, "POST", "/v1/tasks/j1/pause", {})
+            statuses = [a.status for a in (bad, none, poll, what)]
+            self.assertEqual([400, 400, 400, 400], statuses)
+            ledger = (await call(app, "GET", "/ledger")).json()
+            self.assertEqual([], ledger["executions"])
+
+    @virtual_time
+    async def test_poll_answers_at_the_end_of_a_task(self) -> None:
+        """Guards against ends told late, after another call found them."""
+        async with _app() as app:
+            start = _now()
+            await call(app, "POST", "/v1/tasks", _TASK)
+            poll = asyncio.create_task(
+                call(app, "GET", "/v1/report?since=0&wait_s=60")
+            )
+            await asyncio.sleep(10)
+            # A renewal moves the lease, not the end.
+            renewal = {
+                "epoch": 3,
+                "lease_s": 30,
+                "tasks": [{"id": "j1", "attempt": 1}],
+            }
+            await call(app, "POST", "/v1/leases", renewal)
+            report = (await poll).json()
+            self.assertAlmostEqual(start + 20, _now(), 3)
+            self.assertEqual("done", report["ended"][0]["how"])
+            idle = await call(app, "GET", "/v1/report?since=1&wait_s=5")
+            self.assertAlmostEqual(start + 25, _now(), 3)
+            self.assertEqual(1, idle.json()["sequence"])
+
+    @virtual_time
+    async def test_poll_answers_when_the_worker_leaves(self) -> None:
+        """Guards against new work for 3 s after the worker said so."""
+        async with _app() as app:
+            start = _now()
+            await call(app, "POST", "/faults", {"lag_s": 2})
+            poll = asyncio.create_task(
+                call(app, "GET", "/v1/report?since=0&wait_s=60")
+            )
+            await asyncio.sleep(1)
+            await call(app, "POST", "/v1/leave")
+            self.assertTrue((await poll).json()["leaving"])
+            self.assertAlmostEqual(start + 3, _now(), 3)
+
+    @virtual_time
+    async def test_lost_answers_take_effect(self) -> None:
+        """Guards against a lost fence or start that had no effect."""
+        async with _app() as app:
+            await call(app, "POST", "/faults", {"lose_answers": -1})
+            fence = {"owner": "e2", "epoch": 9}
+            for path, body in (
+                ("/v1/tasks", _TASK),
+                ("/v1/tasks/j1/checkpoint", {"epoch": 3, "attempt": 1}),
+                ("/v1/fence", fence),
+            ):
+                with self.assertRaises(ConnectionError):
+                    await call(app, "POST", path, body)
+            await call(app, "POST", "/faults", {})
+            fenced = await call(app, "POST", "/v1/fence", fence)
+            self.assertEqual(1, fenced.json()["sequence"])
+            stale = await call(app, "POST", "/v1/tasks", _TASK)
+            self.assertEqual({"epoch": 9}, stale.json())
+
+    @virtual_time
+    async def test_frozen_worker_answers_nothing_and_runs_on(self) -> None:
+        """Guards against ends told, or leases kept, by a silent worker."""
+        async with _app() as app:
+            await call(app, "POST", "/v1/tasks", {**_TASK, "lease_s": 5})
+            start = _now()
+            poll = asyncio.create_task(
+                call(app, "GET", "/v1/report?since=0&wait_s=60")
+            )
+            await asyncio.sleep(1)
+            await call(app, "POST", "/faults", {"freeze_s": 40})
+            report = (await poll).json()
+            self.assertAlmostEqual(start + 41, _now(), 3)
+            self.assertEqual("lapsed", report["ended"][0]["how"])
+            ledger = (await call(app, "GET", "/ledger")).json()
+            end = ledger["executions"][0]["end"]
+            self.assertAlmostEqual(start + 5, end, 3)
--- /dev/null
+++ b/tests/standin/worker/test_server.py
@@ -0,0 +1,204 @@
+"""Tests of the processes of the stand-ins over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from contextlib import suppress
+import json
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.settings.standin_platform_settings import (
+    StandinPlatformSettings,  # noqa: H301
+)
+from carawaystep.settings.standin_worker_settings import StandinWorkersSettings
+from carawaystep.standin.platform.server import serve as serve_platform
+from carawaystep.standin.worker.server import serve as serve_workers
+from tests.standin.event_loops import real_time
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.types import Receive
+    from starlette.types import Scope
+    from starlette.types import Send
+
+_HOST = "127.0.0.1"
+_REQUEST = (
+    b"POST /v1/requests HTTP/1.1\r\nHost: w\r\nContent-Length: 4\r\n"
+    b"Carawaystep-Epoch: 1\r\nCarawaystep-Request-Id: r1\r\n"
+    b"Carawaystep-Service: slow\r\nCarawaystep-Needs: cpu=1\r\n\r\nbody"
+)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for number in sockets:
+        number.bind((_HOST, 0))
+    ports = [number.getsockname()[1] for number in sockets]
+    for number in sockets:
+        number.close()
+    return ports
+
+
+async def _connect(
+    port: int,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    while True:
+        with suppress(ConnectionRefusedError):
+            return await asyncio.open_connection(_HOST, port)
+        await asyncio.sleep(0.01)
+
+
+async def _call(port: int, method: str, path: str, body: Any = None) -> Any:
+    """Make one call and return its JSON body.
+
+    :raises ConnectionError: when the connection was closed without an answer
+    """
+    reader, writer = await _connect(port)
+    data = json.dumps(body).encode()
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: w\r\nConnection: close\r\n"
+        f"Content-Length: {len(data)}\r\n\r\n"
+    )
+    writer.write(head.encode() + data)
+    answer = await reader.read()
+    writer.close()
+    if not answer:
+        raise ConnectionError("closed without an answer")
+    return json.loads(answer.partition(b"\r\n\r\n")[2])
+
+
+@asynccontextmanager
+async def _workers(count: int, **settings: Any) -> AsyncIterator[list[int]]:
+    ports = _free_ports(count)
+    workers = [
+        {
+            "name": f"w{number}",
+            "http": {"host": _HOST, "port": port},
+            **settings,
+        }
+        for number, port in enumerate(ports)
+    ]
+    services = {"slow": {"median_ms": 300, "sigma": 0}}
+    stop = asyncio.Event()
+    parsed = StandinWorkersSettings.model_validate(
+        {"workers": workers, "services": services}
+    )
+    serving = asyncio.create_task(serve_workers(parsed, stop))
+    try:
+        yield ports
+    finally:
+        stop.set()
+        await serving
+
+
+class ServerTest(TestCase):
+    """Connections, lost answers and the stop."""
+
+    @real_time
+    async def test_workers_of_one_process_are_apart(self) -> None:
+        """Guards against workers that share their fence or their stop."""
+        async with _workers(3) as ports:
+            fence = {"owner": "e1", "epoch": 4}
+            await _call(ports[1], "POST", "/v1/fence", fence)
+            lower = {"owner": "e1", "epoch": 2}
+            answers = [
+                await _call(port, "POST", "/v1/fence", lower) for port in ports
+            ]
+            epochs = [answer["epoch"] for answer in answers]
+            self.assertEqual([2, 4, 2], epochs)
+        for port in ports:
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection(_HOST, port)
+
+    @real_time
+    async def test_connections_beyond_the_limit_are_closed(self) -> None:
+        """Guards against an owner that opens too many connections."""
+        async with _workers(1, connections=2) as (port,):
+            kept = [await _connect(port) for _ in range(2)]
+            with self.assertRaises(ConnectionError):
+                await _call(port, "GET", "/ledger")
+            kept[0][1].close()
+            await asyncio.sleep(0.1)
+            ledger = await _call(port, "GET", "/ledger")
+            self.assertEqual([2, 2], ledger["peaks"]["connections"])
+            kept[1][1].close()
+
+    @real_time
+    async def test_request_outlives_its_caller(self) -> None:
+        """Guards against a ledger without work whose caller hung up."""
+        async with _workers(1) as (port,):
+            _, writer = await _connect(port)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            writer.transport.abort()
+            await asyncio.sleep(0.5)
+            ledger = await _call(port, "GET", "/ledger")
+            (execution,) = ledger["executions"]
+            self.assertEqual("done", execution["how"])
+            run_s = execution["end"] - execution["start"]
+            self.assertAlmostEqual(0.3, run_s, 1)
+
+    @real_time
+    async def test_incomplete_request_never_runs(self) -> None:
+        """Guards against work whose body did not arrive whole."""
+        async with _workers(1) as (port,):
+            _, writer = await _connect(port)
+            writer.write(_REQUEST[:-1])
+            writer.close()
+            await asyncio.sleep(0.1)
+            ledger = await _call(port, "GET", "/ledger")
+            self.assertEqual([], ledger["executions"])
+
+    @real_time
+    async def test_lost_answer_closes_the_connection(self) -> None:
+        """Guards against a lost answer of which a part arrives."""
+        async with _workers(1) as (port,):
+            await _call(port, "POST", "/faults", {"lose_answers": 1})
+            reader, writer = await _connect(port)
+            writer.write(_REQUEST)
+            with suppress(ConnectionResetError):
+                self.assertEqual(b"", await reader.read())
+            ledger = await _call(port, "GET", "/ledger")
+            self.assertEqual("done", ledger["executions"][0]["how"])
+            writer.close()
+
+    @real_time
+    async def test_platform_stops_with_a_frozen_call(self) -> None:
+        """Guards against a stop that waits for a frozen call."""
+        (port,) = _free_ports(1)
+        settings = StandinPlatformSettings.model_validate(
+            {"http": {"host": _HOST, "port": port}, "vms": []}
+        )
+        stop = asyncio.Event()
+        serving = asyncio.create_task(serve_platform(settings, stop))
+        await _call(port, "POST", "/faults", {"freeze_s": 60})
+        frozen = asyncio.create_task(_call(port, "GET", "/v1/vms"))
+        await asyncio.sleep(0.1)
+        stop.set()
+        async with asyncio.timeout(5):
+            await serving
+            with self.assertRaises(ConnectionError):
+                await frozen
+
+    @real_time
+    async def test_taken_address_is_an_error(self) -> None:
+        """Guards against a process that exits without a reason."""
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            """Answer nothing."""
+
+        (port,) = _free_ports(1)
+        first = UvicornServer(app, _HOST, port)
+        await first.start()
+        second = UvicornServer(app, _HOST, port)
+        with self.assertRaises(OSError):
+            await second.start()
+        await second.stop(0)
+        await first.stop(0)
