--- a/src/carawaystep/entry/peer_links.py
+++ b/src/carawaystep/entry/peer_links.py
@@ -79,11 +79,17 @@
                 return name
         return None
 
-    async def forward(self, peer: str, request: Request) -> Reply:
+    async def forward(
+        self, peer: str, request: Request, dispatch_id: str
+    ) -> Reply:
         """Have a peer run a request.
 
+        The peer gets the dispatch id in place of the request id, so that a
+        retry through the same peer has ids of its own on the workers.
+
         :param peer: name of a linked peer
         :param request: the request, already recorded as dispatched
+        :param dispatch_id: id of this dispatch
         """
         session = self._sessions[peer]
         self._state.zone.claim_slot(peer)
@@ -91,7 +97,7 @@
         remaining_s = request.remaining_s(now)
         message = ForwardRequest(
             sequence=0,
-            request_id=request.id,
+            request_id=dispatch_id,
             service=request.spec.service,
             version=request.spec.version,
             key=request.idempotency_key,
--- a/src/carawaystep/entry/request_dispatcher.py
+++ b/src/carawaystep/entry/request_dispatcher.py
@@ -330,9 +330,9 @@
         return Reply.not_run(OutcomeReason.WORKER_REFUSED, failure.detail)
 
     async def _send_to_peer(self, peer: str, request: Request) -> Reply:
-        request.begin_dispatch(self._state.now)
+        dispatch_id = request.begin_dispatch(self._state.now)
         self._state.counters.count("requests_forwarded")
-        reply = await self._links.forward(peer, request)
+        reply = await self._links.forward(peer, request, dispatch_id)
         if reply.outcome is Outcome.NOT_RUN:
             request.dispatch_refused()
         return reply
--- a/src/carawaystep/request/request.py
+++ b/src/carawaystep/request/request.py
@@ -110,7 +110,7 @@
             raise BrokenInvariant(f"request {self._id}: dispatched too often")
         self._dispatches += 1
         self._pending = True
-        return f"{self._id}.{self._dispatches}"
+        return f"{self._id}/{self._dispatches}"
 
     def dispatch_refused(self) -> None:
         """Record that the last dispatch certainly had no effect."""
