--- /dev/null
+++ b/src/carawaystep/validation/schema_node.py
@@ -0,0 +1,114 @@
+"""Sentences about what a model allows."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_UNITS = {
+    "_s": "seconds",
+    "_ms": "milliseconds",
+    "_bytes": "bytes",
+    "_mb": "megabytes",
+}
+
+
+class SchemaNode:
+    """A part of a model's JSON schema."""
+
+    def __init__(
+        self,
+        schema: Mapping[str, Any],
+        definitions: Mapping[str, Any],
+        name: str = "",
+    ) -> None:
+        """Create a node.
+
+        :param schema: JSON schema of the value
+        :param definitions: named schemas to which it refers
+        :param name: key under which the value stands
+        """
+        self._definitions = definitions
+        self._name = name
+        self._description = schema.get("description", "")
+        self._schema = self._resolve(schema)
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """Return the allowed keys, empty when any key is allowed."""
+        return tuple(self._schema.get("properties", {}))
+
+    @property
+    def purpose(self) -> str:
+        """Return the description of the value, empty when it has none."""
+        return str(self._description or self._schema.get("description", ""))
+
+    def child(self, key: str | int) -> SchemaNode | None:
+        """Return the schema under a key or index, None when unknown."""
+        if isinstance(key, int):
+            found = self._schema.get("items")
+        else:
+            found = self._schema.get("properties", {}).get(key)
+            found = found or self._schema.get("additionalProperties")
+        if not isinstance(found, dict):
+            return None
+        return SchemaNode(found, self._definitions, str(key))
+
+    def allowed(self) -> str:
+        """Return what the value may be, for use after "must be"."""
+        if choices := self._schema.get("enum"):
+            return f"one of {', '.join(map(str, choices))}"
+        if "const" in self._schema:
+            return str(self._schema["const"])
+        if options := self._schema.get("anyOf"):
+            return " or ".join(self._option(option) for option in options)
+        kind = self._schema.get("type")
+        if kind in {"integer", "number"}:
+            return self._number(str(kind))
+        if kind == "string":
+            return self._text()
+        if kind == "boolean":
+            return "true or false"
+        if kind == "array":
+            least = self._schema.get("minItems")
+            return f"a list of at least {least}" if least else "a list"
+        if kind == "object":
+            keys = ", ".join(self.keys)
+            return f"a mapping with keys of {keys}" if keys else "a mapping"
+        return "empty" if kind == "null" else "another value"
+
+    def _option(self, option: Mapping[str, Any]) -> str:
+        return SchemaNode(option, self._definitions, self._name).allowed()
+
+    def _number(self, kind: str) -> str:
+        text = "a whole number" if kind == "integer" else "a number"
+        for suffix, unit in _UNITS.items():
+            if self._name.endswith(suffix):
+                text += f" of {unit}"
+        limits = [
+            f"{words} {self._schema[key]:,}"
+            for key, words in (
+                ("minimum", "at least"),
+                ("exclusiveMinimum", "more than"),
+                ("maximum", "at most"),
+                ("exclusiveMaximum", "less than"),
+            )
+            if key in self._schema
+        ]
+        return f"{text}, {' and '.join(limits)}" if limits else text
+
+    def _text(self) -> str:
+        if self._schema.get("format") == "path":
+            return "a file path"
+        if pattern := self._schema.get("pattern"):
+            return f"text that matches {pattern}"
+        return "text"
+
+    def _resolve(self, schema: Mapping[str, Any]) -> Mapping[str, Any]:
+        while "$ref" in schema:
+            name = schema["$ref"].rpartition("/")[2]
+            schema = self._definitions[name]
+        return schema
