Add the command line with the daemon commands

Cause: the entry and the stand-ins need one way to be started with validated settings.

Change: `carawaystep entry`, `standin platform` and `standin worker` load settings, write one line per problem to stderr and end with 78 when they are bad. Stand-ins get an event that SIGTERM and SIGINT set.

--- /dev/null
+++ b/src/carawaystep/console/application.py
@@ -0,0 +1,46 @@
+"""Entry point of the command line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from importlib import metadata
+import sys
+
+import cappa
+
+from carawaystep.console.commands.entry_command import EntryCommand
+from carawaystep.console.commands.standin_command import StandinCommand
+
+_Commands = cappa.Subcommands[EntryCommand | StandinCommand]
+
+
+@cappa.command(name="carawaystep", help="Schedule work on the same few VMs.")
+@dataclass
+class Application:
+    """Groups all commands."""
+
+    command: _Commands
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command.
+
+    :param arguments: arguments without the program's name
+    :returns: exit code of the command
+    """
+    code = cappa.invoke(
+        Application, argv=arguments, version=_version(), completion=False
+    )
+    return int(code)
+
+
+def _version() -> str:
+    try:
+        return metadata.version("carawaystep")
+    except metadata.PackageNotFoundError:
+        return "unknown (run from a source tree that is not installed)"
--- /dev/null
+++ b/src/carawaystep/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One command a module."""
--- /dev/null
+++ b/src/carawaystep/console/commands/standin_worker.py
@@ -0,0 +1,47 @@
+"""The command ``standin worker``."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from importlib import import_module
+from typing import Annotated
+from typing import Any
+from typing import TYPE_CHECKING
+
+import cappa
+
+from carawaystep.console.daemon_command import DaemonCommand
+from carawaystep.console.daemon_command import serve_until_signal
+from carawaystep.console.exit_code import exit_codes_help
+from carawaystep.console.exit_code import ExitCode
+from carawaystep.settings.standin_worker_settings import StandinWorkersSettings
+
+if TYPE_CHECKING:
+    from pydantic import BaseModel
+
+
+@cappa.command(
+    name="worker",
+    help="Run the stand-in workers.",
+    description=exit_codes_help(
+        ExitCode.OK, ExitCode.USAGE, ExitCode.INVALID_SETTINGS
+    ),
+)
+@dataclass
+class StandinWorker(DaemonCommand):
+    """Runs the stand-in workers until a signal."""
+
+    settings: Annotated[
+        str, cappa.Arg(long=True, value_name="FILE", help="Settings file.")
+    ]
+
+    @property
+    def model(self) -> type[BaseModel]:
+        """Return the model of the settings file."""
+        return StandinWorkersSettings
+
+    def _run(self, settings: Any) -> int:
+        server = import_module("carawaystep.standin.worker.server")
+        asyncio.run(serve_until_signal(server.serve, settings))
+        return ExitCode.OK
--- /dev/null
+++ b/src/carawaystep/console/exit_code.py
@@ -0,0 +1,36 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """Closed set of exit codes, except for those of a daemon itself."""
+
+    OK = 0
+    DIFFERENT = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_IN_FORCE = 4
+    UNREACHABLE = 5
+    INVALID_DOCUMENT = 65
+    INVALID_SETTINGS = 78
+
+
+_MEANINGS = {
+    ExitCode.OK: "ok",
+    ExitCode.DIFFERENT: "difference found",
+    ExitCode.USAGE: "usage",
+    ExitCode.CONFLICT: "conflict",
+    ExitCode.NOT_IN_FORCE: "not in force in time",
+    ExitCode.UNREACHABLE: "entry unreachable or refused",
+    ExitCode.INVALID_DOCUMENT: "invalid document",
+    ExitCode.INVALID_SETTINGS: "invalid settings",
+}
+
+
+def exit_codes_help(*codes: ExitCode) -> str:
+    """Return a line for the help of a command."""
+    listed = ", ".join(f"{code.value} {_MEANINGS[code]}" for code in codes)
+    return f"Exit codes: {listed}."
