Send HTTP answers without delay

Cause: UvicornServer made its listener without an explicit protocol. asyncio sets TCP_NODELAY only where the protocol is TCP, so head and body of an answer, two writes, met Nagle's algorithm and the delayed ACK.

Change: the listener names IPPROTO_TCP, which accepted sockets inherit.

Conclusion: any server that binds its own socket needs the protocol named.

--- a/src/carawaystep/adapters/http/uvicorn_server.py
+++ b/src/carawaystep/adapters/http/uvicorn_server.py
@@ -105,7 +105,11 @@
 
     def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only on sockets with an explicit protocol;
+        # without it each answer waited some 40 ms for a delayed ACK.
+        listener = socket.socket(
+            family, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((self._host, self._port))
--- a/tests/standin/worker/test_server.py
+++ b/tests/standin/worker/test_server.py
@@ -202,3 +202,22 @@
             await second.start()
         await second.stop(0)
         await first.stop(0)
+
+    @real_time
+    async def test_answers_are_sent_at_once(self) -> None:
+        """Guards against answers that wait 40 ms for a delayed ACK."""
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            """Answer nothing."""
+
+        (port,) = _free_ports(1)
+        server = UvicornServer(app, _HOST, port)
+        await server.start()
+        _, writer = await _connect(port)
+        await asyncio.sleep(0.05)
+        (connection,) = server._server.server_state.connections
+        accepted = connection.transport.get_extra_info("socket")
+        option = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        self.assertEqual(1, option)
+        writer.close()
+        await server.stop(0)
