--- a/tests/standin/event_loops.py
+++ b/tests/standin/event_loops.py
@@ -17,6 +17,11 @@
     SyncTest = Callable[[Any], None]
 
 
+def now() -> float:
+    """Return the time of the running loop."""
+    return asyncio.get_running_loop().time()
+
+
 def real_time(test: AsyncTest) -> SyncTest:
     """Run a test in a usual loop."""
 
