--- a/src/carawaystep/console/commands/standin_platform.py
+++ b/src/carawaystep/console/commands/standin_platform.py
@@ -16,7 +16,7 @@
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
 from carawaystep.settings.standin_platform_settings import (
-    StandinPlatformSettings,  # noqa: H301
+    StandinPlatformSettings,
 )
 
 if TYPE_CHECKING:
--- a/src/carawaystep/standin/platform/lagging_vm_list.py
+++ b/src/carawaystep/standin/platform/lagging_vm_list.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable
 
     from carawaystep.settings.standin_platform_settings import (
-        StandinVmSettings,  # noqa: H301
+        StandinVmSettings,
     )
 
 
--- a/src/carawaystep/standin/platform/server.py
+++ b/src/carawaystep/standin/platform/server.py
@@ -12,7 +12,7 @@
     import asyncio
 
     from carawaystep.settings.standin_platform_settings import (
-        StandinPlatformSettings,  # noqa: H301
+        StandinPlatformSettings,
     )
 
 _STOP_GRACE_S = 1.0
--- a/src/carawaystep/standin/platform/standin_platform.py
+++ b/src/carawaystep/standin/platform/standin_platform.py
@@ -27,7 +27,7 @@
     from carawaystep.platform.table_failure import TableFailure
     from carawaystep.platform.vm import Vm
     from carawaystep.settings.standin_platform_settings import (
-        StandinPlatformSettings,  # noqa: H301
+        StandinPlatformSettings,
     )
     from carawaystep.standin.platform.vm_phase import VmPhase
 
--- a/src/carawaystep/standin/worker/server.py
+++ b/src/carawaystep/standin/worker/server.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.settings.standin_worker_settings import (
-        StandinWorkersSettings,  # noqa: H301
+        StandinWorkersSettings,
     )
 
 _STOP_GRACE_S = 1.0
--- a/src/carawaystep/standin/worker/standin_worker.py
+++ b/src/carawaystep/standin/worker/standin_worker.py
@@ -34,7 +34,7 @@
     from result import Result
 
     from carawaystep.settings.standin_worker_settings import (
-        StandinWorkerSettings,  # noqa: H301
+        StandinWorkerSettings,
     )
     from carawaystep.standin.worker.admission import Admission
     from carawaystep.standin.worker.refusal import Refusal
