Notice closed connections before a call, and bound idle ones

Cause: one pass of the event loop missed a close that the kernel already held, so a call on that connection had an unknown result; connections of a flood stayed in the pool for good; a renewed connection was counted as sent.

The tests of the links are split by module.

--- a/src/carawaystep/adapters/http_client/http_channel.py
+++ b/src/carawaystep/adapters/http_client/http_channel.py
@@ -53,12 +53,15 @@
         """True when a byte of the current request may have left."""
         return self._connection is not None and self._connection.sent
 
-    async def is_reusable(self, idle_limit_s: float) -> bool:
+    @property
+    def idle_s(self) -> float:
+        """Seconds since the last whole answer."""
+        return monotonic() - self._idle_since_s
+
+    async def is_reusable(self) -> bool:
         """Tell whether the kept-alive connection can carry a call."""
         if self._connection is None or not self._connection.keep:
             return False
-        if monotonic() - self._idle_since_s > idle_limit_s:
-            return False
         return await self._connection.is_quiet()
 
     async def exchange(self, call: HttpCall) -> HttpAnswer:
--- a/src/carawaystep/adapters/http_client/http_client.py
+++ b/src/carawaystep/adapters/http_client/http_client.py
@@ -127,12 +127,13 @@
         return Ok(answer)
 
     async def _take_channel(self) -> HttpChannel:
+        self._close_expired()
         while self._idle:
             channel = self._idle.pop()
             self._busy.add(channel)
             reusable = False
             try:
-                reusable = await channel.is_reusable(IDLE_LIMIT_S)
+                reusable = await channel.is_reusable()
             finally:
                 if not reusable:
                     self._put_back(channel, whole=False)
@@ -144,7 +145,13 @@
 
     def _put_back(self, channel: HttpChannel, whole: bool) -> None:
         self._busy.discard(channel)
+        self._close_expired()
         if whole and not self._closed and self.open_channels < self._limit:
             self._idle.append(channel)
             return
         channel.close()
+
+    def _close_expired(self) -> None:
+        # The list is in order of last use.
+        while self._idle and self._idle[0].idle_s > IDLE_LIMIT_S:
+            self._idle.pop(0).close()
--- a/src/carawaystep/adapters/http_client/http_connection.py
+++ b/src/carawaystep/adapters/http_client/http_connection.py
@@ -8,6 +8,10 @@
 from aiosonic.connection import Connection
 from aiosonic.exceptions import ConnectionDisconnected
 
+# Passes of the event loop that start a read, take what the kernel holds, and
+# wake the read.
+_PROBE_PASSES = 3
+
 
 class HttpConnection(Connection):  # type: ignore[misc]
     """Connection of one channel; tells whether a request was written.
@@ -57,15 +61,15 @@
     async def is_quiet(self) -> bool:
         """Tell whether an idle connection is open and has no stray bytes.
 
-        The reader is polled for two passes of the event loop, so that an end
-        of the stream that the kernel already holds is noticed.
+        A closed connection that is noticed before the request is written
+        spares the caller an unknown result.
         """
         if self.reader is None:
             return not self._broken
         probe = asyncio.ensure_future(self.reader.read(1))
         try:
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
+            for _ in range(_PROBE_PASSES):
+                await asyncio.sleep(0)
             return not probe.done()
         finally:
             probe.cancel()
--- a/src/carawaystep/adapters/zmq/peer_client.py
+++ b/src/carawaystep/adapters/zmq/peer_client.py
@@ -39,7 +39,8 @@
     from carawaystep.peer.messages import PeerMessage
     from zmq.asyncio import Socket
 
-# Messages to a slow peer that may wait in this process.
+# Messages to one slow peer that may wait in this process. With 200, one of a
+# burst of 200 forwarded requests failed.
 SEND_QUEUE_MESSAGES = 1000
 
 _RECONNECT_MS = 100
--- a/src/carawaystep/adapters/zmq/peer_codec.py
+++ b/src/carawaystep/adapters/zmq/peer_codec.py
@@ -38,9 +38,8 @@
             return None
         try:
             message = self._decoder.decode(data)
-        # Text that is no UTF-8 raises UnicodeDecodeError, deep nesting in
-        # unknown fields raises RecursionError.
-        except (MsgspecError, UnicodeDecodeError, RecursionError):
+        # Deep nesting in unknown fields raises RecursionError.
+        except (MsgspecError, RecursionError):
             return None
         if isinstance(message, ForwardRequest) and not isfinite(
             message.deadline_s
--- a/src/carawaystep/adapters/zmq/peer_server.py
+++ b/src/carawaystep/adapters/zmq/peer_server.py
@@ -27,7 +27,8 @@
     from carawaystep.peer.peer_handler import PeerHandler
     from zmq.asyncio import Socket
 
-# Replies to one slow peer that may wait in this process.
+# Replies to one slow peer that may wait in this process. With 200, one of a
+# burst of 200 forwarded requests failed.
 SEND_QUEUE_MESSAGES = 1000
 
 
--- a/tests/adapters/http_client/test_http_client.py
+++ b/tests/adapters/http_client/test_http_client.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import socket
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from result import Err
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.adapters.http_client import http_client
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from carawaystep.adapters.http_client.http_failure import HttpUnknown
@@ -26,6 +29,7 @@
 
 METHODS = ("POST", "GET", "PUT", "DELETE")
 _HEAD = b"HTTP/1.1 200 OK\r\n"
+_CUT_GZIP = gzip.compress(b"abc" * 1000)[:-12]
 
 
 async def _call(
@@ -148,10 +152,11 @@
             "negative length": _HEAD + b"Content-Length: -3\r\n\r\nabc",
             "length over the limit": _HEAD
             + b"Content-Length: 99999999999\r\n\r\nabc",
-            "encoded": _HEAD
-            + b"Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc",
+            "encoded body cut": _HEAD
+            + b"Content-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"%x\r\n%s\r\n0\r\n\r\n" % (len(_CUT_GZIP), _CUT_GZIP),
             "no HTTP": b"NONSENSE\r\n\r\n",
-            "interim": b"HTTP/1.1 100 Continue\r\n\r\n" + answer(b"abc"),
+            "interim": answer(b"", 100) + answer(b"abc"),
         }
         for name, data in answers.items():
             results, seen, left_open = self._run([data, CLOSE], calls=1)
@@ -181,6 +186,56 @@
         self.assertEqual([b"a", b"b"], results)
         self.assertEqual([1, 2], seen)
 
+    def test_connection_closed_just_before_a_call(self) -> None:
+        """Guards against a close that the event loop has not yet seen."""
+
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                listener.setblocking(False)
+                port = listener.getsockname()[1]
+                client = HttpClient(f"http://127.0.0.1:{port}", 1)
+                first = asyncio.ensure_future(_call(client))
+                server, _ = await loop.sock_accept(listener)
+                with server:
+                    await loop.sock_recv(server, 65536)
+                    await loop.sock_sendall(server, answer(b"a"))
+                    await first
+            # Nothing has been awaited since both sockets closed.
+            self.assertEqual(HttpNotSent, _kind(await _call(client)))
+            await client.close()
+
+        asyncio.run(run())
+
+    def test_many_calls_on_one_channel(self) -> None:
+        """Guards against a failure when aiosonic renews a connection."""
+
+        async def run() -> None:
+            async with ScriptedServer() as server:
+                client = HttpClient(server.url, 1)
+                for _ in range(1005):
+                    self.assertEqual(b"more", _kind(await _call(client)))
+                await client.close()
+
+        asyncio.run(run())
+
+    def test_expired_connections_are_closed(self) -> None:
+        """Guards against sockets kept open for good after a flood."""
+
+        async def run() -> None:
+            async with ScriptedServer() as server:
+                client = HttpClient(server.url, 4)
+                await asyncio.gather(*[_call(client) for _ in range(4)])
+                self.assertEqual(4, client.open_channels)
+                with patch.object(http_client, "IDLE_LIMIT_S", 0.0):
+                    await _call(client)
+                    self.assertEqual(1, client.open_channels)
+                await asyncio.sleep(0.02)
+                self.assertEqual(1, server.open)
+                await client.close()
+
+        asyncio.run(run())
+
     def test_keep_alive(self) -> None:
         """Guards against a connection for each call, and against leaks."""
         results, seen, left_open = self._run([answer(b"a")], [answer(b"b")])
@@ -213,9 +268,11 @@
         async def run() -> None:
             async with ScriptedServer() as server:
                 client = HttpClient(server.url, 1)
-                result = await _call(client, X="a\r\nY: b")
-                self.assertEqual(HttpNotSent, _kind(result))
-                self.assertEqual([], server.seen)
+                for sent in range(2):
+                    result = await _call(client, X="a\r\nY: b")
+                    self.assertEqual(HttpNotSent, _kind(result))
+                    self.assertEqual(sent, len(server.seen))
+                    await _call(client)
                 await client.close()
 
         asyncio.run(run())
--- a/tests/adapters/worker_http/test_http_worker.py
+++ b/tests/adapters/worker_http/test_http_worker.py
@@ -221,6 +221,28 @@
 
         asyncio.run(run())
 
+    def test_answer_cut_at_every_byte(self) -> None:
+        """Guards against a result from a part of an answer."""
+        whole = [
+            answer(b"paid", Carawaystep_Request_Id="own-7"),
+            answer(b"", Carawaystep_Request_Id="own-7"),
+            answer(b"", 503, Carawaystep_Not_Run="1"),
+        ]
+
+        async def run() -> None:
+            cuts = [data[:end] for data in whole for end in range(len(data))]
+            scripts: list[list[Step]] = [[cut, CLOSE] for cut in cuts]
+            async with ScriptedServer(*scripts) as server:
+                worker = HttpWorker(server.url, _SETTINGS)
+                for cut in cuts:
+                    result = await _run_request(worker)
+                    self.assertIsInstance(result, Err, cut)
+                    self.assertIsInstance(result.err_value, WorkerUnknown, cut)
+                self.assertEqual(len(cuts), len(server.seen))
+                await worker.close()
+
+        asyncio.run(run())
+
     def test_request_on_the_wire(self) -> None:
         """Guards against headers that the worker does not read."""
 
--- /dev/null
+++ b/tests/adapters/zmq/test_peer_client.py
@@ -0,0 +1,160 @@
+"""Tests of the client of a link against a misbehaving peer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+from msgspec.msgpack import encode
+from msgspec.structs import replace
+from result import Err
+from result import Ok
+from testtools import TestCase
+from zmq import ROUTER
+
+from carawaystep.adapters.zmq.peer_client import PeerClient
+from carawaystep.adapters.zmq.peer_codec import MAX_MESSAGE_BYTES
+from carawaystep.adapters.zmq.peer_codec import PeerCodec
+from carawaystep.peer.messages import Heartbeat
+from carawaystep.peer.messages import HeartbeatReply
+from tests.adapters.zmq.peer_samples import forward_reply
+from tests.adapters.zmq.peer_samples import LOAD
+from tests.adapters.zmq.peer_samples import open_socket
+from tests.adapters.zmq.peer_samples import REQUEST
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from zmq.asyncio import Socket
+
+
+def _with_fake_peer(
+    test: Callable[[Socket, PeerClient], Awaitable[None]],
+) -> None:
+    """Run with a bare ROUTER socket in place of the other entry."""
+
+    async def run() -> None:
+        router = open_socket(ROUTER)
+        port = router.bind_to_random_port("tcp://127.0.0.1")
+        client = PeerClient(f"tcp://127.0.0.1:{port}")
+        await client.start()
+        await asyncio.sleep(0.1)
+        try:
+            await test(router, client)
+        finally:
+            await client.close()
+            router.close()
+
+    asyncio.run(run())
+
+
+class PeerClientTest(TestCase):
+    """The client against a misbehaving or absent peer."""
+
+    def test_nothing_queues_for_an_absent_peer(self) -> None:
+        """Guards against requests that run once a peer comes back."""
+
+        async def run() -> None:
+            probe = open_socket(ROUTER)
+            port = probe.bind_to_random_port("tcp://127.0.0.1")
+            probe.close()
+            for address in (f"tcp://127.0.0.1:{port}", "no address"):
+                client = PeerClient(address)
+                result = await client.forward(REQUEST, 0.2)
+                self.assertFalse(result.err_value.sent)
+                await client.start()
+                result = await client.forward(REQUEST, 0.2)
+                self.assertFalse(result.err_value.sent)
+                await client.close()
+
+        asyncio.run(run())
+
+    def test_doubled_and_foreign_replies(self) -> None:
+        """Guards against a reply used twice or for another request."""
+
+        async def test(router: Socket, client: PeerClient) -> None:
+            task = asyncio.ensure_future(client.forward(REQUEST, 1.0))
+            peer, data = await router.recv_multipart()
+            request: Any = PeerCodec().decode(data)
+            other = forward_reply(request.sequence + 1)
+            wrong = HeartbeatReply(request.sequence, LOAD)
+            right = forward_reply(request.sequence)
+            for message in (other, wrong, right, right):
+                await router.send_multipart([peer, encode(message)])
+            await router.send_multipart([peer, b"\xc1"])
+            await router.send_multipart([peer, encode(Heartbeat(1, LOAD))])
+            self.assertEqual(Ok(right), await task)
+            await asyncio.sleep(0.05)
+            self.assertEqual(2, client.late_replies)
+            self.assertEqual(3, client.malformed_messages)
+
+        _with_fake_peer(test)
+
+    def test_reply_with_another_request_id(self) -> None:
+        """Guards against handing a caller another caller's answer."""
+
+        async def test(router: Socket, client: PeerClient) -> None:
+            task = asyncio.ensure_future(client.forward(REQUEST, 1.0))
+            peer, data = await router.recv_multipart()
+            request: Any = PeerCodec().decode(data)
+            reply = forward_reply(request.sequence, "r2")
+            await router.send_multipart([peer, encode(reply)])
+            self.assertTrue((await task).err_value.sent)
+
+        _with_fake_peer(test)
+
+    def test_sequences_are_never_reused(self) -> None:
+        """Guards against a reply that matches a call of another link."""
+
+        async def test(router: Socket, client: PeerClient) -> None:
+            again = PeerClient("tcp://127.0.0.1:9")
+            for link in (client, client, again):
+                await link.heartbeat(LOAD, 0.02)
+            await client.fetch_documents(0.02)
+            await client.forward(replace(REQUEST, sequence=1), 0.02)
+            seen = set()
+            for _ in range(4):
+                _, data = await router.recv_multipart()
+                message: Any = PeerCodec().decode(data)
+                seen.add(message.sequence)
+            self.assertEqual(4, len(seen))
+            self.assertEqual(4, max(seen) - min(seen))
+
+        _with_fake_peer(test)
+
+    def test_close_fails_pending_calls_as_sent(self) -> None:
+        """Guards against calls that hang or claim not to have run."""
+
+        async def test(_: Socket, client: PeerClient) -> None:
+            task = asyncio.ensure_future(client.forward(REQUEST, 5.0))
+            await asyncio.sleep(0.05)
+            await client.close()
+            result = await asyncio.wait_for(task, 0.5)
+            self.assertTrue(result.err_value.sent)
+            result = await client.forward(REQUEST, 0.2)
+            self.assertFalse(result.err_value.sent)
+
+        _with_fake_peer(test)
+
+    def test_messages_over_the_limits_are_not_sent(self) -> None:
+        """Guards against unbounded memory for a peer that reads nothing."""
+
+        async def test(_: Socket, client: PeerClient) -> None:
+            large = replace(REQUEST, body=b"x" * MAX_MESSAGE_BYTES)
+            result = await client.forward(large, 0.2)
+            self.assertFalse(result.err_value.sent)
+            # Enough to fill the queues and socket buffers of both ends.
+            body = replace(REQUEST, body=b"x" * 100_000)
+            results = await asyncio.gather(
+                *[client.forward(body, 0.5) for _ in range(4000)]
+            )
+            failures = [result.err_value.sent for result in results]
+            self.assertIn(True, failures)
+            self.assertIn(False, failures)
+            self.assertEqual(
+                [], [x for x in results if not isinstance(x, Err)]
+            )
+
+        _with_fake_peer(test)
--- /dev/null
+++ b/tests/adapters/zmq/test_peer_server.py
@@ -0,0 +1,232 @@
+"""Tests of the server of a link, with a client of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+from msgspec.msgpack import encode
+from msgspec.structs import replace
+from result import Ok
+from testtools import ExpectedException
+from testtools import TestCase
+from zmq import DEALER
+from zmq import ROUTER
+
+from carawaystep.adapters.zmq.peer_client import PeerClient
+from carawaystep.adapters.zmq.peer_codec import MAX_MESSAGE_BYTES
+from carawaystep.adapters.zmq.peer_codec import PeerCodec
+from carawaystep.adapters.zmq.peer_server import PeerServer
+from carawaystep.peer.messages import FetchDocuments
+from tests.adapters.zmq.fake_handler import FakeHandler
+from tests.adapters.zmq.peer_samples import forward_reply
+from tests.adapters.zmq.peer_samples import LOAD
+from tests.adapters.zmq.peer_samples import open_socket
+from tests.adapters.zmq.peer_samples import REQUEST
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+async def _connected(client: PeerClient) -> None:
+    for _ in range(100):
+        if isinstance(await client.heartbeat(LOAD, 0.5), Ok):
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("the link did not connect")
+
+
+def _with_server(
+    test: Callable[
+        [FakeHandler, PeerServer, PeerClient, str], Awaitable[None]
+    ],
+) -> None:
+    async def run() -> None:
+        handler = FakeHandler()
+        probe = open_socket(ROUTER)
+        port = probe.bind_to_random_port("tcp://127.0.0.1")
+        probe.close()
+        address = f"tcp://127.0.0.1:{port}"
+        await asyncio.sleep(0.02)
+        server = PeerServer(address, handler)
+        await server.start()
+        client = PeerClient(address)
+        await client.start()
+        try:
+            await _connected(client)
+            await test(handler, server, client, address)
+        finally:
+            await client.close()
+            await server.stop()
+        assert len(asyncio.all_tasks()) == 1, asyncio.all_tasks()
+
+    asyncio.run(run())
+
+
+class PeerServerTest(TestCase):
+    """Both ends together."""
+
+    def test_calls(self) -> None:
+        """Guards against replies that reach the wrong call."""
+
+        async def test(
+            handler: FakeHandler, _: PeerServer, client: PeerClient, __: str
+        ) -> None:
+            load = await client.heartbeat(LOAD, 1.0)
+            self.assertEqual("e2", load.ok_value.entry)
+            documents = await client.fetch_documents(1.0)
+            self.assertEqual("text", documents.ok_value.documents[0].text)
+            requests = [
+                replace(REQUEST, request_id=f"r{number}", body=b"x" * number)
+                for number in range(200)
+            ]
+            results = await asyncio.gather(
+                *[client.forward(request, 2.0) for request in requests]
+            )
+            for request, result in zip(requests, results, strict=True):
+                self.assertEqual(
+                    request.request_id, result.ok_value.request_id
+                )
+            self.assertEqual(
+                sorted(request.request_id for request in requests),
+                sorted(handler.ran),
+            )
+
+        _with_server(test)
+
+    def test_slow_request_blocks_nothing(self) -> None:
+        """Guards against heartbeats that wait behind a request."""
+
+        async def test(
+            handler: FakeHandler, _: PeerServer, client: PeerClient, __: str
+        ) -> None:
+            slow = replace(REQUEST, service="slow")
+            task = asyncio.ensure_future(client.forward(slow, 2.0))
+            await asyncio.sleep(0.05)
+            self.assertIsInstance(await client.heartbeat(LOAD, 0.5), Ok)
+            self.assertFalse(task.done())
+            handler.hold.set()
+            self.assertEqual(b"done", (await task).ok_value.body)
+
+        _with_server(test)
+
+    def test_lost_reply_is_unknown_and_not_repeated(self) -> None:
+        """Guards against a late reply taken for a later request's."""
+
+        async def test(
+            handler: FakeHandler, _: PeerServer, client: PeerClient, __: str
+        ) -> None:
+            slow = replace(REQUEST, service="slow")
+            result = await client.forward(slow, 0.1)
+            self.assertTrue(result.err_value.sent)
+            handler.hold.set()
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, client.late_replies)
+            self.assertEqual(["r1"], handler.ran)
+            self.assertIsInstance(await client.forward(REQUEST, 0.5), Ok)
+
+        _with_server(test)
+
+    def test_malformed_messages_do_not_stop_the_server(self) -> None:
+        """Guards against a peer that stops another one."""
+        nested = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+        late = replace(REQUEST, deadline_s=float("nan"))
+        large = replace(REQUEST, body=b"x" * MAX_MESSAGE_BYTES)
+        messages: list[list[bytes]] = [
+            [b""],
+            [b"\xc1"],
+            [encode({"type": "unknown"})],
+            [encode({"type": "heartbeat", "sequence": "1"})],
+            [encode({"type": "forward-request", "sequence": 1})],
+            [nested],
+            [encode(late)],
+            [encode(REQUEST).replace(b"bookings", b"\xff" * 8)],
+            [encode(large)],
+            [encode(forward_reply(1))],
+            [encode(FetchDocuments(1)), b"second frame"],
+        ]
+
+        async def test(
+            handler: FakeHandler,
+            server: PeerServer,
+            client: PeerClient,
+            address: str,
+        ) -> None:
+            dealer = open_socket(DEALER)
+            dealer.connect(address)
+            for message in messages:
+                await dealer.send_multipart(message)
+            await dealer.send(encode(FetchDocuments(77)))
+            data = await asyncio.wait_for(dealer.recv(), 5.0)
+            dealer.close()
+            reply: Any = PeerCodec().decode(data)
+            self.assertEqual(77, reply.sequence)
+            self.assertEqual(len(messages), server.malformed_messages)
+            self.assertEqual([], handler.ran)
+            self.assertIsInstance(await client.heartbeat(LOAD, 0.5), Ok)
+
+        _with_server(test)
+
+    def test_reply_to_a_peer_that_is_gone(self) -> None:
+        """Guards against an error that stops the server."""
+
+        async def test(
+            handler: FakeHandler,
+            server: PeerServer,
+            client: PeerClient,
+            address: str,
+        ) -> None:
+            dealer = open_socket(DEALER)
+            dealer.connect(address)
+            await dealer.send(encode(replace(REQUEST, service="slow")))
+            await asyncio.sleep(0.1)
+            dealer.close()
+            await asyncio.sleep(0.1)
+            handler.hold.set()
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, server.undelivered_replies)
+            self.assertIsInstance(await client.heartbeat(LOAD, 0.5), Ok)
+
+        _with_server(test)
+
+    def test_broken_invariant_is_seen(self) -> None:
+        """Guards against a process that goes on after its rules broke."""
+
+        async def test(
+            _: FakeHandler, server: PeerServer, client: PeerClient, __: str
+        ) -> None:
+            broken = replace(REQUEST, service="broken")
+            result = await client.forward(broken, 0.2)
+            self.assertTrue(result.err_value.sent)
+            with ExpectedException(ExceptionGroup):
+                await asyncio.wait_for(server.wait(), 1.0)
+
+        _with_server(test)
+
+    def test_stop_and_restart(self) -> None:
+        """Guards against queued messages that a new process would run."""
+
+        async def test(
+            handler: FakeHandler,
+            server: PeerServer,
+            client: PeerClient,
+            address: str,
+        ) -> None:
+            slow = replace(REQUEST, service="slow")
+            task = asyncio.ensure_future(client.forward(slow, 0.5))
+            await asyncio.sleep(0.05)
+            await server.stop()
+            self.assertEqual(1, handler.cancelled)
+            self.assertTrue((await task).err_value.sent)
+            result = await client.forward(REQUEST, 0.2)
+            self.assertFalse(result.err_value.sent)
+            other = FakeHandler()
+            second = PeerServer(address, other)
+            await second.start()
+            await _connected(client)
+            self.assertEqual([], other.ran)
+            await second.stop()
+
+        _with_server(test)
