Add commands that check, compare and apply documents

Cause: operators need to change documents without overwriting each other.

Change: `document check|diff|apply|show` and `settings check`. apply checks all files before it calls an entry, takes the expected version from .carawaystep-versions.json and never from the entry, and reports each document. A lost answer is read back.

--- a/src/carawaystep/console/application.py
+++ b/src/carawaystep/console/application.py
@@ -8,10 +8,14 @@
 
 import cappa
 
+from carawaystep.console.commands.document_command import DocumentCommand
 from carawaystep.console.commands.entry_command import EntryCommand
+from carawaystep.console.commands.settings_command import SettingsCommand
 from carawaystep.console.commands.standin_command import StandinCommand
 
-_Commands = cappa.Subcommands[EntryCommand | StandinCommand]
+_Commands = cappa.Subcommands[
+    EntryCommand | StandinCommand | SettingsCommand | DocumentCommand
+]
 
 
 @cappa.command(name="carawaystep", help="Schedule work on the same few VMs.")
--- /dev/null
+++ b/src/carawaystep/console/commands/document_diff.py
@@ -0,0 +1,95 @@
+"""The command ``document diff``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import difflib
+import json
+from typing import Annotated
+from typing import Any
+from typing import TYPE_CHECKING
+
+import cappa
+from result import Err
+
+from carawaystep.console.document_files import load_local_documents
+from carawaystep.console.exit_code import exit_codes_help
+from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.operator_command import fail
+from carawaystep.console.operator_command import OperatorCommand
+from carawaystep.console.problem_output import print_problems
+
+if TYPE_CHECKING:
+    from carawaystep.console.local_document import LocalDocument
+    from carawaystep.console.operator_client import OperatorClient
+    from carawaystep.console.remote_document import RemoteDocument
+
+
+@cappa.command(
+    name="diff",
+    help="Show how files differ from the documents in force.",
+    description=exit_codes_help(
+        ExitCode.OK,
+        ExitCode.DIFFERENT,
+        ExitCode.USAGE,
+        ExitCode.UNREACHABLE,
+        ExitCode.INVALID_DOCUMENT,
+    ),
+)
+@dataclass
+class DocumentDiff(OperatorCommand):
+    """Compares files with the documents of an entry."""
+
+    path: Annotated[
+        str,
+        cappa.Arg(
+            value_name="PATH", help="File, or directory of .yaml files."
+        ),
+    ]
+    url: Annotated[
+        str, cappa.Arg(long=True, value_name="URL", help="URL of an entry.")
+    ]
+    token_file: Annotated[
+        str,
+        cappa.Arg(long=True, value_name="FILE", help="File with a token."),
+    ]
+    json: Annotated[
+        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
+    ] = False
+
+    async def _run(self, client: OperatorClient) -> int:
+        loaded = load_local_documents([self.path])
+        if isinstance(loaded, Err):
+            print_problems(loaded.err_value)
+            return ExitCode.INVALID_DOCUMENT
+        rows: list[dict[str, Any]] = []
+        for document in loaded.ok_value:
+            answer = await client.document(document.service)
+            if isinstance(answer, Err):
+                return fail(answer.err_value.detail, ExitCode.UNREACHABLE)
+            rows.append(_compare(document, answer.ok_value))
+        if self.json:
+            print(json.dumps({"documents": rows}))
+        else:
+            print("".join(row["diff"] for row in rows), end="")
+        differs = any(row["different"] for row in rows)
+        return ExitCode.DIFFERENT if differs else ExitCode.OK
+
+
+def _compare(
+    document: LocalDocument, present: RemoteDocument
+) -> dict[str, Any]:
+    lines = difflib.unified_diff(
+        present.text.splitlines(),
+        document.text.splitlines(),
+        f"{document.service} version {present.version}",
+        str(document.path),
+        lineterm="",
+    )
+    return {
+        "service": document.service,
+        "path": str(document.path),
+        "version": present.version,
+        "different": present.version == 0 or present.text != document.text,
+        "diff": "".join(f"{line}\n" for line in lines),
+    }
--- /dev/null
+++ b/src/carawaystep/console/commands/document_show.py
@@ -0,0 +1,94 @@
+"""The command ``document show``."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from dataclasses import dataclass
+import json
+from pathlib import Path
+import re
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+import cappa
+from result import Err
+
+from carawaystep.console.exit_code import exit_codes_help
+from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.operator_command import fail
+from carawaystep.console.operator_command import OperatorCommand
+from carawaystep.console.version_file import replace_file
+from carawaystep.console.version_file import VersionFile
+
+if TYPE_CHECKING:
+    from carawaystep.console.operator_client import OperatorClient
+
+
+@cappa.command(
+    name="show",
+    help="Show the document in force of a service.",
+    description=exit_codes_help(
+        ExitCode.OK, ExitCode.USAGE, ExitCode.UNREACHABLE
+    ),
+)
+@dataclass
+class DocumentShow(OperatorCommand):
+    """Writes a document to stdout or to a file with its version."""
+
+    service: Annotated[
+        str, cappa.Arg(value_name="SERVICE", help="Name of the service.")
+    ]
+    url: Annotated[
+        str, cappa.Arg(long=True, value_name="URL", help="URL of an entry.")
+    ]
+    token_file: Annotated[
+        str,
+        cappa.Arg(long=True, value_name="FILE", help="File with a token."),
+    ]
+    save: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            value_name="FILE",
+            help="Replace FILE and record the version for apply.",
+        ),
+    ] = None
+    json: Annotated[
+        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
+    ] = False
+
+    async def _run(self, client: OperatorClient) -> int:
+        if not re.fullmatch("[a-z0-9-]{1,63}", self.service):
+            return fail(
+                f"{self.service} is not the name of a service; use a-z, 0-9 "
+                "and hyphens",
+                ExitCode.USAGE,
+            )
+        answer = await client.document(self.service)
+        if isinstance(answer, Err):
+            return fail(answer.err_value.detail, ExitCode.UNREACHABLE)
+        document = answer.ok_value
+        if document.version == 0:
+            return fail(
+                f"{self.service} has no document at {self.url}; apply one",
+                ExitCode.UNREACHABLE,
+            )
+        if self.save:
+            return self._save(document.text, document.version, self.save)
+        if self.json:
+            print(json.dumps(asdict(document)))
+        else:
+            print(document.text, end="")
+        return ExitCode.OK
+
+    def _save(self, text: str, version: int, name: str) -> int:
+        path = Path(name)
+        # A new text with an old version is refused later; an old text with a
+        # new version would overwrite, so the text is written first.
+        saved = replace_file(path, text).and_then(
+            lambda _: VersionFile(path.parent).record(self.service, version)
+        )
+        if isinstance(saved, Err):
+            return fail(saved.err_value, ExitCode.USAGE)
+        print(f"{self.service}: version {version} saved to {path}")
+        return ExitCode.OK
