--- a/tests/tools/test_deployment.py
+++ b/tests/tools/test_deployment.py
@@ -14,7 +14,7 @@
 
 from carawaystep.settings.entry_settings import EntrySettings
 from carawaystep.settings.standin_platform_settings import (
-    StandinPlatformSettings,  # noqa: H301
+    StandinPlatformSettings,
 )
 from tools.deployment import Deployment
 from tools.deployment import load_deployment
--- a/tools/settings_writer.py
+++ b/tools/settings_writer.py
@@ -14,7 +14,7 @@
 from carawaystep.settings.entry_settings import ListenSettings
 from carawaystep.settings.entry_settings import PlatformSettings
 from carawaystep.settings.standin_platform_settings import (
-    StandinPlatformSettings,  # noqa: H301
+    StandinPlatformSettings,
 )
 from carawaystep.settings.standin_platform_settings import StandinVmSettings
 from carawaystep.settings.standin_worker_settings import StandinWorkerSettings
