Check whose answer a caller got and report repeated submissions

Cause: the demo did not notice an answer to another request, and its retries hid that submissions of jobs failed. Change: callers compare the digest in the stand-in worker's answer with their body; the summary counts submissions that were sent again.

--- a/tests/tools/scripted_entry.py
+++ b/tests/tools/scripted_entry.py
@@ -13,21 +13,22 @@
 
 _ANSWER = (
     b"HTTP/1.1 200 OK\r\nCarawaystep-Outcome: answered\r\n"
-    b"Carawaystep-Request-Id: r1\r\nContent-Length: 2\r\n"
-    b"Connection: close\r\n\r\n"
+    b"Carawaystep-Request-Id: r1\r\nConnection: close\r\n"
 )
 
 
 class ScriptedEntry:
     """Reads one request for each connection and answers or breaks off.
 
-    :param body: sent after headers that announce two bytes; None closes the
-        connection before any response
+    :param body: sent as the response; None closes the connection before any
+        response
+    :param missing: bytes that the headers announce beyond the body
     """
 
-    def __init__(self, body: bytes | None) -> None:
+    def __init__(self, body: bytes | None, missing: int = 0) -> None:
         """Create a server that does not listen yet."""
         self._body = body
+        self._missing = missing
         self._server: asyncio.Server | None = None
         self._keys: list[str | None] = []
         self._url = ""
@@ -65,7 +66,10 @@
         await reader.readexactly(int(headers.get("content-length", 0)))
         self._keys.append(headers.get("idempotency-key"))
         if self._body is not None:
-            writer.write(_ANSWER + self._body)
+            length = len(self._body) + self._missing
+            writer.write(_ANSWER)
+            writer.write(b"Content-Length: %d\r\n\r\n" % length)
+            writer.write(self._body)
         with suppress(OSError):
             await writer.drain()
             writer.close()
--- a/tests/tools/test_ledger_audit.py
+++ b/tests/tools/test_ledger_audit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from testtools import TestCase
@@ -182,6 +183,12 @@
         calls = (_call(Outcome.ANSWERED), _call(Outcome.ANSWERED, "r2"))
         self.assertEqual((), _audit([_request("r1")], calls=calls).all)
 
+    def test_answer_to_another_request(self) -> None:
+        """Guards against answers that reach the wrong caller."""
+        call = replace(_call(Outcome.ANSWERED), own_answer=False)
+        findings = _audit([_request("r1")], calls=(call,))
+        self.assertEqual(1, len(findings.disagreements))
+
     def test_not_run_but_executed(self) -> None:
         """Guards against not-run for a request that ran."""
         told = (_call(Outcome.NOT_RUN), _call(Outcome.NOT_RUN, None))
--- a/tests/tools/test_load_generator.py
+++ b/tests/tools/test_load_generator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+import json
 from typing import TYPE_CHECKING
 
 from aiosonic import HTTPClient
@@ -23,12 +24,14 @@
     from tools.call_record import CallRecord
 
 _WHOLE = b"{}"
-_SHORT = b"{"
 _NO_RESPONSE = None
 
 
 async def _run(
-    *bodies: bytes | None, idempotent: bool, refusing: str | None = None
+    *bodies: bytes | None,
+    idempotent: bool,
+    refusing: str | None = None,
+    missing: int = 0,
 ) -> tuple[tuple[CallRecord, ...], list[tuple[str | None, ...]]]:
     """Send one request; return the records and what each entry received."""
     kind = ServiceKind.LATENCY_CRITICAL
@@ -36,7 +39,7 @@
     plan = LoadPlan(1, 0.0, seconds=10.0, max_requests=1, repeat_every=1)
     async with AsyncExitStack() as stack:
         entries = [
-            await stack.enter_async_context(ScriptedEntry(body))
+            await stack.enter_async_context(ScriptedEntry(body, missing))
             for body in bodies
         ]
         urls = [entry.url for entry in entries]
@@ -69,9 +72,15 @@
 
     def test_short_body_is_unknown(self) -> None:
         """Guards against counting an incomplete response as an answer."""
-        records, _ = asyncio.run(_run(_SHORT, idempotent=False))
+        records, _ = asyncio.run(_run(_WHOLE, idempotent=False, missing=1))
         self.assertEqual([Outcome.UNKNOWN], [r.outcome for r in records])
 
+    def test_answer_is_compared_with_the_request(self) -> None:
+        """Guards against accepting the answer to another request."""
+        body = json.dumps({"sha256": "0" * 64}).encode()
+        records, _ = asyncio.run(_run(body, idempotent=False))
+        self.assertEqual([False], [r.own_answer for r in records])
+
     def test_repeat_uses_one_key_at_two_entries(self) -> None:
         """Guards against a demo that sends no duplicates on purpose."""
         _, received = asyncio.run(_run(_WHOLE, _WHOLE, idempotent=False))
--- a/tools/call_record.py
+++ b/tools/call_record.py
@@ -21,6 +21,7 @@
     :param request_id: id given by the entry, None when none arrived
     :param status: HTTP status, None when no response arrived
     :param latency_s: time from sending to the last byte of the response
+    :param own_answer: False when the body answers another request
     """
 
     service: str
@@ -30,3 +31,4 @@
     request_id: str | None
     status: int | None
     latency_s: float
+    own_answer: bool = True
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -256,8 +256,14 @@
             for driver in drivers
             for job, state in driver.states.items()
         }
+        repeated = 0
+        for driver in drivers:
+            repeated += sum(driver.failures.values())
+            if driver.failures:
+                self._say(f"submissions not accepted: {driver.failures}")
         jobs_open = sum(len(driver.open_jobs) for driver in drivers)
-        return summarize(calls, jobs, jobs_open, findings)
+        summary = summarize(calls, jobs, jobs_open, findings)
+        return replace(summary, submissions_repeated=repeated)
 
     def _plan(self, service: ExampleService) -> LoadPlan:
         callers = _NON_IDEMPOTENT_CALLERS
--- a/tools/demo_summary.py
+++ b/tools/demo_summary.py
@@ -39,6 +39,8 @@
     :param disagreements: callers that were told something untrue
     :param repeats_refused: calls told unknown because an earlier request
         with their key was not known to have ended; a part of unknown
+    :param submissions_repeated: submissions of jobs that were not accepted
+        and sent again
     :param rejected: calls refused before they became requests
     :param forced: processes that needed SIGKILL at the end
     :param error: why the run was cut short
@@ -56,6 +58,7 @@
     jobs_open: int = 0
     disagreements: int = 0
     repeats_refused: int = 0
+    submissions_repeated: int = 0
     rejected: int = 0
     forced: int = 0
     error: str | None = None
--- a/tools/http_caller.py
+++ b/tools/http_caller.py
@@ -16,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from typing import Any
 
     from aiosonic import HTTPClient
     from result import Result
@@ -42,18 +41,22 @@
         self,
         url: str,
         headers: Mapping[str, str],
-        content: dict[str, Any],
+        body: bytes,
         limit_s: float,
     ) -> Result[HttpAnswer, SendFailure]:
-        """Send a POST request with a JSON body."""
-        return await self._send("POST", url, headers, content, limit_s)
+        """Send a POST request.
+
+        :param body: JSON text
+        """
+        typed = {**headers, "Content-Type": "application/json"}
+        return await self._send("POST", url, typed, body, limit_s)
 
     async def _send(
         self,
         method: str,
         url: str,
         headers: Mapping[str, str],
-        content: dict[str, Any] | None,
+        body: bytes | None,
         limit_s: float,
     ) -> Result[HttpAnswer, SendFailure]:
         start = monotonic()
@@ -62,10 +65,10 @@
                 url,
                 method=method,
                 headers=dict(headers),
-                json=content,
+                data=body,
                 timeouts=Timeouts(request_timeout=limit_s),
             )
-            body = await response.content()
+            answer = await response.content()
         except (ConnectionRefusedError, ConnectTimeout):
             return Err(SendFailure.NOT_SENT)
         except (OSError, EOFError, AiosonicError, TimeoutError):
@@ -74,7 +77,7 @@
             HttpAnswer(
                 response.status_code,
                 response.headers,
-                body,
+                answer,
                 monotonic() - start,
             )
         )
--- a/tools/job_driver.py
+++ b/tools/job_driver.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+import json
 from secrets import token_hex
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -47,6 +49,7 @@
         self._headers = {"Authorization": f"Bearer {token}"}
         self._run = token_hex(4)
         self._states: dict[str, JobState] = {}
+        self._failures: Counter[str] = Counter()
 
     @property
     def accepted(self) -> int:
@@ -58,6 +61,11 @@
         """Return the last known state of each accepted job."""
         return dict(self._states)
 
+    @property
+    def failures(self) -> dict[str, int]:
+        """Return submissions that were not accepted, by their reason."""
+        return dict(self._failures)
+
     @property
     def open_jobs(self) -> tuple[str, ...]:
         """Return accepted jobs that are not known to have ended."""
@@ -96,15 +104,20 @@
             "Idempotency-Key": f"{self._service}-{self._run}-{number}",
         }
         content = {"input": {"number": number}, "run_s": run_s}
+        body = json.dumps(content).encode()
         for _ in range(_MAX_SENDS):
             for entry in self._rotation.take():
                 url = f"{entry}/v1/services/{self._service}/jobs"
                 sent = await self._caller.post(
-                    url, headers, content, _CALL_LIMIT_S
+                    url, headers, body, _CALL_LIMIT_S
                 )
                 if isinstance(sent, Ok) and sent.ok_value.status == 202:
                     self._note(sent.ok_value.json())
                     return
+                if isinstance(sent, Ok):
+                    self._failures[f"status {sent.ok_value.status}"] += 1
+                else:
+                    self._failures[str(sent.err_value)] += 1
             await asyncio.sleep(_RETRY_PAUSE_S)
 
     async def _refresh(self, job: str) -> None:
--- a/tools/ledger_audit.py
+++ b/tools/ledger_audit.py
@@ -144,6 +144,11 @@
                     f"request {call.request_id} of {call.service} was told"
                     " answered, but no execution of it ended as done"
                 )
+            if call.outcome is Outcome.ANSWERED and not call.own_answer:
+                yield (
+                    f"request {call.request_id} of {call.service} was told"
+                    " answered with the answer to another request"
+                )
             if call.outcome is Outcome.NOT_RUN and self._was_run(call):
                 yield (
                     f"request {call.request_id} of {call.service} was told"
--- a/tools/load_generator.py
+++ b/tools/load_generator.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from hashlib import sha256
+import json
 from secrets import token_hex
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -109,11 +111,12 @@
         headers = {"Authorization": f"Bearer {self._token}"}
         if key is not None:
             headers["Idempotency-Key"] = key
+        body = json.dumps({"number": number, "run": self._run}).encode()
         start = monotonic()
         sent = await self._caller.post(
             f"{entry}/v1/services/{self._service.service}/requests",
             headers,
-            {"number": number, "run": self._run},
+            body,
             self._service.deadline_s + _RESPONSE_MARGIN_S,
         )
         if isinstance(sent, Err):
@@ -122,7 +125,7 @@
                 return None
             record = self._broken(key, entry, monotonic() - start)
         else:
-            record = self._told(key, entry, sent.ok_value)
+            record = self._told(key, entry, body, sent.ok_value)
         self._records.append(record)
         return record
 
@@ -140,7 +143,7 @@
         )
 
     def _told(
-        self, key: str | None, entry: str, answer: HttpAnswer
+        self, key: str | None, entry: str, body: bytes, answer: HttpAnswer
     ) -> CallRecord:
         return CallRecord(
             self._service.service,
@@ -150,8 +153,19 @@
             answer.headers.get("Carawaystep-Request-Id"),
             answer.status,
             answer.latency_s,
+            self._is_own_answer(body, answer),
         )
 
+    @staticmethod
+    def _is_own_answer(body: bytes, answer: HttpAnswer) -> bool:
+        """Tell whether a stand-in worker's answer has our body's digest."""
+        try:
+            content = answer.json()
+        except ValueError:
+            return False
+        digest = sha256(body).hexdigest()
+        return isinstance(content, dict) and content.get("sha256") == digest
+
     @staticmethod
     def _outcome(answer: HttpAnswer) -> Outcome | None:
         told = answer.headers.get("Carawaystep-Outcome")
