Apply copies of the documents in the directory of the run

Cause: document apply records versions beside the files, so the second demo on a checkout ended with exit code 3 and 'the file is based on version 1, but no document is present'. Conclusion: a run no longer depends on earlier ones.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -33,6 +33,7 @@
 from tools.load_plan import LoadPlan
 from tools.managed_process import ROOT
 from tools.process_spec import ProcessSpec
+from tools.run_directory import copy_documents
 from tools.run_directory import open_run_directory
 
 if TYPE_CHECKING:
@@ -119,7 +120,8 @@
             return DemoSummary(error=str(started.err_value))
         forced: tuple[str, ...] = ()
         try:
-            summary = await self._use(launcher)
+            documents = copy_documents(self._example_path, directory)
+            summary = await self._use(launcher, documents)
         finally:
             self._say("stopping all processes")
             forced = await launcher.stop()
@@ -127,11 +129,11 @@
             self._say(f"{name} did not stop by itself and was killed")
         return replace(summary, forced=len(forced))
 
-    async def _use(self, launcher: Launcher) -> DemoSummary:
-        failure = await self._apply_documents(launcher)
+    async def _use(self, launcher: Launcher, documents: Path) -> DemoSummary:
+        failure = await self._apply_documents(launcher, documents)
         if failure is not None:
             return DemoSummary(error=failure)
-        services = load_services(self._example_path / "documents")
+        services = load_services(documents)
         rotation = EntryRotation(
             process.spec.url or "" for process in launcher.entries
         )
@@ -157,12 +159,14 @@
             return DemoSummary(error=ledgers.err_value)
         return self._judge(services, generators, drivers, ledgers.ok_value)
 
-    async def _apply_documents(self, launcher: Launcher) -> str | None:
+    async def _apply_documents(
+        self, launcher: Launcher, documents: Path
+    ) -> str | None:
         """Put the documents in force; return what went wrong."""
         self._say("applying the documents")
         command = (
             *(sys.executable, "-m", "carawaystep", "document", "apply"),
-            str(self._example_path / "documents"),
+            str(documents),
             *("--url", launcher.entries[0].spec.url or ""),
             *("--token-file", str(launcher.token_file("operators"))),
             *("--wait", str(_APPLY_WAIT_S)),
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -16,6 +16,7 @@
 from tools.interruptible import run_interruptible
 from tools.launcher import Launcher
 from tools.managed_process import ROOT
+from tools.run_directory import copy_documents
 from tools.run_directory import open_run_directory
 
 
@@ -54,8 +55,8 @@
 
     async def run(self) -> int:
         """Start, wait and stop; return the exit code."""
-        path = ROOT / "examples" / self.example / "deployment.yaml"
-        loaded = load_deployment(path)
+        example = ROOT / "examples" / self.example
+        loaded = load_deployment(example / "deployment.yaml")
         if isinstance(loaded, Err):
             return self._fail(loaded.err_value)
         deployment = loaded.ok_value
@@ -64,6 +65,7 @@
             if refusal is not None:
                 return self._fail(refusal)
         with open_run_directory(self.directory) as directory:
+            copy_documents(example, directory)
             return await self._run(
                 Launcher(deployment, directory, self.entries)
             )
--- a/tools/run_directory.py
+++ b/tools/run_directory.py
@@ -4,6 +4,8 @@
 
 from contextlib import contextmanager
 from pathlib import Path
+from shutil import copytree
+from shutil import rmtree
 from tempfile import TemporaryDirectory
 from typing import TYPE_CHECKING
 
@@ -23,3 +25,24 @@
         return
     with TemporaryDirectory(prefix="carawaystep-") as name:
         yield Path(name)
+
+
+def copy_documents(example: Path, directory: Path) -> Path:
+    """Copy the documents of an example into the directory of a run.
+
+    ``document apply`` records beside the files which versions they are based
+    on. The records of one run are wrong for the next one, whose stand-in
+    platform starts empty.
+
+    :param example: directory of the example
+    :param directory: directory of the run
+    :returns: the directory of the copies
+    """
+    copies = directory / "documents"
+    rmtree(copies, ignore_errors=True)
+    copytree(
+        example / "documents",
+        copies,
+        ignore=lambda _, names: [n for n in names if not n.endswith(".yaml")],
+    )
+    return copies
