Take a worker's word for any refusal of a call

Cause: a worker that does not know a task answers 404 with Carawaystep-Not-Run, and the client reported that as unknown.

Change: the header is believed on every 4xx status and on 503. It is still ignored on other statuses, where the two contradict each other.

Result: make test passes.

--- a/src/carawaystep/adapters/worker_http/http_worker.py
+++ b/src/carawaystep/adapters/worker_http/http_worker.py
@@ -50,7 +50,6 @@
 # A worker answers a poll after wait_s at the latest; the rest is for the way.
 REPORT_MARGIN_S = 2.0
 
-_REFUSALS = frozenset({409, 429, 503})
 _DONE = frozenset({200, 202, 204})
 
 Body = TypeVar("Body", bound=BaseModel)
@@ -260,7 +259,7 @@
     @staticmethod
     def _refusal(answer: HttpAnswer) -> WorkerRefused | None:
         """Return the refusal when the worker said that nothing ran."""
-        if answer.status not in _REFUSALS:
+        if not (400 <= answer.status < 500 or answer.status == 503):
             return None
         if answer.headers.get("carawaystep-not-run") != "1":
             return None
--- a/tests/adapters/worker_http/test_http_worker.py
+++ b/tests/adapters/worker_http/test_http_worker.py
@@ -163,7 +163,7 @@
         for name, call in _every_call().items():
             if name in ("fence", "report"):
                 continue
-            for status in (409, 429, 503):
+            for status in (404, 409, 429, 503):
                 script = [answer(b"", status, Carawaystep_Not_Run="1")]
                 result, _ = self._call(call, script)
                 failure = result.err_value
