Test a peer message over the buffer limit

Cause: no test covered messages that libzmq refuses to buffer.

Change: a test sends 16 MiB to a server.

Result: the server goes on and runs nothing; libzmq drops the sender's connection, so such a message is not counted.

Conclusion: the limit holds, but only messages of 8 to 16 MiB are counted.

--- a/tests/adapters/zmq/test_peer_server.py
+++ b/tests/adapters/zmq/test_peer_server.py
@@ -15,6 +15,7 @@
 from zmq import ROUTER
 
 from carawaystep.adapters.zmq.peer_client import PeerClient
+from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
 from carawaystep.adapters.zmq.peer_codec import MAX_MESSAGE_BYTES
 from carawaystep.adapters.zmq.peer_codec import PeerCodec
 from carawaystep.adapters.zmq.peer_server import PeerServer
@@ -169,6 +170,26 @@
 
         _with_server(test)
 
+    def test_message_over_the_buffer_limit(self) -> None:
+        """Guards against memory taken by a peer, and a server that stops."""
+
+        async def test(
+            handler: FakeHandler,
+            _: PeerServer,
+            client: PeerClient,
+            address: str,
+        ) -> None:
+            dealer = open_socket(DEALER)
+            dealer.connect(address)
+            large = replace(REQUEST, body=b"x" * MAX_BUFFERED_BYTES)
+            await dealer.send(encode(large))
+            await asyncio.sleep(0.2)
+            dealer.close()
+            self.assertIsInstance(await client.heartbeat(LOAD, 0.5), Ok)
+            self.assertEqual([], handler.ran)
+
+        _with_server(test)
+
     def test_reply_to_a_peer_that_is_gone(self) -> None:
         """Guards against an error that stops the server."""
 
