Report applied documents before waiting and name rules in settings

Descriptions of names in the settings models state the rule in words.

With two documents and a refused token the entry gets one read; the test counts it.

Conclusion: no name or range of the settings changed.

--- a/src/carawaystep/console/commands/document_apply.py
+++ b/src/carawaystep/console/commands/document_apply.py
@@ -96,11 +96,17 @@
         applier = DocumentApplier(client, loaded.ok_value, expected.ok_value)
         results = await applier.apply()
         _record(results)
+        if not self.json:
+            _print_results(results)
         done = [result for result in results if result.outcome in _DONE]
         lagging: dict[str, list[str]] = {}
         if self.wait is not None and len(done) == len(results):
             lagging = await applier.wait(done, self.wait)
-        self._report(results, lagging)
+        if self.json:
+            rows = [_row(result) for result in results]
+            print(json.dumps({"documents": rows, "lagging": lagging}))
+        else:
+            self._print_lagging(lagging)
         return _exit_code(results, lagging)
 
     def _expected_versions(
@@ -119,20 +125,7 @@
             versions[document.service] = version.ok_value
         return Ok(versions)
 
-    def _report(
-        self, results: list[ApplyResult], lagging: dict[str, list[str]]
-    ) -> None:
-        if self.json:
-            rows = [_row(result) for result in results]
-            print(json.dumps({"documents": rows, "lagging": lagging}))
-            return
-        for result in results:
-            line = f"{result.document.service}: {result.outcome}"
-            if result.outcome in _DONE:
-                print(f"{line}, version {result.version}")
-            else:
-                detail = f": {result.detail}" if result.detail else ""
-                print(line + detail, file=sys.stderr)
+    def _print_lagging(self, lagging: dict[str, list[str]]) -> None:
         for service, names in lagging.items():
             print(
                 f"{service}: not in force within {self.wait:g} s at "
@@ -141,6 +134,17 @@
             )
 
 
+def _print_results(results: list[ApplyResult]) -> None:
+    # Flushed before a wait that the operator may interrupt.
+    for result in results:
+        line = f"{result.document.service}: {result.outcome}"
+        if result.outcome in _DONE:
+            print(f"{line}, version {result.version}", flush=True)
+        else:
+            detail = f": {result.detail}" if result.detail else ""
+            print(line + detail, file=sys.stderr, flush=True)
+
+
 def _record(results: list[ApplyResult]) -> None:
     for result in results:
         if result.outcome not in _DONE:
--- a/src/carawaystep/console/document_applier.py
+++ b/src/carawaystep/console/document_applier.py
@@ -48,7 +48,7 @@
 
         The first failure of a write ends it; what was written stays.
         """
-        results = [await self._compare(item) for item in self._documents]
+        results = await self._compare_all()
         if any(result and _has_failed(result) for result in results):
             return [
                 result or ApplyResult(document, ApplyOutcome.NOT_APPLIED)
@@ -86,6 +86,16 @@
                 lagging[result.document.service] = names
         return lagging
 
+    async def _compare_all(self) -> list[ApplyResult | None]:
+        # All conflicts are collected, but a silent entry is asked only once.
+        results: list[ApplyResult | None] = []
+        for document in self._documents:
+            result = await self._compare(document)
+            results.append(result)
+            if result and result.outcome is ApplyOutcome.NOT_APPLIED:
+                break
+        return results + [None] * (len(self._documents) - len(results))
+
     async def _compare(self, document: LocalDocument) -> ApplyResult | None:
         answer = await self._client.document(document.service)
         if isinstance(answer, Err):
--- a/src/carawaystep/settings/entry_settings.py
+++ b/src/carawaystep/settings/entry_settings.py
@@ -9,6 +9,7 @@
 from carawaystep.settings.settings_model import SettingsModel
 
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+NAME_RULE = ", lower-case letters, digits and hyphens, 1 to 63 characters"
 
 
 class ListenSettings(SettingsModel):
@@ -95,9 +96,11 @@
 class EntrySettings(SettingsModel):
     """One entry process."""
 
-    name: str = Field(pattern=NAME_PATTERN, description="unique name")
+    name: str = Field(
+        pattern=NAME_PATTERN, description="unique name" + NAME_RULE
+    )
     availability_zone: str = Field(
-        pattern=NAME_PATTERN, description="its availability zone"
+        pattern=NAME_PATTERN, description="its availability zone" + NAME_RULE
     )
     http: ListenSettings
     advertised_url: str = Field(
--- a/src/carawaystep/settings/standin_platform_settings.py
+++ b/src/carawaystep/settings/standin_platform_settings.py
@@ -6,16 +6,23 @@
 
 from carawaystep.settings.entry_settings import ListenSettings
 from carawaystep.settings.entry_settings import NAME_PATTERN
+from carawaystep.settings.entry_settings import NAME_RULE
 from carawaystep.settings.settings_model import SettingsModel
 
 
 class StandinVmSettings(SettingsModel):
     """A VM in the stand-in platform's list."""
 
-    name: str = Field(pattern=NAME_PATTERN)
-    availability_zone: str = Field(pattern=NAME_PATTERN)
-    rack: str = Field(pattern=NAME_PATTERN)
-    url: str = Field(pattern=r"^https?://")
+    name: str = Field(
+        pattern=NAME_PATTERN, description="name of the VM" + NAME_RULE
+    )
+    availability_zone: str = Field(
+        pattern=NAME_PATTERN, description="its availability zone" + NAME_RULE
+    )
+    rack: str = Field(pattern=NAME_PATTERN, description="its rack" + NAME_RULE)
+    url: str = Field(
+        pattern=r"^https?://", description="URL of the worker on it"
+    )
 
 
 class StandinPlatformSettings(SettingsModel):
--- a/src/carawaystep/settings/standin_worker_settings.py
+++ b/src/carawaystep/settings/standin_worker_settings.py
@@ -6,6 +6,7 @@
 
 from carawaystep.settings.entry_settings import ListenSettings
 from carawaystep.settings.entry_settings import NAME_PATTERN
+from carawaystep.settings.entry_settings import NAME_RULE
 from carawaystep.settings.settings_model import SettingsModel
 
 
@@ -31,7 +32,9 @@
 class StandinWorkerSettings(SettingsModel):
     """One stand-in worker."""
 
-    name: str = Field(pattern=NAME_PATTERN)
+    name: str = Field(
+        pattern=NAME_PATTERN, description="name of the worker" + NAME_RULE
+    )
     http: ListenSettings
     cpu: float = Field(default=32.0, gt=0, description="cores")
     memory_mb: int = Field(default=125_000, gt=0, description="megabytes")
--- a/tests/console/fake_operator_interface.py
+++ b/tests/console/fake_operator_interface.py
@@ -36,6 +36,7 @@
         self.before_put: Callable[[], None] = lambda: None
         self.lose_answer = False
         self.writes = 0
+        self.reads = 0
         self._lock = threading.Lock()
         self._socket = socket.create_server(("127.0.0.1", 0))
         port = self._socket.getsockname()[1]
@@ -79,6 +80,7 @@
 
     async def _get(self, request: Request) -> JSONResponse:
         service = request.path_params["service"]
+        self.reads += 1
         shown = self.documents if self.shown is None else self.shown
         if request.headers.get("authorization") != f"Bearer {TOKEN}":
             return JSONResponse({"error": "unauthorized"}, 401)
--- a/tests/console/test_document_commands.py
+++ b/tests/console/test_document_commands.py
@@ -172,8 +172,9 @@
         (self._folder / FILE_NAME).unlink()
         self.assertEqual(5, self._call("show", "absent")[0])
         self._token.write_text("wrong")
+        self._fake.reads = 0
         code, _, errors = self._apply()
-        self.assertEqual(5, code)
+        self.assertEqual((5, 1), (code, self._fake.reads))
         self.assertIn("answered 401", errors)
         self._token.write_text("two words")
         self.assertEqual(2, self._apply()[0])
