--- a/src/carawaystep/entry/job_desk.py
+++ b/src/carawaystep/entry/job_desk.py
@@ -70,7 +70,6 @@
         )
         written = await self._recorder.write(job, job, None)
         if isinstance(written, Ok):
-            self._state.counters.count("jobs_accepted")
             return written
         if isinstance(written.err_value, TableConflict):
             return await self.find(job.id)
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the ports of an entry, in one event loop."""
--- /dev/null
+++ b/tests/fakes/fake_fleet.py
@@ -0,0 +1,183 @@
+"""Platform, workers and entries in one event loop."""
+
+from __future__ import annotations
+
+from itertools import count
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from carawaystep.entry.entry_node import EntryNode
+from carawaystep.settings.entry_settings import EntrySettings
+from carawaystep.settings.standin_platform_settings import (
+    StandinPlatformSettings,
+)
+from carawaystep.settings.standin_worker_settings import StandinServiceSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkerSettings
+from carawaystep.standin.platform.standin_platform import StandinPlatform
+from carawaystep.standin.worker.run_time_model import RunTimeModel
+from carawaystep.standin.worker.standin_worker import StandinWorker
+from carawaystep.timeline.event_ring import EventRing
+from tests.fakes.fake_counters import FakeCounters
+from tests.fakes.fake_network import FakeNetwork
+from tests.fakes.fake_ports import FakePorts
+from tests.fakes.fake_worker import FakeWorker
+from tests.fakes.fencing_only_admission import FencingOnlyAdmission
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from carawaystep.peer.peer_handler import PeerHandler
+
+_HTTP = {"host": "127.0.0.1", "port": 1}
+
+
+class FakeFleet:
+    """A small deployment with faults; nothing runs outside the loop."""
+
+    def __init__(
+        self,
+        random: Random,
+        zones: int = 2,
+        entries: int = 2,
+        workers: int = 2,
+        slots: int = 4,
+        services: dict[str, StandinServiceSettings] | None = None,
+    ) -> None:
+        """Create platform and workers; no entry runs yet.
+
+        :param random: source of all chance
+        :param zones: number of availability zones
+        :param entries: entries in each availability zone
+        :param workers: workers in each availability zone
+        :param slots: slots of each worker
+        :param services: run times and failures by service
+        """
+        self._random = random
+        self._slots = slots
+        self._services = services or {}
+        self._incarnations = count(1)
+        self.network = FakeNetwork(random)
+        self.zones = [f"zone{number}" for number in range(zones)]
+        self._places: dict[str, tuple[str, ...]] = {
+            f"{zone}-e{number}": (f"{zone}-e{number}", zone)
+            for zone in self.zones
+            for number in range(entries)
+        }
+        names = [
+            (f"{zone}-w{number}", zone)
+            for zone in self.zones
+            for number in range(workers)
+        ]
+        self.workers = {
+            name: FakeWorker(self._worker_factory(name)) for name, _ in names
+        }
+        self.platform = StandinPlatform(
+            StandinPlatformSettings.model_validate(
+                {
+                    "http": _HTTP,
+                    "writes_per_s": 4000,
+                    "reads_per_s": 20000,
+                    "vms": [
+                        {
+                            "name": name,
+                            "availability_zone": zone,
+                            "rack": f"{zone}-r1",
+                            "url": f"http://{name}",
+                        }
+                        for name, zone in names
+                    ],
+                }
+            )
+        )
+        self.nodes: dict[str, EntryNode] = {}
+        self._processes: dict[str, str] = {}
+        self.counters: dict[str, FakeCounters] = {}
+        self.rings: list[EventRing] = []
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Return the names of all entries, running or not."""
+        return list(self._places)
+
+    def create(self, name: str) -> EntryNode:
+        """Return a new process of an entry, not yet started."""
+        _, zone = self._places[name]
+        settings = EntrySettings.model_validate(
+            {
+                "name": name,
+                "availability_zone": zone,
+                "http": _HTTP,
+                "advertised_url": f"http://{name}",
+                "peer_address": f"tcp://{name}",
+                "platform": {"url": "http://platform"},
+                "access": {"tokens_file": Path("tokens.yaml")},
+                "drain_limit_s": 20,
+                "seed_peers": [
+                    f"tcp://{other}"
+                    for other, place in self._places.items()
+                    if place[1] == zone and other != name
+                ],
+            }
+        )
+        counters = FakeCounters()
+        ring = EventRing(100_000)
+        incarnation = f"{name}-{next(self._incarnations)}"
+        self._processes[name] = incarnation
+        node = EntryNode(
+            settings,
+            incarnation,
+            FakePorts(self, (incarnation, name, zone)),
+            counters,
+            ring,
+        )
+        self.nodes[name] = node
+        self.counters[name] = counters
+        self.rings.append(ring)
+        return node
+
+    async def start_all(self) -> None:
+        """Start every entry."""
+        for name in self._places:
+            await self.create(name).start()
+
+    async def kill(self, name: str) -> None:
+        """End an entry process without a word.
+
+        Whatever it still awaits is never answered.
+        """
+        self.network.pause(self._processes[name])
+        await self.nodes.pop(name).stop()
+
+    def process(self, name: str) -> str:
+        """Return the name of the last process of an entry."""
+        return self._processes[name]
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for name in list(self.nodes):
+            await self.kill(name)
+
+    def handler(self, address: str) -> PeerHandler | None:
+        """Return the handler of a running entry by its peer address."""
+        node = self.nodes.get(address.removeprefix("tcp://"))
+        return None if node is None else node.peer_handler
+
+    def place(self, address: str) -> tuple[str, ...]:
+        """Return the names of an entry's process by its peer address."""
+        name = address.removeprefix("tcp://")
+        return (self._processes.get(name, name), *self._places[name])
+
+    def _worker_factory(self, name: str) -> Callable[[], StandinWorker]:
+        settings = StandinWorkerSettings.model_validate(
+            {"name": name, "http": _HTTP, "slots": self._slots}
+        )
+
+        def create() -> StandinWorker:
+            return StandinWorker(
+                settings,
+                RunTimeModel(self._services, self._random),
+                FencingOnlyAdmission,
+            )
+
+        return create
--- /dev/null
+++ b/tests/fakes/fake_platform.py
@@ -0,0 +1,102 @@
+"""The platform as one entry reaches it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from result import Err
+from result import Ok
+
+from carawaystep.platform.table_failure import TableFailure
+from carawaystep.platform.table_failure import TableRefused
+from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.platform.table_service import TableService
+from carawaystep.platform.vm_directory import VmDirectory
+from tests.fakes.fake_network import Lost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from result import Result
+
+    from carawaystep.platform.operation import Operation
+    from carawaystep.platform.row import Row
+    from carawaystep.platform.table_changes import TableChanges
+    from carawaystep.platform.table_commit import TableCommit
+    from carawaystep.platform.vm import Vm
+    from carawaystep.standin.platform.standin_platform import StandinPlatform
+    from tests.fakes.fake_network import FakeNetwork
+
+Value = TypeVar("Value")
+
+PLATFORM = ("platform", "platform")
+_TIMEOUT_S = 2.0
+
+
+class FakePlatform(TableService, VmDirectory):
+    """Calls the stand-in platform's aggregate over the fake network."""
+
+    def __init__(
+        self,
+        platform: StandinPlatform,
+        network: FakeNetwork,
+        source: tuple[str, ...],
+    ) -> None:
+        """Create the view of one entry.
+
+        :param platform: the shared aggregate
+        :param network: carries the calls
+        :param source: names of the process, its entry and availability zone
+        """
+        self._platform = platform
+        self._network = network
+        self._source = source
+
+    async def transact(
+        self, operations: Sequence[Operation]
+    ) -> Result[TableCommit, TableFailure]:
+        """Apply all operations or none."""
+        return await self._call(
+            lambda now: self._platform.transact(operations, now)
+        )
+
+    async def get(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Read one row."""
+        return await self._call(
+            lambda now: self._platform.get_row(table, key, now)
+        )
+
+    async def changes(
+        self, table: str, since: int, prefixes: Sequence[str] = ()
+    ) -> Result[TableChanges, TableFailure]:
+        """Read the rows that were written after a revision."""
+        return await self._call(
+            lambda now: self._platform.changes(table, since, prefixes, now)
+        )
+
+    async def vms(self) -> Result[tuple[Vm, ...], TableFailure]:
+        """Read the VM list."""
+        listed = await self._call(self._platform.vms)
+        return Ok(tuple(listed.ok_value)) if isinstance(listed, Ok) else listed
+
+    async def _call(
+        self, rule: Callable[[float], Result[Value, TableFailure]]
+    ) -> Result[Value, TableFailure]:
+        async def effect() -> Result[Value, TableFailure]:
+            if self._platform.faults.refuses():
+                return Err(TableRefused("outage"))
+            return rule(asyncio.get_running_loop().time())
+
+        answer = await self._network.call(
+            self._source, PLATFORM, effect, _TIMEOUT_S
+        )
+        if answer is Lost.NOT_SENT:
+            return Err(TableRefused("no connection"))
+        if isinstance(answer, Lost):
+            return Err(TableUnknown("no answer"))
+        return answer
--- /dev/null
+++ b/tests/fakes/fake_ports.py
@@ -0,0 +1,68 @@
+"""Ports of an entry in a test."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.entry.loop_clock import LoopClock
+from carawaystep.entry.ports import Ports
+from tests.fakes.fake_peer_port import FakePeerPort
+from tests.fakes.fake_platform import FakePlatform
+from tests.fakes.fake_worker_port import FakeWorkerPort
+
+if TYPE_CHECKING:
+    from carawaystep.entry.clock import Clock
+    from carawaystep.peer.peer_port import PeerPort
+    from carawaystep.platform.table_service import TableService
+    from carawaystep.platform.vm import Vm
+    from carawaystep.platform.vm_directory import VmDirectory
+    from carawaystep.worker.worker_port import WorkerPort
+    from tests.fakes.fake_fleet import FakeFleet
+
+
+class FakePorts(Ports):
+    """Gives one entry its view of a fake fleet."""
+
+    def __init__(self, fleet: FakeFleet, source: tuple[str, ...]) -> None:
+        """Create the ports.
+
+        :param fleet: platform, workers and entries of the test
+        :param source: names of the process, its entry and availability zone
+        """
+        self._fleet = fleet
+        self._source = source
+        self._clock = LoopClock()
+        self._platform = FakePlatform(fleet.platform, fleet.network, source)
+
+    @property
+    def clock(self) -> Clock:
+        """Return the event loop's clock."""
+        return self._clock
+
+    @property
+    def table(self) -> TableService:
+        """Return the fake platform."""
+        return self._platform
+
+    @property
+    def vm_directory(self) -> VmDirectory:
+        """Return the fake platform."""
+        return self._platform
+
+    def worker(self, vm: Vm) -> WorkerPort:
+        """Return a new port to a worker."""
+        return FakeWorkerPort(
+            self._fleet.workers[vm.name],
+            vm.availability_zone,
+            self._fleet.network,
+            self._source,
+        )
+
+    async def peer(self, address: str) -> PeerPort:
+        """Return a new link to another entry."""
+        return FakePeerPort(
+            lambda: self._fleet.handler(address),
+            self._fleet.place(address),
+            self._fleet.network,
+            self._source,
+        )
--- /dev/null
+++ b/tests/fakes/fencing_only_admission.py
@@ -0,0 +1,23 @@
+"""Admission of a worker that fences but does not check its limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.standin.worker.guarded_admission import GuardedAdmission
+from carawaystep.standin.worker.refusal import Leaving
+
+if TYPE_CHECKING:
+    from carawaystep.standin.worker.ledger import Ledger
+    from carawaystep.standin.worker.refusal import Refusal
+    from carawaystep.worker.resources import Resources
+
+
+class FencingOnlyAdmission(GuardedAdmission):
+    """Leaves the limits to the owner, so that its faults show."""
+
+    def check_work(
+        self, needs: Resources, ledger: Ledger, leaving: bool
+    ) -> Refusal | None:
+        """Accept all work unless the worker is leaving."""
+        return Leaving("the worker is leaving") if leaving else None
--- /dev/null
+++ b/tests/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised proof of the invariants in virtual time."""
--- /dev/null
+++ b/tests/proof/__main__.py
@@ -0,0 +1,38 @@
+"""Runs a proof: ``python -m tests.proof SEED SECONDS``."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from tests.proof.prover import Prover
+
+
+def main(arguments: list[str]) -> int:
+    """Run one proof and print its closing line.
+
+    :param arguments: seed and virtual seconds
+    :returns: 0 without violations, else 1
+    """
+    seed = int(arguments[0])
+    log = Prover(seed, float(arguments[1])).run()
+    for violation in log.violations[:50]:
+        print(f"violation: {violation}", file=sys.stderr)
+    if log.violations:
+        print("\n".join(log.history[-200:]), file=sys.stderr)
+    print(
+        json.dumps(
+            {
+                "seed": seed,
+                "steps": log.steps,
+                "faults": dict(sorted(log.faults.items())),
+                "checks": log.checks,
+                "violations": len(log.violations),
+            }
+        )
+    )
+    return 1 if log.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/proof/fault_driver.py
@@ -0,0 +1,166 @@
+"""Random faults of a proof."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawaystep.standin.faults import Faults
+from tests.fakes.fake_network import LinkFaults
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from random import Random
+
+    from tests.fakes.fake_fleet import FakeFleet
+    from tests.proof.callers import Callers
+    from tests.proof.proof_log import ProofLog
+
+
+class FaultDriver:
+    """Injects faults, alone and together, and mends them all at the end."""
+
+    def __init__(
+        self,
+        fleet: FakeFleet,
+        callers: Callers,
+        random: Random,
+        log: ProofLog,
+    ) -> None:
+        """Create a driver.
+
+        :param fleet: the deployment
+        :param callers: lose their connections when an entry dies
+        :param random: source of all chance
+        :param log: counts the faults
+        """
+        self._fleet = fleet
+        self._callers = callers
+        self._random = random
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float) -> None:
+        """Inject faults until a time, then wait for the last to end."""
+        loop = asyncio.get_running_loop()
+        kinds = self._kinds()
+        while loop.time() < until:
+            await asyncio.sleep(self._random.expovariate(1 / 3.0))
+            self._log.steps += 1
+            task = asyncio.ensure_future(self._random.choice(kinds)())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    def _kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
+            self._kill,
+            self._pause,
+            self._planned_stop,
+            self._cut_zones,
+            self._cut_zone_from_platform,
+            self._cut_entry_from_platform,
+            self._cut_entry_from_worker,
+            self._outage,
+            self._lossy_spell,
+            self._restart_worker,
+        ]
+
+    def _entry(self) -> str | None:
+        ready = sorted(
+            name for name, node in self._fleet.nodes.items() if node.ready
+        )
+        # One entry stays, so that there is somebody to call.
+        if len(ready) < 2:
+            return None
+        return self._random.choice(ready)
+
+    async def _kill(self) -> None:
+        name = self._entry()
+        if name is None:
+            return
+        self._log.fault("kill", name)
+        self._callers.break_connections(self._fleet.nodes[name])
+        await self._fleet.kill(name)
+        await self._restart(name)
+
+    async def _planned_stop(self) -> None:
+        name = self._entry()
+        if name is None:
+            return
+        self._log.fault("planned-stop", name)
+        node = self._fleet.nodes[name]
+        await node.drain()
+        self._log.check(
+            self._callers.in_flight(node) == 0,
+            f"the planned stop of {name} cut off requests",
+        )
+        if self._fleet.nodes.get(name) is node:
+            await self._fleet.kill(name)
+            await self._restart(name)
+
+    async def _restart(self, name: str) -> None:
+        await asyncio.sleep(self._random.uniform(0, 15))
+        node = self._fleet.create(name)
+        await node.start()
+
+    async def _pause(self) -> None:
+        name = self._entry()
+        if name is None:
+            return
+        self._log.fault("pause", name)
+        process = self._fleet.process(name)
+        self._fleet.network.pause(process)
+        await asyncio.sleep(self._random.uniform(1, 25))
+        if name in self._fleet.nodes and self._fleet.process(name) == process:
+            self._fleet.network.resume(process)
+
+    async def _cut(self, one: str, other: str, kind: str) -> None:
+        if self._fleet.network.is_cut(one, other):
+            return
+        self._log.fault(kind, f"{one} {other}")
+        self._fleet.network.cut(one, other)
+        await asyncio.sleep(self._random.uniform(1, 40))
+        self._fleet.network.mend(one, other)
+
+    async def _cut_zones(self) -> None:
+        one, other = self._random.sample(self._fleet.zones, 2)
+        await self._cut(one, other, "cut-zones")
+
+    async def _cut_zone_from_platform(self) -> None:
+        zone = self._random.choice(self._fleet.zones)
+        await self._cut(zone, "platform", "cut-zone-from-platform")
+
+    async def _cut_entry_from_platform(self) -> None:
+        name = self._random.choice(self._fleet.entry_names)
+        await self._cut(name, "platform", "cut-entry-from-platform")
+
+    async def _cut_entry_from_worker(self) -> None:
+        name = self._random.choice(self._fleet.entry_names)
+        worker = self._random.choice(sorted(self._fleet.workers))
+        await self._cut(name, worker, "cut-entry-from-worker")
+
+    async def _outage(self) -> None:
+        self._log.fault("platform-outage", "")
+        faults = self._fleet.platform.faults
+        loop = asyncio.get_running_loop()
+        faults.replace(Faults(refuse=True), loop.time())
+        await asyncio.sleep(self._random.uniform(1, 40))
+        faults.replace(Faults(), loop.time())
+
+    async def _lossy_spell(self) -> None:
+        self._log.fault("lossy-spell", "")
+        self._fleet.network.faults = LinkFaults(
+            lose_request=0.05,
+            lose_answer=0.08,
+            late_request=0.08,
+            delay_s=self._random.choice((0.01, 0.3)),
+        )
+        await asyncio.sleep(self._random.uniform(2, 20))
+        self._fleet.network.faults = LinkFaults()
+
+    async def _restart_worker(self) -> None:
+        name = self._random.choice(sorted(self._fleet.workers))
+        self._log.fault("restart-worker", name)
+        self._fleet.workers[name].restart()
--- /dev/null
+++ b/tests/proof/prover.py
@@ -0,0 +1,191 @@
+"""A randomised run of the real entry code in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import looptime
+from result import Ok
+
+from carawaystep.settings.standin_worker_settings import StandinServiceSettings
+from tests.fakes.fake_fleet import FakeFleet
+from tests.proof.callers import Callers
+from tests.proof.documents import SERVICES
+from tests.proof.documents import TEXTS
+from tests.proof.fault_driver import FaultDriver
+from tests.proof.proof_log import ProofLog
+from tools.ledger import Execution
+from tools.ledger import Ledger
+from tools.ledger_audit import LedgerAudit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Time after the last fault in which every accepted job must end: takeover,
+# lease and margin, and the queue of the longest jobs.
+_SETTLE_S = 600.0
+_WATCH_S = 0.5
+
+
+class Prover:
+    """One run: load, faults, a quiet end, and the audit of the ledgers."""
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        sabotage: Callable[[FakeFleet], None] | None = None,
+    ) -> None:
+        """Create a run.
+
+        :param seed: decides everything that happens
+        :param seconds: virtual seconds of load and faults
+        :param sabotage: makes a rule faulty, to show that the run notices
+        """
+        self._random = Random(seed)
+        self._seconds = seconds
+        self._sabotage = sabotage
+        self._versions: dict[tuple[str, str], int] = {}
+        self.log = ProofLog()
+
+    def run(self) -> ProofLog:
+        """Run in a loop that skips all waiting."""
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(self._run())
+        return self.log
+
+    async def _run(self) -> None:
+        fleet = FakeFleet(
+            self._random,
+            services={
+                "bookings": StandinServiceSettings(median_ms=60),
+                "charges": StandinServiceSettings(median_ms=80),
+            },
+        )
+        if self._sabotage is not None:
+            self._sabotage(fleet)
+        await fleet.start_all()
+        for service, text in TEXTS.items():
+            node = next(iter(fleet.nodes.values()))
+            await node.put_document(service, text, 0, None)
+        await asyncio.sleep(12)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._seconds
+        callers = Callers(fleet, self._random, self.log)
+        driver = FaultDriver(fleet, callers, self._random, self.log)
+        watching = asyncio.create_task(self._watch(fleet))
+        operators = asyncio.create_task(self._edit(fleet, until))
+        await asyncio.gather(callers.run(until), driver.run(until), operators)
+        await callers.finish()
+        await self._settle(fleet, callers)
+        watching.cancel()
+        self._audit(fleet, callers)
+        self.log.faults.update(fleet.network.injected)
+        await fleet.stop()
+
+    async def _watch(self, fleet: FakeFleet) -> None:
+        """Check that no document in force ever reverts."""
+        while True:
+            for name, node in fleet.nodes.items():
+                process = fleet.process(name)
+                for document in node.documents():
+                    key = (process, document.service)
+                    before = self._versions.get(key, 0)
+                    self.log.check(
+                        document.version >= before,
+                        f"{document.service} reverted at {process}",
+                    )
+                    self._versions[key] = document.version
+                self.log.check(
+                    not node.supervisor.has_broken,
+                    f"{process} found a broken invariant",
+                )
+            await asyncio.sleep(_WATCH_S)
+
+    async def _edit(self, fleet: FakeFleet, until: float) -> None:
+        """Have two operators race edits of one document."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            await asyncio.sleep(self._random.uniform(2, 12))
+            ready = [node for node in fleet.nodes.values() if node.ready]
+            if not ready:
+                continue
+            editors = [self._random.choice(ready) for _ in range(2)]
+            known = next(
+                (
+                    document.version
+                    for document in editors[0].documents()
+                    if document.service == "bookings"
+                ),
+                0,
+            )
+            texts = [f"{TEXTS['bookings']}# {loop.time()} {n}\n" for n in "ab"]
+            told = await asyncio.gather(
+                *(
+                    editor.put_document("bookings", text, known, None)
+                    for editor, text in zip(editors, texts, strict=True)
+                )
+            )
+            wins = sum(isinstance(result, Ok) for result in told)
+            self.log.check(wins <= 1, "two operators won one race")
+
+    async def _settle(self, fleet: FakeFleet, callers: Callers) -> None:
+        """Wait until all accepted jobs have ended."""
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + _SETTLE_S
+        open_jobs = set(callers.jobs)
+        while open_jobs and loop.time() < limit:
+            await asyncio.sleep(5)
+            node = next(iter(fleet.nodes.values()))
+            for job_id in sorted(open_jobs):
+                found = await node.find_job(job_id)
+                if isinstance(found, Ok) and found.ok_value.ended:
+                    open_jobs.discard(job_id)
+        self.log.check(not open_jobs, f"jobs never ended: {open_jobs}")
+
+    def _audit(self, fleet: FakeFleet, callers: Callers) -> None:
+        ledgers = _ledgers(fleet)
+        findings = LedgerAudit(SERVICES, ledgers, callers.records).findings()
+        for violation in (
+            *findings.executed_twice,
+            *findings.overcommitted,
+            *findings.disagreements,
+        ):
+            self.log.check(False, violation)
+        self.log.checks += len(callers.records) + len(callers.jobs)
+        self.log.checks += sum(len(ledger.executions) for ledger in ledgers)
+
+
+def _ledgers(fleet: FakeFleet) -> list[Ledger]:
+    ledgers = []
+    for worker in fleet.workers.values():
+        for number, (run, ended_at) in enumerate(worker.incarnations):
+            ledgers.append(
+                Ledger(
+                    worker=f"{worker.name}#{number}",
+                    executions=[
+                        Execution(
+                            id=execution.id,
+                            kind=execution.kind.value,
+                            key=execution.key,
+                            service=execution.service,
+                            attempt=execution.attempt,
+                            start=execution.start,
+                            end=(
+                                ended_at
+                                if execution.end is None
+                                else execution.end
+                            ),
+                            how=execution.how,
+                        )
+                        for execution in run.ledger.executions
+                    ],
+                    peaks={
+                        name: (peak.highest, peak.limit)
+                        for name, peak in run.ledger.peaks.items()
+                    },
+                )
+            )
+    return ledgers
