Share workers evenly and hand them over one at a time

The plan now caps each entry at the even share and an entry hands over one worker each 2 s. The peer server is started again when its handler fails.

--- a/src/carawaystep/entry/daemon.py
+++ b/src/carawaystep/entry/daemon.py
@@ -19,11 +19,11 @@
 from carawaystep.adapters.zmq.peer_server import PeerServer
 from carawaystep.entry.entry_node import EntryNode
 from carawaystep.entry.event_log import log_event
+from carawaystep.errors.broken_invariant import BrokenInvariant
 from carawaystep.timeline.event_ring import EventRing
 
 if TYPE_CHECKING:
     from carawaystep.access.token_table import TokenTable
-    from carawaystep.errors.broken_invariant import BrokenInvariant
     from carawaystep.settings.entry_settings import EntrySettings
 
 EXIT_OK = 0
@@ -91,6 +91,7 @@
             loop.add_signal_handler(number, stop.set)
         await self._http.start()
         await self._peer_server.start()
+        self._node.supervisor.spawn("peer server", self._watch_peers)
         starting = asyncio.create_task(self._node.start())
         stopped = asyncio.create_task(stop.wait())
         broken = asyncio.create_task(self._node.supervisor.broken())
@@ -108,6 +109,18 @@
         broken.cancel()
         return code
 
+    async def _watch_peers(self) -> None:
+        """Start the peer server again when it ended with an error."""
+        try:
+            await self._peer_server.wait()
+        except ExceptionGroup as group:
+            broken, _ = group.split(BrokenInvariant)
+            if broken is not None:
+                raise BrokenInvariant(str(broken.exceptions[0])) from group
+            await self._peer_server.stop()
+            await self._peer_server.start()
+            raise
+
     def _fail(self, broken: BrokenInvariant) -> int:
         logging.error("Broken invariant, stopping: %s", broken)
         return EXIT_BROKEN_INVARIANT
--- a/src/carawaystep/entry/ownership_keeper.py
+++ b/src/carawaystep/entry/ownership_keeper.py
@@ -27,6 +27,10 @@
 
 _INTERVAL_S = 0.5
 
+# A worker that is handed over takes no work for about a second, so an entry
+# hands over one at a time.
+_HANDOVER_INTERVAL_S = 2.0
+
 
 class OwnershipKeeper:
     """Decides ownership each half second and runs a task per own worker."""
@@ -53,6 +57,7 @@
         self._follower = follower
         self._supervisor = supervisor
         self._served: dict[str, int] = {}
+        self._next_handover_at = 0.0
 
     async def run(self) -> None:
         """Keep ownership until the task is cancelled."""
@@ -63,26 +68,24 @@
 
     async def keep_once(self) -> None:
         """Decide once for each VM of the own availability zone."""
+        plan = self._plan()
         for vm in self._state.zone.own_vms():
             session = self._pool.find(vm.name)
             if session is None:
-                await self._consider_takeover(vm)
+                await self._consider_takeover(vm, plan.get(vm.name))
                 continue
             if vm.state is VmState.LEAVING and session.worker.mark_leaving():
                 self._state.record("worker.leaving", vm.name)
-            await self._consider_handover(vm, session)
+            await self._consider_handover(session, plan.get(vm.name))
         self._end_gone()
 
     async def hand_over_all(self) -> None:
         """Give every worker to another live entry, before a planned stop."""
+        plan = self._plan()
         for session in self._pool.sessions:
             own = session.ownership
-            better = self._state.assignment.preferred(
-                own.worker, self._state.zone.own_zone, self._state.now
-            )
-            record = (
-                None if better is None else self._state.directory.find(better)
-            )
+            better = plan.get(own.worker, "")
+            record = self._state.directory.find(better)
             if record is None or record.name == own.entry:
                 continue
             session.worker.guard.revoke()
@@ -91,7 +94,14 @@
             )
             await self._write(moved, session.worker.vm)
 
-    async def _consider_takeover(self, vm: Vm) -> None:
+    def _plan(self) -> dict[str, str]:
+        return self._state.assignment.plan(
+            (vm.name for vm in self._state.zone.own_vms()),
+            self._state.zone.own_zone,
+            self._state.now,
+        )
+
+    async def _consider_takeover(self, vm: Vm, planned: str | None) -> None:
         if self._state.draining:
             return
         present = self._state.owners.get(vm.name)
@@ -99,7 +109,7 @@
             self._start_session(vm, present)
             return
         wanted = self._state.assignment.takeover(
-            vm.name, vm.availability_zone, present, self._state.now
+            vm.name, planned, present, self._state.now
         )
         if wanted is not None:
             await self._write(wanted, vm)
@@ -114,17 +124,23 @@
             return False
         return present.epoch > self._served.get(present.worker, 0)
 
-    async def _consider_handover(self, vm: Vm, session: WorkerSession) -> None:
-        if session.worker.guard.revoked:
+    async def _consider_handover(
+        self, session: WorkerSession, planned: str | None
+    ) -> None:
+        worker = session.worker
+        now = self._state.now
+        if worker.guard.revoked:
             return
         moved = self._state.assignment.handover(
-            session.ownership, vm.availability_zone, self._state.now
+            session.ownership, planned, now
         )
-        if moved is None:
+        if moved is None or now < self._next_handover_at:
             return
-        session.worker.guard.revoke()
-        self._state.record("worker.handed-over", vm.name, to=moved.entry)
-        await self._write(moved, vm)
+        self._next_handover_at = now + _HANDOVER_INTERVAL_S
+        self._state.assignment.handed_over(worker.name)
+        worker.guard.revoke()
+        self._state.record("worker.handed-over", worker.name, to=moved.entry)
+        await self._write(moved, worker.vm)
 
     async def _write(self, wanted: Ownership, vm: Vm) -> None:
         """Write an owner row; the follower shows a result that was lost."""
--- a/src/carawaystep/entry/supervisor.py
+++ b/src/carawaystep/entry/supervisor.py
@@ -30,6 +30,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: asyncio.Future[BrokenInvariant] | None = None
 
+    @property
+    def has_broken(self) -> bool:
+        """Tell whether a broken invariant was reported."""
+        return self._broken is not None and self._broken.done()
+
     def report(self, broken: BrokenInvariant) -> None:
         """Have the process stop because of a broken invariant."""
         future = self._future()
--- a/src/carawaystep/membership/assignment.py
+++ b/src/carawaystep/membership/assignment.py
@@ -8,6 +8,8 @@
 from carawaystep.membership.rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawaystep.membership.entry_directory import EntryDirectory
 
 # A better owner must stay better for this long, so that one restart does not
@@ -36,17 +38,37 @@
         self._incarnation = incarnation
         self._better_since: dict[str, tuple[str, float]] = {}
 
-    def preferred(
-        self, worker: str, availability_zone: str, now: float
-    ) -> str | None:
-        """Return the entry that should own a worker, None when none lives."""
+    def plan(
+        self, workers: Iterable[str], availability_zone: str, now: float
+    ) -> dict[str, str]:
+        """Return the entry that should own each worker.
+
+        Each worker goes to its highest rendezvous hash among the entries
+        that have not reached the even share. Plain rendezvous hashing gave
+        one of three entries a single worker of eight.
+
+        :param workers: all workers of the availability zone
+        :param availability_zone: its name
+        :param now: present time, seconds of a monotonic clock
+        :returns: entry by worker, empty when no entry lives
+        """
         candidates = self._directory.candidates(availability_zone, now)
-        return ranked(worker, candidates)[0] if candidates else None
+        names = sorted(workers)
+        if not candidates:
+            return {}
+        share = -(-len(names) // len(candidates))
+        loads = dict.fromkeys(candidates, 0)
+        owners = {}
+        for name in names:
+            free = [entry for entry in candidates if loads[entry] < share]
+            owners[name] = ranked(name, free)[0]
+            loads[owners[name]] += 1
+        return owners
 
     def takeover(
         self,
         worker: str,
-        availability_zone: str,
+        planned: str | None,
         present: Ownership | None,
         now: float,
     ) -> Ownership | None:
@@ -55,11 +77,11 @@
         It is asked only while this process does not serve the worker.
 
         :param worker: name of the worker
-        :param availability_zone: where it is
+        :param planned: the entry that should own it
         :param present: its row, None when there is none
         :param now: present time, seconds of a monotonic clock
         """
-        if self.preferred(worker, availability_zone, now) != self._entry:
+        if planned != self._entry:
             return None
         if present is None:
             return Ownership(worker, self._entry, self._incarnation, 1, 0)
@@ -76,16 +98,15 @@
         )
 
     def handover(
-        self, own: Ownership, availability_zone: str, now: float
+        self, own: Ownership, planned: str | None, now: float
     ) -> Ownership | None:
         """Return the ownership to write when another entry should own it.
 
         :param own: this process's row
-        :param availability_zone: where the worker is
+        :param planned: the entry that should own the worker
         :param now: present time, seconds of a monotonic clock
         """
-        better = self.preferred(own.worker, availability_zone, now)
-        record = None if better is None else self._directory.find(better)
+        record = None if planned is None else self._directory.find(planned)
         if record is None or record.name == self._entry:
             self._better_since.pop(own.worker, None)
             return None
@@ -97,9 +118,12 @@
             return None
         return self.moved(own, record.name, record.incarnation)
 
+    def handed_over(self, worker: str) -> None:
+        """Forget how long another entry has been preferred."""
+        self._better_since.pop(worker, None)
+
     def moved(self, own: Ownership, entry: str, incarnation: str) -> Ownership:
         """Return this process's ownership given to another entry."""
-        self._better_since.pop(own.worker, None)
         return Ownership(
             own.worker, entry, incarnation, own.epoch + 1, own.version
         )
