--- a/src/carawaystep/standin/worker/standin_worker.py
+++ b/src/carawaystep/standin/worker/standin_worker.py
@@ -29,6 +29,7 @@
 from carawaystep.worker.work_kind import WorkKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from result import Result
@@ -54,12 +55,16 @@
     """
 
     def __init__(
-        self, settings: StandinWorkerSettings, run_times: RunTimeModel
+        self,
+        settings: StandinWorkerSettings,
+        run_times: RunTimeModel,
+        guarded: Callable[[Capacity], Admission] = GuardedAdmission,
     ) -> None:
         """Create an idle worker.
 
         :param settings: limits of the worker
         :param run_times: run times and failures
+        :param guarded: creates the admission when guards are on
         """
         self._settings = settings
         self._run_times = run_times
@@ -70,7 +75,7 @@
         )
         self._admission: Admission = OpenAdmission()
         if settings.guards:
-            self._admission = GuardedAdmission(self._capacity)
+            self._admission = guarded(self._capacity)
         self._ledger = Ledger(self._capacity)
         self._reports = ReportLog()
         self._usage = UsageLog(settings.usage_lag_s)
