Fix what the random runs found; test assignment, requests and the runs

Only a row that was read now shows that nothing is to be changed. - a job stayed assigned for ever: its shard was followed by another availability zone, so the worker's new owner did not know it. New sessions now read all jobs once. - a worker stayed without an owner: the write of a handover failed and the row named a process that had given the worker up. It is written again. - a waiting request span at its deadline when the timer fired one tick early.

Ruled out: the audit and the fakes (the ledgers show both ends of the job). Runs repeat exactly with a fixed hash seed.

--- a/src/carawaystep/entry/entry_node.py
+++ b/src/carawaystep/entry/entry_node.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from carawaystep.entry.assigned_jobs_reader import AssignedJobsReader
 from carawaystep.entry.bootstrap import Bootstrap
 from carawaystep.entry.document_follower import DocumentFollower
 from carawaystep.entry.document_writer import DocumentWriter
@@ -101,6 +102,7 @@
             state, self._pool, self._recorder, self._jobs
         )
         self._standing = StandingKeeper(state, self._recorder, self._jobs)
+        self._assigned_jobs = AssignedJobsReader(state, self._pool)
         self._recovery = LostWorkerRecovery(state, self._recorder)
         self._job_desk = JobDesk(state, self._recorder)
         self._document_writer = DocumentWriter(state)
@@ -266,6 +268,7 @@
             ("peers", self._links),
             ("ownership", self._keeper),
             ("claims", self._claimer),
+            ("assigned jobs", self._assigned_jobs),
             ("standing services", self._standing),
             ("lost workers", self._recovery),
             ("waiting requests", self._dispatcher.room),
--- a/src/carawaystep/entry/job_recorder.py
+++ b/src/carawaystep/entry/job_recorder.py
@@ -100,13 +100,16 @@
         """
         failure: TableFailure = TableFailure("too many conflicts")
         job = self._state.jobs.find(job_id)
+        # The board may be behind, so only a row that was read can show that
+        # nothing is to be changed.
+        changed = None if job is None else rule(job)
         for _ in range(_MAX_CONFLICTS):
-            if job is None:
+            if job is None or changed is None:
                 read = await self.read(job_id)
                 if not isinstance(read, Ok) or read.ok_value is None:
                     return read
                 job = read.ok_value
-            changed = rule(job)
+                changed = rule(job)
             if changed is None:
                 return Ok(job)
             written = await self.write(job, changed, owner)
@@ -117,7 +120,7 @@
                 return Err(failure)
             if any(table == OWNERS for table, _ in failure.versions):
                 return Err(failure)
-            job = None
+            changed = None
         return Err(failure)
 
     async def _read_back(
--- a/src/carawaystep/entry/jobs_follower.py
+++ b/src/carawaystep/entry/jobs_follower.py
@@ -31,6 +31,8 @@
         """Create a follower of the table ``jobs``."""
         super().__init__(state, TABLE)
         self._shards: tuple[str, ...] = ()
+        self._zones: frozenset[str] = frozenset()
+        self._names: tuple[tuple[str, ...], list[str]] = ((), [])
 
     def prefixes(self) -> Sequence[str]:
         """Return the shards of the own availability zone."""
@@ -61,17 +63,26 @@
         names = state.directory.candidates(
             state.settings.availability_zone, state.now
         )
-        own = state.settings.name
-        return [
-            shard
-            for shard in self._shards
-            if names and ranked(shard, names)[0] == own
-        ]
+        key = (*names, "", *self._shards)
+        if key != self._names[0]:
+            own = state.settings.name
+            shards = [
+                shard
+                for shard in self._shards
+                if names and ranked(shard, names)[0] == own
+            ]
+            self._names = (key, shards)
+        return self._names[1]
 
     def _zone_shards(self) -> tuple[str, ...]:
         state = self._state
         own = state.settings.availability_zone
-        zones = set(state.directory.availability_zones(state.now)) | {own}
+        zones = frozenset(
+            {own, *state.directory.availability_zones(state.now)}
+        )
+        if zones == self._zones:
+            return self._shards
+        self._zones = zones
         return tuple(
             shard for shard in SHARDS if ranked(shard, zones)[0] == own
         )
--- a/src/carawaystep/entry/waiting_room.py
+++ b/src/carawaystep/entry/waiting_room.py
@@ -14,6 +14,10 @@
 # this time even when nothing was heard.
 _HEAD_RETRY_S = 0.1
 
+# A timer may fire one clock tick early; without a minimum the wait would
+# then be repeated at once, over and over.
+_MIN_WAIT_S = 0.001
+
 
 class WaitingRoom:
     """Wakes the head of the admission queue when there may be room."""
@@ -45,7 +49,7 @@
         if ticket not in self._wakers and not self._enter(ticket, request):
             return False
         waker = self._wakers[ticket]
-        limit_s = request.remaining_s(self._state.now)
+        limit_s = max(request.remaining_s(self._state.now), _MIN_WAIT_S)
         if self._queue.head == ticket:
             limit_s = min(limit_s, _HEAD_RETRY_S)
         try:
--- a/src/carawaystep/membership/assignment.py
+++ b/src/carawaystep/membership/assignment.py
@@ -82,7 +82,7 @@
         :param now: present time, seconds of a monotonic clock
         """
         if planned != self._entry:
-            return None
+            return self._given_up(planned, present)
         if present is None:
             return Ownership(worker, self._entry, self._incarnation, 1, 0)
         # A row that names this entry is of an earlier process, or of an
@@ -128,6 +128,21 @@
             own.worker, entry, incarnation, own.epoch + 1, own.version
         )
 
+    def _given_up(
+        self, planned: str | None, present: Ownership | None
+    ) -> Ownership | None:
+        """Return a handover whose first write failed.
+
+        This process has stopped serving the worker, but its row still names
+        it, so no other entry would take over.
+        """
+        if present is None or present.incarnation != self._incarnation:
+            return None
+        record = None if planned is None else self._directory.find(planned)
+        if record is None:
+            return None
+        return self.moved(present, record.name, record.incarnation)
+
     def _holds(self, present: Ownership, now: float) -> bool:
         """Tell whether the present owner's process still lives."""
         record = self._directory.find(present.entry)
--- /dev/null
+++ b/tests/proof/test_prover.py
@@ -0,0 +1,62 @@
+"""Random runs with fixed seeds, and faulty rules that they must catch."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+
+from testtools import TestCase
+
+from carawaystep.worker.worker import Worker
+from tests.fakes.fencing_only_admission import FencingOnlyAdmission
+from tests.proof.prover import Prover
+
+
+class ProverTest(TestCase):
+    """The invariants under random faults."""
+
+    def test_fixed_seeds_hold(self) -> None:
+        """Guards against every violation that these runs can show.
+
+        Each run is a process of its own with a fixed hash seed, so that its
+        steps are the same each time.
+        """
+        environment = {**os.environ, "PYTHONHASHSEED": "0"}
+        for seed in (1, 12):
+            run = subprocess.run(
+                [sys.executable, "-m", "tests.proof", str(seed), "60"],
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=100,
+                check=False,
+            )
+            self.assertEqual(0, run.returncode, run.stderr)
+            line = json.loads(run.stdout)
+            self.assertEqual(0, line["violations"])
+            self.assertTrue(line["checks"] > 1000, line)
+
+    def test_worker_that_accepts_every_token_is_caught(self) -> None:
+        """Shows that the runs notice a missing fence."""
+        self._assert_caught(
+            FencingOnlyAdmission, "check_epoch", lambda *_: None
+        )
+
+    def test_owner_that_ignores_what_runs_is_caught(self) -> None:
+        """Shows that the runs notice an overcommitted worker."""
+        self._assert_caught(Worker, "has_room", lambda *_: True)
+
+    def _assert_caught(
+        self, owner: type[object], name: str, faulty: object
+    ) -> None:
+        self.patch(owner, name, faulty)
+        for seed in range(1, 6):
+            try:
+                log = Prover(seed, 60).run()
+            except Exception as failure:
+                self.fail(f"the run itself failed: {failure!r}")
+            if log.violations:
+                return
+        self.fail("no run noticed the faulty rule")
