Keep a peer link until it has been silent for 3 s

Cause: a session closed its link after the first failed heartbeat. A new zmq link is not connected yet when the first heartbeat is sent, and that heartbeat fails at once, so a link was closed before it could connect and was opened again within a second.

Change: a failed heartbeat marks the peer as lost, and is repeated each 0.1 s on the same link until 3 s have passed without an answer, as the design says.

--- a/src/carawaystep/entry/peer_session.py
+++ b/src/carawaystep/entry/peer_session.py
@@ -26,6 +26,7 @@
 # A link without a reply for this long is closed and opened anew.
 _SILENT_AFTER_S = 3.0
 _RETRY_S = 1.0
+_CONNECT_POLL_S = 0.1
 
 
 class PeerSession:
@@ -83,14 +84,29 @@
             == self._state.settings.availability_zone
         )
         interval_s = _NEAR_INTERVAL_S if same_zone else _FAR_INTERVAL_S
+        failing_since: float | None = None
         while True:
+            sent_at = self._state.now
             answer = await port.heartbeat(self._state.load(), _SILENT_AFTER_S)
-            if not isinstance(answer, Ok):
-                if self._heard:
-                    self._state.record("peer.silent", self._record.name)
+            if isinstance(answer, Ok):
+                failing_since = None
+                self._hear(answer.ok_value)
+                await asyncio.sleep(interval_s)
+                continue
+            self._lose()
+            if failing_since is None:
+                failing_since = sent_at
+            if self._state.now - failing_since >= _SILENT_AFTER_S:
                 return
-            self._hear(answer.ok_value)
-            await asyncio.sleep(interval_s)
+            # A link takes a few round trips to connect, and until then a
+            # heartbeat fails at once. Closing it would begin them anew.
+            await asyncio.sleep(_CONNECT_POLL_S)
+
+    def _lose(self) -> None:
+        if self._heard:
+            self._state.record("peer.silent", self._record.name)
+        self._heard = False
+        self._state.zone.lose(self._record.name)
 
     def _hear(self, load: EntryLoad) -> None:
         state = self._state
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks of an entry process."""
