Measure what an entry process costs at several sizes

Cause: docs/CAPACITY.md has to give state, messages, processor time and memory at the target scale from measured slopes, and nothing measured them.

Change: tools.capacity starts a real entry process between relays that count its calls and bytes by kind, with the stand-in platform and workers, and simulated peers on real links. Ten sizes are varied one by one, and two whole target sizes are measured too. A line is fitted to each size with statistics.linear_regression. `make measure-capacity` keeps the raw figures and writes the tables of the page.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: install demo test lint format unit check-model
+.PHONY: install demo test lint format unit check-model measure-capacity
 
 # SKIP_INSTALL=1 uses the environment as it is.
 ifeq ($(SKIP_INSTALL),)
@@ -23,6 +23,10 @@
 demo: install
 	$(BIN)/python -m tools.demo $(EXAMPLE)
 
+# Takes about five minutes; writes docs/CAPACITY.md and the raw figures.
+measure-capacity: install
+	$(BIN)/python -m tools.capacity.measure
+
 lint: install
 	$(BIN)/ruff format --check src tests tools
 	$(BIN)/ruff check src tests tools
--- /dev/null
+++ b/tests/tools/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the capacity measurements."""
--- /dev/null
+++ b/tests/tools/capacity/figures.py
@@ -0,0 +1,70 @@
+"""Made-up figures with a known cost of each size."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from tools.capacity.plan import combined_scenarios
+from tools.capacity.plan import planned_slopes
+from tools.capacity.sample import Sample
+
+if TYPE_CHECKING:
+    from tools.capacity.scenario import Scenario
+
+WORKER_BYTES_PER_S = 60.0
+START_WRITES = 2.0
+
+
+def sample_of(scenario: Scenario) -> Sample:
+    """Return a sample whose costs are linear in the sizes."""
+
+    def rates(calls: float, size: float) -> dict[str, float]:
+        return {
+            "calls_per_s": calls,
+            "sent_bytes_per_s": size,
+            "received_bytes_per_s": 0.0,
+        }
+
+    return Sample(
+        scenario,
+        10.0,
+        1.0,
+        0.01 + 0.001 * scenario.workers,
+        64.0 + 0.05 * scenario.documents,
+        {
+            "platform/vms": rates(1.0, 100.0 * scenario.vms),
+            "platform/transactions": rates(
+                0.5 + START_WRITES * scenario.starts_per_s, 200.0
+            ),
+            "workers/report": rates(
+                0.2 * scenario.workers, WORKER_BYTES_PER_S * scenario.workers
+            ),
+            "peers/out": rates(2.0, 300.0),
+            "peers/in": rates(2.0, 300.0),
+        },
+    )
+
+
+def measurements() -> dict[str, Any]:
+    """Return the content of a file of measurements."""
+    return {
+        "machine": {"cores": 10, "python": "3.11.7"},
+        "decisions_us": {
+            "placement": {"8": 16.0, "24": 48.0},
+            "claim_round": {"0": 3.0, "1000": 1003.0},
+            "shards": {"1": 500.0, "15": 7500.0},
+            "document": {"1": 2900.0},
+        },
+        "slopes": {
+            slope.name: [
+                {"size": size, "sample": sample_of(scenario).to_json()}
+                for size, scenario in slope.points.items()
+            ]
+            for slope in planned_slopes()
+        },
+        "combined": {
+            name: sample_of(scenario).to_json()
+            for name, scenario in combined_scenarios().items()
+        },
+    }
--- /dev/null
+++ b/tests/tools/capacity/test_capacity_report.py
@@ -0,0 +1,65 @@
+"""Tests of the report writer."""
+
+from __future__ import annotations
+
+from testtools import ExpectedException
+from testtools import TestCase
+from testtools.matchers import Contains
+
+from tests.tools.capacity.figures import measurements
+from tests.tools.capacity.figures import START_WRITES
+from tools.capacity.capacity_page import CapacityPage
+from tools.capacity.capacity_report import CapacityReport
+from tools.capacity.capacity_report import verdict
+from tools.capacity.markdown import cell
+
+
+class CapacityReportTest(TestCase):
+    """The tables show what the figures say."""
+
+    def setUp(self) -> None:
+        """Take the made-up figures."""
+        super().setUp()
+        self.report = CapacityReport(measurements())
+
+    def test_writes_of_a_start_do_not_include_heartbeats(self) -> None:
+        """Heartbeats are written without any start too."""
+        self.assertAlmostEqual(START_WRITES, self.report.writes_per_start())
+
+    def test_the_table_service_is_over_its_limit_at_the_peak(self) -> None:
+        """67.5 heartbeats and 600 writes of jobs exceed 400 a second."""
+        self.assertThat(
+            self.report.blocks()["table"],
+            Contains(
+                "| writes | 668 | 623 | no, up to 1.67 times the limit |"
+            ),
+        )
+
+    def test_a_missed_budget_says_by_how_much(self) -> None:
+        """A budget that is missed must not look as if it held."""
+        self.assertEqual("yes", verdict([3.0, 3.6], 3.6))
+        self.assertEqual(
+            "no, up to 2 times the limit", verdict([3.0, 7.2], 3.6)
+        )
+
+    def test_cells_keep_small_figures(self) -> None:
+        """A small slope times 3,200 is not small."""
+        self.assertEqual("0.00123", cell(0.0012345))
+        self.assertEqual("12,346", cell(12345.6))
+
+
+class CapacityPageTest(TestCase):
+    """Only the generated blocks of the page change."""
+
+    def test_text_around_a_block_stays(self) -> None:
+        """The written sections must survive a run of the command."""
+        page = CapacityPage("a\n<!-- x -->\nold\n<!-- end -->\nb\n")
+        self.assertEqual(
+            "a\n<!-- x -->\n| 1 |\n<!-- end -->\nb\n",
+            page.with_blocks({"x": "| 1 |\n"}),
+        )
+
+    def test_a_missing_block_is_refused(self) -> None:
+        """A table would vanish from the page without notice."""
+        with ExpectedException(ValueError, "give the page one block.*"):
+            CapacityPage("a\n").with_blocks({"x": ""})
--- /dev/null
+++ b/tools/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what an entry process costs and extrapolates to a target."""
--- /dev/null
+++ b/tools/capacity/cost_model.py
@@ -0,0 +1,66 @@
+"""Costs of an entry at any size, from fitted slopes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tools.capacity.sample import Sample
+from tools.capacity.scenario import Scenario
+from tools.capacity.slope import Slope
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+_SMALL = Scenario()
+
+
+class CostModel:
+    """Adds up the growth of each size, as if none influenced another.
+
+    The samples of whole deployments tell how far that holds.
+    """
+
+    def __init__(self, slopes: Mapping[str, list[dict[str, Any]]]) -> None:
+        """Take the raw figures.
+
+        :param slopes: size and sample of each point by name of the slope
+        """
+        self._points = {
+            name: [
+                (float(point["size"]), Sample.from_json(point["sample"]))
+                for point in points
+            ]
+            for name, points in slopes.items()
+        }
+        self._small = next(
+            sample
+            for points in self._points.values()
+            for _, sample in points
+            if sample.scenario == _SMALL
+        )
+
+    @property
+    def small(self) -> Sample:
+        """Return the sample that growth is added to."""
+        return self._small
+
+    def slope(self, name: str, cost: str) -> Slope:
+        """Return the fitted line of one cost over one size.
+
+        :param name: name of the size
+        :param cost: name of the cost, as ``Sample.cost`` takes it
+        """
+        sizes, samples = zip(*self._points[name], strict=True)
+        return Slope.fit(sizes, [sample.cost(cost) for sample in samples])
+
+    def growth(self, name: str, cost: str, size: float) -> float:
+        """Return the cost of one size beyond that of the small sample."""
+        start = float(getattr(_SMALL, name))
+        return self.slope(name, cost).per_unit * (size - start)
+
+    def total(self, cost: str, sizes: Mapping[str, float]) -> float:
+        """Return the cost at the sizes of a deployment."""
+        return self._small.cost(cost) + sum(
+            self.growth(name, cost, size) for name, size in sizes.items()
+        )
--- /dev/null
+++ b/tools/capacity/decision_costs.py
@@ -0,0 +1,127 @@
+"""Processor time of decisions, measured in this process."""
+
+from __future__ import annotations
+
+from itertools import repeat
+from time import process_time
+from typing import TYPE_CHECKING
+
+from carawaystep.document.document_loader import load_document
+from carawaystep.job.job_board import JobBoard
+from carawaystep.job.job_row import JobRow
+from carawaystep.membership.rendezvous import ranked
+from carawaystep.platform.vm import Vm
+from carawaystep.platform.vm_state import VmState
+from carawaystep.worker.capacity import Capacity
+from carawaystep.worker.fence_answer import FenceAnswer
+from carawaystep.worker.fencing_guard import FencingGuard
+from carawaystep.worker.least_loaded_placement import LeastLoadedPlacement
+from carawaystep.worker.reservation import Reservation
+from carawaystep.worker.resources import Resources
+from carawaystep.worker.work_kind import WorkKind
+from carawaystep.worker.worker import Worker
+from tools.capacity.fleet import Fleet
+from tools.capacity.scenario import Scenario
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawaystep.document.service_spec import ServiceSpec
+
+_REPEATS = 5
+_LEAST_S = 0.1
+_CLAIMS_AT_ONCE = 16
+_SHARDS = [f"{number:02x}" for number in range(256)]
+_NEEDS = Resources(1.0, 2000, 0)
+
+
+class DecisionCosts:
+    """Measures decisions that need no other process."""
+
+    def __init__(self) -> None:
+        """Load the document that jobs refer to."""
+        self._fleet = Fleet(Scenario())
+        text = self._fleet.document_row(0).value["text"]
+        self._spec: ServiceSpec = load_document(text, "recheck-0", 1).ok_value
+        self._text = text
+
+    def placement_us(self, workers: int) -> float:
+        """Return the cost of one choice among workers.
+
+        :param workers: workers, each with half of its slots taken
+        """
+        owned = [self._worker(number) for number in range(workers)]
+        policy = LeastLoadedPlacement(2)
+        return self._microseconds(
+            lambda: policy.choose(owned, _NEEDS, WorkKind.TASK, 1.0)
+        )
+
+    def claim_round_us(self, queued: int) -> float:
+        """Return the cost of ranking queued jobs once.
+
+        :param queued: queued jobs, all waiting for longer than 1 s
+        """
+        board = JobBoard()
+        for number in range(queued):
+            row = self._fleet.job_row(f"job-{number}", 15.0, number / 100)
+            job = JobRow.parse(row.key, row.value, 1).ok_value
+            board.apply(job, 0.0)
+        return self._microseconds(
+            lambda: board.claimable(
+                lambda _: self._spec,
+                _SHARDS[::9],
+                10.0,
+                1000.0,
+                _CLAIMS_AT_ONCE,
+            )
+        )
+
+    def shards_us(self, zones: int) -> float:
+        """Return the cost of finding the own zone's shards.
+
+        :param zones: availability zones with live entries
+        """
+        names = [f"z{number}" for number in range(zones)]
+        return self._microseconds(
+            lambda: [s for s in _SHARDS if ranked(s, names)[0] == "z0"]
+        )
+
+    def document_us(self) -> float:
+        """Return the cost of loading one service document."""
+        return self._microseconds(
+            lambda: load_document(self._text, "recheck-0", 1)
+        )
+
+    @staticmethod
+    def _worker(number: int) -> Worker:
+        vm = Vm(f"w-{number}", "z0", "r", "http://w", VmState.LIVE)
+        worker = Worker(vm, FencingGuard(1))
+        running = tuple(
+            Reservation(f"{number}-{slot}", WorkKind.TASK, 1, _NEEDS)
+            for slot in range(4)
+        )
+        capacity = Capacity(Resources(32.0, 125_000, 0), 8, 64)
+        token = worker.begin_fence()
+        worker.inherit(
+            FenceAnswer(token, True, False, capacity, running, 0, 0.0), 0.0
+        )
+        return worker
+
+    @staticmethod
+    def _microseconds(call: Callable[[], object]) -> float:
+        """Return the least mean of a few series, which others disturb less."""
+        count = 1
+        while True:
+            took_s = _time(call, count)
+            if took_s >= _LEAST_S:
+                break
+            count *= 2
+        best = min(took_s, *(_time(call, count) for _ in range(_REPEATS)))
+        return round(best / count * 1_000_000, 1)
+
+
+def _time(call: Callable[[], object], count: int) -> float:
+    began = process_time()
+    for _ in repeat(None, count):
+        call()
+    return process_time() - began
--- /dev/null
+++ b/tools/capacity/fleet.py
@@ -0,0 +1,158 @@
+"""Names and rows of a simulated deployment."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from itertools import count
+from typing import TYPE_CHECKING
+
+from carawaystep.job.job_id import SHARDS
+from carawaystep.job.job_row import JobRow
+from carawaystep.membership.entry_row import EntryRow
+from carawaystep.membership.rendezvous import ranked
+from carawaystep.platform.operation import PutRow
+from tools.port_allocator import HOST
+
+if TYPE_CHECKING:
+    from tools.capacity.scenario import Scenario
+
+ENTRY = "z0-e0"
+ZONE = "z0"
+BATCH_SERVICE = "recheck-0"
+
+# Nothing listens there; the measured entry never connects to it.
+_UNUSED = f"{HOST}:9"
+
+
+class Fleet:
+    """Names chosen so that the measured entry owns exactly its workers.
+
+    Workers go to the entry of their availability zone that the rendezvous
+    hash ranks first.
+    """
+
+    def __init__(self, scenario: Scenario) -> None:
+        """Create the names.
+
+        :param scenario: sizes
+        """
+        self._scenario = scenario
+        self._entries = {
+            f"z{zone}": [
+                f"z{zone}-e{number}"
+                for number in range(
+                    scenario.zone_entries
+                    if zone == 0
+                    else scenario.far_entries
+                )
+            ]
+            for zone in range(scenario.availability_zones)
+        }
+        self._shards = self._own_shards()
+        others = scenario.zone_vms - scenario.workers
+        if scenario.zone_entries == 1 and others > 0:
+            raise ValueError("a single entry owns all workers of its zone")
+        self._workers = self._names(scenario.workers, own=True)
+        self._other_workers = self._names(max(0, others), own=False)
+
+    @property
+    def workers(self) -> list[str]:
+        """Return the workers of the measured entry."""
+        return self._workers
+
+    @property
+    def other_vms(self) -> list[tuple[str, str]]:
+        """Return all other VMs with their availability zone."""
+        zones = [zone for zone in self._entries if zone != ZONE] or ["z1"]
+        near = len(self._workers) + len(self._other_workers)
+        far = max(0, self._scenario.vms - near)
+        return [(name, ZONE) for name in self._other_workers] + [
+            (f"far-{number}", zones[number % len(zones)])
+            for number in range(far)
+        ]
+
+    @property
+    def peers(self) -> list[str]:
+        """Return all entries but the measured one."""
+        return [
+            name
+            for names in self._entries.values()
+            for name in names
+            if name != ENTRY
+        ]
+
+    @property
+    def linked_peers(self) -> list[str]:
+        """Return the entries that the measured one links to."""
+        linked = [name for name in self._entries[ZONE] if name != ENTRY]
+        for zone, names in self._entries.items():
+            if zone != ZONE:
+                linked += ranked(ENTRY, names)[:2]
+        return linked
+
+    def entry_row(self, name: str, port: int | None, beat: int) -> PutRow:
+        """Return a heartbeat of a simulated entry.
+
+        :param name: its name
+        :param port: port of its peer link, None when it is never linked
+        :param beat: number of the heartbeat
+        """
+        address = _UNUSED if port is None else f"{HOST}:{port}"
+        zone = name.partition("-")[0]
+        row = EntryRow(
+            name,
+            f"{name}-0123abcd",
+            zone,
+            f"http://{_UNUSED}",
+            f"tcp://{address}",
+            1,
+            False,
+            beat,
+        )
+        return PutRow("entries", f"{zone}/{name}", None, row.to_value())
+
+    def document_row(self, number: int, revision: int = 0) -> PutRow:
+        """Return a service document of the usual length."""
+        service = f"recheck-{number}"
+        text = (
+            f"# Rechecks who is eligible, revision {revision}.\n"
+            f"service: {service}\nteam: team-{number % 270}\nkind: batch\n"
+            "urgency: 30\n"
+            "needs: {cpu: 1, memory_mb: 2000, accelerators: 0}\n"
+            "batch:\n  run_s: 15\n  due_s: 14400\n  max_attempts: 3\n"
+            "  evictable: true\n"
+        )
+        value = {"team": f"team-{number % 270}", "text": text}
+        return PutRow("documents", service, None, value)
+
+    def job_row(self, key: str, run_s: float, submitted_at: float) -> PutRow:
+        """Return a queued job that the measured entry claims at once."""
+        digest = sha256(key.encode()).hexdigest()
+        shard = self._shards[int(digest[:8], 16) % len(self._shards)]
+        row = JobRow(
+            service=BATCH_SERVICE,
+            state="queued",
+            submitted_at=submitted_at,
+            due_s=14400.0,
+            run_s=run_s,
+            input='{"case": 7000000}',
+        )
+        return PutRow("jobs", f"{shard}-{digest[2:32]}", None, row.to_value())
+
+    def _own_shards(self) -> list[str]:
+        return [
+            shard
+            for shard in SHARDS
+            if ranked(shard, self._entries)[0] == ZONE
+            and ranked(shard, self._entries[ZONE])[0] == ENTRY
+        ]
+
+    def _names(self, number: int, own: bool) -> list[str]:
+        entries = self._entries[ZONE]
+        names = (f"worker-{index:04}" for index in count())
+        found: list[str] = []
+        while len(found) < number:
+            name = next(names)
+            if (ranked(name, entries)[0] == ENTRY) is own:
+                found.append(name)
+        return found
--- /dev/null
+++ b/tools/capacity/measure.py
@@ -0,0 +1,50 @@
+"""Measures what an entry process costs and writes docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser
+import json
+import sys
+from typing import TYPE_CHECKING
+
+from tools.capacity.capacity_page import CapacityPage
+from tools.capacity.capacity_report import CapacityReport
+from tools.capacity.measurement_run import MeasurementRun
+from tools.capacity.sampler import Sampler
+from tools.interruptible import run_interruptible
+from tools.managed_process import ROOT
+
+if TYPE_CHECKING:
+    from argparse import Namespace
+
+_MEASUREMENTS = ROOT / "docs" / "capacity-measurements.json"
+_PAGE = ROOT / "docs" / "CAPACITY.md"
+
+
+async def _run(arguments: Namespace) -> int:
+    if not arguments.report_only:
+        sampler = Sampler(arguments.window, arguments.at_once)
+        MeasurementRun.save(await MeasurementRun(sampler).run(), _MEASUREMENTS)
+    report = CapacityReport(json.loads(_MEASUREMENTS.read_text()))
+    page = CapacityPage(_PAGE.read_text())
+    _PAGE.write_text(page.with_blocks(report.blocks()))
+    return 0
+
+
+def main() -> int:
+    """Run the command and return its exit code."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--report-only",
+        action="store_true",
+        help="write the page from the measurements in docs/",
+    )
+    parser.add_argument("--window", type=float, default=10.0, help="seconds")
+    parser.add_argument(
+        "--at-once", type=int, default=4, help="entries measured together"
+    )
+    return run_interruptible(_run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/capacity/measured_entry.py
@@ -0,0 +1,365 @@
+"""A real entry process between relays, with stand-ins around it."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+import json
+import os
+from secrets import token_hex
+import sys
+import time
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import psutil
+from result import Ok
+
+from carawaystep.adapters.http_client.http_client import HttpClient
+from carawaystep.adapters.platform_http.table_service import HttpTableService
+from carawaystep.settings.entry_settings import AccessSettings
+from carawaystep.settings.entry_settings import EntrySettings
+from carawaystep.settings.entry_settings import ListenSettings
+from carawaystep.settings.entry_settings import PlatformSettings
+from carawaystep.settings.standin_platform_settings import (
+    StandinPlatformSettings,
+)
+from carawaystep.settings.standin_platform_settings import StandinVmSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkerSettings
+from carawaystep.settings.standin_worker_settings import StandinWorkersSettings
+from tools.capacity.fleet import ENTRY
+from tools.capacity.fleet import Fleet
+from tools.capacity.fleet import ZONE
+from tools.capacity.relay import Relay
+from tools.capacity.simulated_peer import SimulatedPeer
+from tools.capacity.traffic_counter import TrafficCounter
+from tools.port_allocator import HOST
+from tools.port_allocator import PortAllocator
+from tools.process_group import ProcessGroup
+from tools.process_spec import ProcessSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+    from typing import Any
+
+    from carawaystep.platform.operation import PutRow
+    from carawaystep.settings.settings_model import SettingsModel
+    from tools.capacity.scenario import Scenario
+
+_READY_LIMIT_S = 90.0
+_POLL_S = 0.2
+_CALL_LIMIT_S = 5.0
+_STOP_LIMIT_S = 5.0
+_BATCH_ROWS = 100
+_NEAR_HEARTBEAT_S = 1.0
+_FAR_HEARTBEAT_S = 5.0
+_ROW_HEARTBEAT_S = 2.0
+# The limits of the stand-in would delay the rows that the tool writes.
+_UNLIMITED_PER_S = 1_000_000.0
+# Slots of a worker on which tasks have no room: those kept for requests.
+_REQUEST_SLOTS = 2
+# Long enough to be running through the window.
+_LONG_RUN_S = 600.0
+_SHORT_RUN_S = 0.5
+
+
+class MeasuredEntry:
+    """Starts one entry process with a simulated deployment around it.
+
+    The platform and the workers are the stand-ins, one process each. The
+    other entries are heartbeat rows and peer links of this process.
+    """
+
+    def __init__(self, scenario: Scenario, directory: Path) -> None:
+        """Create a deployment; nothing is started yet.
+
+        :param scenario: sizes
+        :param directory: where settings and output go
+        """
+        self._scenario = scenario
+        self._directory = directory
+        self._fleet = Fleet(scenario)
+        self._counter = TrafficCounter()
+        self._ports = PortAllocator()
+        self._group = ProcessGroup(directory)
+        self._stack = AsyncExitStack()
+        self._token = token_hex(24)
+        self._peers: dict[str, SimulatedPeer] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._relays: dict[str, Relay] = {}
+        self._platform_port = self._ports.reserve()
+        self._http_port = self._ports.reserve()
+        self._peer_port = self._ports.reserve()
+        self._start_cpu_s = 0.0
+        self._table = HttpTableService(
+            PlatformSettings(url=f"http://{HOST}:{self._platform_port}")
+        )
+
+    @property
+    def counter(self) -> TrafficCounter:
+        """Return the traffic of the entry process."""
+        return self._counter
+
+    @property
+    def process(self) -> psutil.Process:
+        """Return the entry process."""
+        return psutil.Process(self._group.get(ENTRY).pid)
+
+    @property
+    def start_cpu_s(self) -> float:
+        """Return the processor time until the entry was ready."""
+        return self._start_cpu_s
+
+    async def start(self) -> None:
+        """Start everything and wait until the entry has taken it over."""
+        worker_ports = {name: self._ports.reserve() for name in self._names}
+        for name, port in worker_ports.items():
+            self._relays[name] = await self._relay("workers", port)
+        platform = await self._relay("platform", self._platform_port)
+        incoming = await self._relay("peers/in", self._peer_port, True)
+        self._start_standins(worker_ports)
+        await self._wait("stand-ins", self._standins_listen)
+        await self._start_peers()
+        await self._seed()
+        self._spawn(self._beat_rows())
+        self._launch(self._entry_spec(platform.port))
+        await self._wait("entry", self._is_ready)
+        self._start_cpu_s = self._cpu_s()
+        for peer in self._peers.values():
+            peer.beat(incoming.port)
+        await self._wait("its workers and jobs", self._is_settled)
+        self._spawn(self._insert_jobs())
+        self._spawn(self._change_documents())
+
+    async def stop(self) -> None:
+        """Stop everything; the entry first."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._ports.close()
+        await self._group.stop(_STOP_LIMIT_S, "entry")
+        await self._group.stop(_STOP_LIMIT_S)
+        await asyncio.gather(*(peer.stop() for peer in self._peers.values()))
+        await self._table.close()
+        await self._stack.aclose()
+
+    @property
+    def _names(self) -> list[str]:
+        return self._fleet.workers
+
+    def _cpu_s(self) -> float:
+        times = self.process.cpu_times()
+        return float(times.user + times.system)
+
+    def _spawn(self, work: Any) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _relay(
+        self, group: str, port: int, inbound: bool = False
+    ) -> Relay:
+        relay = Relay(self._counter, group, port, inbound)
+        await relay.start()
+        self._stack.push_async_callback(relay.stop)
+        return relay
+
+    def _start_standins(self, worker_ports: dict[str, int]) -> None:
+        vms = [
+            StandinVmSettings(
+                name=name,
+                availability_zone=ZONE,
+                rack="rack-1",
+                url=f"http://{HOST}:{relay.port}",
+            )
+            for name, relay in self._relays.items()
+        ] + [
+            StandinVmSettings(
+                name=name,
+                availability_zone=zone,
+                rack="rack-1",
+                url=f"http://{HOST}:9",
+            )
+            for name, zone in self._fleet.other_vms
+        ]
+        platform = StandinPlatformSettings(
+            http=ListenSettings(host=HOST, port=self._platform_port),
+            writes_per_s=_UNLIMITED_PER_S,
+            reads_per_s=_UNLIMITED_PER_S,
+            vms=vms,
+        )
+        slots = _REQUEST_SLOTS if self._scenario.jobs else 8
+        workers = StandinWorkersSettings(
+            workers=[
+                StandinWorkerSettings(
+                    name=name,
+                    http=ListenSettings(host=HOST, port=port),
+                    slots=slots,
+                )
+                for name, port in worker_ports.items()
+            ]
+        )
+        self._launch(
+            self._spec(
+                "platform",
+                platform,
+                (self._platform_port,),
+            )
+        )
+        self._launch(
+            self._spec(
+                "workers",
+                workers,
+                tuple(worker_ports.values()),
+            )
+        )
+
+    def _entry_spec(self, platform_port: int) -> ProcessSpec:
+        tokens = self._directory / "tokens.yaml"
+        rows = [{"token": self._token, "team": "*", "roles": ["operator"]}]
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+        with os.fdopen(os.open(tokens, flags, 0o600), "w") as file:
+            json.dump(rows, file)
+        settings = EntrySettings(
+            name=ENTRY,
+            availability_zone=ZONE,
+            http=ListenSettings(host=HOST, port=self._http_port),
+            advertised_url=f"http://{HOST}:{self._http_port}",
+            peer_address=f"tcp://{HOST}:{self._peer_port}",
+            platform=PlatformSettings(url=f"http://{HOST}:{platform_port}"),
+            access=AccessSettings(tokens_file=tokens),
+            drain_limit_s=1.0,
+        )
+        return self._spec(ENTRY, settings, (self._http_port, self._peer_port))
+
+    def _spec(
+        self, name: str, settings: SettingsModel, ports: tuple[int, ...]
+    ) -> ProcessSpec:
+        # JSON is YAML too, and far faster to write for thousands of VMs.
+        path = self._directory / f"{name}.json"
+        path.write_text(settings.model_dump_json())
+        if name == ENTRY:
+            words = ("carawaystep", "entry", "--settings", str(path))
+            return ProcessSpec(
+                "entry", name, (sys.executable, "-m", *words), ports=ports
+            )
+        words = ("tools.capacity.standin_host", name, str(path))
+        return ProcessSpec(
+            "standin", name, (sys.executable, "-m", *words), ports=ports
+        )
+
+    def _launch(self, spec: ProcessSpec) -> None:
+        self._ports.release(spec.ports)
+        self._group.start(spec)
+
+    async def _start_peers(self) -> None:
+        for name in self._fleet.linked_peers:
+            near = name.startswith(f"{ZONE}-")
+            interval_s = _NEAR_HEARTBEAT_S if near else _FAR_HEARTBEAT_S
+            port = self._ports.reserve()
+            self._ports.release((port,))
+            peer = SimulatedPeer(name, port, self._counter, interval_s)
+            await peer.start()
+            self._peers[name] = peer
+
+    async def _seed(self) -> None:
+        scenario, fleet = self._scenario, self._fleet
+        now = time.time()
+        await self._put(
+            [fleet.document_row(index) for index in range(scenario.documents)]
+            + [
+                fleet.job_row(f"queued-{index}", _LONG_RUN_S, now)
+                for index in range(scenario.jobs + scenario.running)
+            ]
+        )
+        await self._put_beats(1)
+
+    async def _put(self, rows: Sequence[PutRow]) -> None:
+        for first in range(0, len(rows), _BATCH_ROWS):
+            written = await self._table.transact(
+                rows[first : first + _BATCH_ROWS]
+            )
+            if not isinstance(written, Ok):
+                raise RuntimeError(f"rows not written: {written.err_value}")
+
+    async def _put_beats(self, beat: int) -> None:
+        ports = {name: peer.port for name, peer in self._peers.items()}
+        await self._put(
+            [
+                self._fleet.entry_row(name, ports.get(name), beat)
+                for name in self._fleet.peers
+            ]
+        )
+
+    async def _beat_rows(self) -> None:
+        beat = 1
+        while True:
+            await asyncio.sleep(_ROW_HEARTBEAT_S)
+            beat += 1
+            await self._put_beats(beat)
+
+    async def _insert_jobs(self) -> None:
+        number = 0
+        while self._scenario.starts_per_s > 0:
+            number += 1
+            row = self._fleet.job_row(
+                f"short-{number}", _SHORT_RUN_S, time.time()
+            )
+            await self._put([row])
+            await asyncio.sleep(1 / self._scenario.starts_per_s)
+
+    async def _change_documents(self) -> None:
+        revision = 0
+        while self._scenario.document_changes_per_s > 0:
+            revision += 1
+            number = revision % max(1, self._scenario.documents)
+            await self._put([self._fleet.document_row(number, revision)])
+            await asyncio.sleep(1 / self._scenario.document_changes_per_s)
+
+    async def _wait(self, what: str, condition: Any) -> None:
+        until = monotonic() + _READY_LIMIT_S
+        while not await condition():
+            ended = [p for p in self._group.processes if not p.running]
+            if ended:
+                lines = ended[0].last_error_lines()
+                raise RuntimeError(f"{ended[0].spec.name} ended: {lines}")
+            if monotonic() > until:
+                raise RuntimeError(f"{what}: not ready in {_READY_LIMIT_S} s")
+            await asyncio.sleep(_POLL_S)
+
+    async def _standins_listen(self) -> bool:
+        ports = [port for p in self._group.processes for port in p.spec.ports]
+        try:
+            for port in ports:
+                _, writer = await asyncio.open_connection(HOST, port)
+                writer.close()
+        except OSError:
+            return False
+        return True
+
+    async def _get(self, path: str) -> tuple[int, bytes]:
+        client = HttpClient(f"http://{HOST}:{self._http_port}", 1)
+        headers = {"Authorization": f"Bearer {self._token}"}
+        answer = await client.request("GET", path, _CALL_LIMIT_S, headers)
+        await client.close()
+        if not isinstance(answer, Ok):
+            return 0, b""
+        return answer.ok_value.status, answer.ok_value.body
+
+    async def _is_ready(self) -> bool:
+        return (await self._get("/readyz"))[0] == 200
+
+    async def _is_settled(self) -> bool:
+        code, body = await self._get("/v1/status")
+        if code != 200:
+            return False
+        status = json.loads(body)
+        scenario = self._scenario
+        usable = sum(worker["usable"] for worker in status["workers"])
+        tasks = sum(worker["tasks"] for worker in status["workers"])
+        connected = sum(peer["connected"] for peer in status["peers"])
+        return (
+            usable == scenario.workers
+            and tasks >= scenario.running
+            and status["jobs_known"] >= scenario.jobs
+            and connected == len(self._peers)
+        )
--- /dev/null
+++ b/tools/capacity/plan.py
@@ -0,0 +1,180 @@
+"""Which sizes are varied, and the sizes of the deployments to report on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from tools.capacity.scenario import Scenario
+
+_SMALL = Scenario()
+# One entry follows all shards, so that it knows every job.
+_ALONE = Scenario(zone_entries=1, availability_zones=1)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedSlope:
+    """One size that is varied while the others stay.
+
+    :param name: key of the slope
+    :param points: scenario of each size
+    """
+
+    name: str
+    points: dict[float, Scenario]
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentSizes:
+    """What one entry deals with in a whole deployment.
+
+    :param name: heading of its column
+    :param entries: entry processes in all
+    :param sizes: size for each slope
+    """
+
+    name: str
+    entries: int
+    sizes: dict[str, float]
+
+
+def planned_slopes() -> list[PlannedSlope]:
+    """Return all slopes, with at least four sizes each."""
+    return [
+        PlannedSlope(
+            "workers",
+            {
+                n: replace(_SMALL, workers=n, zone_vms=n, vms=max(24, n))
+                for n in (8, 24, 48, 96)
+            },
+        ),
+        PlannedSlope(
+            "zone_entries",
+            {n: replace(_SMALL, zone_entries=n) for n in (1, 3, 6, 9)},
+        ),
+        PlannedSlope(
+            "availability_zones",
+            {
+                n: replace(_SMALL, availability_zones=n, far_entries=9)
+                for n in (1, 3, 6, 15)
+            },
+        ),
+        PlannedSlope(
+            "jobs",
+            {n: replace(_ALONE, jobs=n) for n in (0, 1000, 4000, 10000)},
+        ),
+        PlannedSlope(
+            "running",
+            {n: replace(_ALONE, running=n) for n in (0, 12, 24, 44)},
+        ),
+        PlannedSlope(
+            "starts_per_s",
+            {n: replace(_ALONE, starts_per_s=n) for n in (0, 1, 2, 4, 8)},
+        ),
+        PlannedSlope(
+            "documents",
+            {n: replace(_SMALL, documents=n) for n in (10, 100, 270, 1000)},
+        ),
+        PlannedSlope(
+            "document_changes_per_s",
+            {
+                n: replace(_SMALL, document_changes_per_s=n)
+                for n in (0, 0.5, 1, 2, 4)
+            },
+        ),
+        PlannedSlope(
+            "vms",
+            {n: replace(_SMALL, vms=n) for n in (24, 240, 1000, 3200)},
+        ),
+        PlannedSlope(
+            "zone_vms",
+            {
+                n: replace(_SMALL, zone_vms=n, vms=max(24, n))
+                for n in (8, 60, 120, 214)
+            },
+        ),
+    ]
+
+
+def combined_scenarios() -> dict[str, Scenario]:
+    """Return whole target sizes, measured to check the sum of slopes.
+
+    The tasks leave the slots free that starts need.
+    """
+    target = Scenario(
+        workers=24,
+        zone_entries=9,
+        availability_zones=15,
+        far_entries=9,
+        zone_vms=214,
+        vms=3200,
+        documents=270,
+        document_changes_per_s=0.1,
+        running=140,
+        starts_per_s=1.5,
+    )
+    return {
+        "target": target,
+        "target_70": replace(
+            target,
+            workers=70,
+            zone_entries=3,
+            far_entries=3,
+            running=410,
+            starts_per_s=4.3,
+        ),
+    }
+
+
+def deployments() -> list[DeploymentSizes]:
+    """Return the sizes of an entry today and at the target."""
+    return [
+        DeploymentSizes(
+            "today",
+            9,
+            {
+                "workers": 3,
+                "zone_entries": 3,
+                "availability_zones": 3,
+                "jobs": 30,
+                "running": 3,
+                "starts_per_s": 0.1,
+                "documents": 6,
+                "document_changes_per_s": 0,
+                "vms": 24,
+                "zone_vms": 8,
+            },
+        ),
+        DeploymentSizes(
+            "target",
+            135,
+            {
+                "workers": 3200 / 135,
+                "zone_entries": 9,
+                "availability_zones": 15,
+                "jobs": (19_000 + 10_000) / 15,
+                "running": 19_000 / 135,
+                "starts_per_s": 200 / 135,
+                "documents": 270,
+                "document_changes_per_s": 7_100 / 86_400,
+                "vms": 3_200,
+                "zone_vms": 3_200 / 15,
+            },
+        ),
+        DeploymentSizes(
+            "target_70",
+            46,
+            {
+                "workers": 3200 / 46,
+                "zone_entries": 3,
+                "availability_zones": 15,
+                "jobs": (19_000 + 10_000) / 15,
+                "running": 19_000 / 46,
+                "starts_per_s": 200 / 46,
+                "documents": 270,
+                "document_changes_per_s": 7_100 / 86_400,
+                "vms": 3_200,
+                "zone_vms": 3_200 / 15,
+            },
+        ),
+    ]
--- /dev/null
+++ b/tools/capacity/relay.py
@@ -0,0 +1,131 @@
+"""TCP relay that counts what passes through it."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+
+from tools.port_allocator import HOST
+
+if TYPE_CHECKING:
+    from tools.capacity.traffic_counter import TrafficCounter
+
+_CHUNK_BYTES = 65536
+_REQUEST_LINE = re.compile(
+    rb"(?:GET|POST|PUT|DELETE) /v1/(?:tables/)?(\w+)[^ \r\n]* HTTP/1\.1\r\n"
+)
+
+
+class Relay:
+    """Passes connections on to one address, two tasks for each.
+
+    HTTP calls are told apart by the first word of their path. A client sends
+    its next request only after the answer to the last one, so an answer
+    belongs to the last request of its connection.
+    """
+
+    def __init__(
+        self,
+        counter: TrafficCounter,
+        group: str,
+        target_port: int,
+        inbound: bool = False,
+    ) -> None:
+        """Create a relay that does not listen yet.
+
+        :param counter: counts the traffic
+        :param group: first part of the kinds of call
+        :param target_port: loopback port to connect to
+        :param inbound: True when the measured process is the server
+        """
+        self._counter = counter
+        self._group = group
+        self._target_port = target_port
+        self._inbound = inbound
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that it listens on."""
+        if self._server is None:
+            raise ValueError("start the relay before asking for its port")
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def start(self) -> None:
+        """Listen on a free loopback port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is None:
+            return
+        self._tasks.add(task)
+        try:
+            await self._connect(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        there = await asyncio.open_connection(HOST, self._target_port)
+        kind = [self._group]
+        passes = [
+            asyncio.create_task(self._forward(reader, there[1], kind)),
+            asyncio.create_task(self._back(there[0], writer, kind)),
+        ]
+        try:
+            await asyncio.wait(passes, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for part in passes:
+                part.cancel()
+            await asyncio.gather(*passes, return_exceptions=True)
+            there[1].close()
+
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        kind: list[str],
+    ) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            found = _REQUEST_LINE.findall(data)
+            if found:
+                kind[0] = f"{self._group}/{found[-1].decode()}"
+                self._counter.kind(kind[0]).calls += len(found)
+            self._count(kind[0], data, sent=not self._inbound)
+            writer.write(data)
+            await writer.drain()
+
+    async def _back(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        kind: list[str],
+    ) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            self._count(kind[0], data, sent=self._inbound)
+            writer.write(data)
+            await writer.drain()
+
+    def _count(self, kind: str, data: bytes, sent: bool) -> None:
+        traffic = self._counter.kind(kind)
+        if sent:
+            traffic.sent_bytes += len(data)
+        else:
+            traffic.received_bytes += len(data)
--- /dev/null
+++ b/tools/capacity/simulated_peer.py
@@ -0,0 +1,105 @@
+"""Another entry, as far as the measured one sees it on its peer links."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawaystep.adapters.zmq.peer_client import PeerClient
+from carawaystep.adapters.zmq.peer_server import PeerServer
+from carawaystep.peer.messages import DocumentsReply
+from carawaystep.peer.messages import EntryLoad
+from carawaystep.peer.messages import ForwardReply
+from carawaystep.peer.peer_handler import PeerHandler
+from tools.capacity.relay import Relay
+from tools.port_allocator import HOST
+
+if TYPE_CHECKING:
+    from carawaystep.peer.messages import ForwardRequest
+    from tools.capacity.traffic_counter import TrafficCounter
+
+_TIMEOUT_S = 3.0
+
+
+class SimulatedPeer(PeerHandler):
+    """Answers the heartbeats of the measured entry and sends its own."""
+
+    def __init__(
+        self, name: str, port: int, counter: TrafficCounter, interval_s: float
+    ) -> None:
+        """Create a peer that does not listen yet.
+
+        :param name: name of the entry
+        :param port: free port for its peer address
+        :param counter: counts the traffic
+        :param interval_s: interval of the heartbeats in both directions
+        """
+        self._name = name
+        self._counter = counter
+        self._interval_s = interval_s
+        self._server = PeerServer(f"tcp://{HOST}:{port}", self)
+        self._relay = Relay(counter, "peers/out", port)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port to advertise."""
+        return self._relay.port
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+        await self._relay.start()
+
+    def beat(self, port: int) -> None:
+        """Send heartbeats to the measured entry until the stop.
+
+        :param port: port of a relay to the entry
+        """
+        self._task = asyncio.create_task(self._beat(port))
+
+    async def stop(self) -> None:
+        """Close both links."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._server.stop()
+        await self._relay.stop()
+
+    def exchange_load(self, load: EntryLoad) -> EntryLoad:
+        """Count a heartbeat and answer it."""
+        self._counter.kind("peers/out").calls += 1
+        return self._load()
+
+    async def run_forwarded(self, request: ForwardRequest) -> ForwardReply:
+        """Refuse; the measured entry gets no requests to forward."""
+        return ForwardReply(
+            request.sequence, request.request_id, "not-run", "no-room", "", b""
+        )
+
+    def documents(self, sequence: int) -> DocumentsReply:
+        """Return nothing; the platform is up."""
+        return DocumentsReply(sequence, 0, (), ())
+
+    async def _beat(self, port: int) -> None:
+        client = PeerClient(f"tcp://{HOST}:{port}")
+        await client.start()
+        try:
+            while True:
+                await client.heartbeat(self._load(), _TIMEOUT_S)
+                self._counter.kind("peers/in").calls += 1
+                await asyncio.sleep(self._interval_s)
+        finally:
+            await client.close()
+
+    def _load(self) -> EntryLoad:
+        return EntryLoad(
+            self._name,
+            f"{self._name}-0123abcd",
+            self._name.partition("-")[0],
+            0,
+            0,
+            1,
+            True,
+            False,
+        )
--- /dev/null
+++ b/tools/capacity/slope.py
@@ -0,0 +1,48 @@
+"""A line through measured points."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from statistics import linear_regression
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Cost as a function of one size.
+
+    :param per_unit: cost of one more unit
+    :param base: cost at size zero
+    :param residual: largest distance of a point from the line
+    :param largest: largest measured size
+    """
+
+    per_unit: float
+    base: float
+    residual: float
+    largest: float
+
+    @classmethod
+    def fit(cls, sizes: Sequence[float], costs: Sequence[float]) -> Slope:
+        """Fit a line by least squares.
+
+        :param sizes: measured sizes, at least two different ones
+        :param costs: cost at each size
+        """
+        line = linear_regression(sizes, costs)
+        residual = max(
+            abs(cost - line.intercept - line.slope * size)
+            for size, cost in zip(sizes, costs, strict=True)
+        )
+        return cls(line.slope, line.intercept, residual, max(sizes))
+
+    def at(self, size: float) -> float:
+        """Return the cost at a size."""
+        return self.base + self.per_unit * size
+
+    def extrapolates(self, size: float) -> bool:
+        """Tell whether a size lies beyond all measured ones."""
+        return size > self.largest
