--- a/tests/tools/test_ledger_audit.py
+++ b/tests/tools/test_ledger_audit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from testtools import TestCase
@@ -116,6 +117,18 @@
         findings = _audit(executions, executions)
         self.assertEqual(1, len(findings.executed_twice))
 
+    def test_dispatches_of_one_request(self) -> None:
+        """Guards against a charge that is dispatched again without its key.
+
+        An entry may dispatch an idempotent request again.
+        """
+        names = ("r1/1", "r1/2/1")
+        charges = [_request(name, key=None) for name in names]
+        self.assertEqual(1, len(_audit(charges).executed_twice))
+        renewals = [_request(name, "renewals", None) for name in names]
+        told = (_call(Outcome.ANSWERED, "r1", None, "renewals"),)
+        self.assertEqual((), _audit(renewals, calls=told).all)
+
     def test_job_in_two_places(self) -> None:
         """Guards against attempts of one job that overlap in time."""
         findings = _audit(
@@ -170,6 +183,12 @@
         calls = (_call(Outcome.ANSWERED), _call(Outcome.ANSWERED, "r2"))
         self.assertEqual((), _audit([_request("r1")], calls=calls).all)
 
+    def test_answer_to_another_request(self) -> None:
+        """Guards against answers that reach the wrong caller."""
+        call = replace(_call(Outcome.ANSWERED), own_answer=False)
+        findings = _audit([_request("r1")], calls=(call,))
+        self.assertEqual(1, len(findings.disagreements))
+
     def test_not_run_but_executed(self) -> None:
         """Guards against not-run for a request that ran."""
         told = (_call(Outcome.NOT_RUN), _call(Outcome.NOT_RUN, None))
--- a/tools/ledger_audit.py
+++ b/tools/ledger_audit.py
@@ -61,6 +61,7 @@
             executed_twice=(
                 *self._keys_run_twice(),
                 *self._ids_run_twice(),
+                *self._requests_run_twice(),
                 *self._jobs_run_twice(),
             ),
             overcommitted=tuple(self._peaks_above_limits()),
@@ -91,6 +92,16 @@
                     f" {len(executions)} times"
                 )
 
+    def _requests_run_twice(self) -> Iterator[str]:
+        # An entry may dispatch an idempotent request again.
+        for request_id, executions in self._requests_by_id.items():
+            service = executions[0].service
+            if service in self._keyed and len(executions) > 1:
+                yield (
+                    f"request {request_id} of {service} ran"
+                    f" {len(executions)} times"
+                )
+
     def _jobs_run_twice(self) -> Iterator[str]:
         for job, executions in self._tasks.items():
             faults = []
@@ -133,6 +144,11 @@
                     f"request {call.request_id} of {call.service} was told"
                     " answered, but no execution of it ended as done"
                 )
+            if call.outcome is Outcome.ANSWERED and not call.own_answer:
+                yield (
+                    f"request {call.request_id} of {call.service} was told"
+                    " answered with the answer to another request"
+                )
             if call.outcome is Outcome.NOT_RUN and self._was_run(call):
                 yield (
                     f"request {call.request_id} of {call.service} was told"
