Mark figures beyond the measured sizes on the capacity page

Cause: the page shows running tasks at 141 and 413 for an entry, but the slope was measured up to 44, and nothing said so.

Change: such cells carry (e). An unused method of the fit is removed.

--- a/tests/tools/capacity/test_capacity_report.py
+++ b/tests/tools/capacity/test_capacity_report.py
@@ -35,6 +35,12 @@
             ),
         )
 
+    def test_figures_beyond_the_measured_sizes_are_marked(self) -> None:
+        """70 workers are within the measured 96, 413 tasks beyond 44."""
+        rows = self.report.blocks()["entry"].splitlines()
+        marked = {row.split(" | ")[0] for row in rows if "(e)" in row}
+        self.assertEqual({"| running tasks"}, marked)
+
     def test_a_missed_budget_says_by_how_much(self) -> None:
         """A budget that is missed must not look as if it held."""
         self.assertEqual("yes", verdict([3.0, 3.6], 3.6))
--- a/tests/tools/capacity/test_slope.py
+++ b/tests/tools/capacity/test_slope.py
@@ -24,7 +24,6 @@
         slope = Slope.fit([8, 24, 48, 96], [19.0, 51.0, 99.0, 195.0])
         self.assertThat(slope.per_unit, _rounds_to(2.0))
         self.assertThat(slope.base, _rounds_to(3.0))
-        self.assertThat(slope.at(3200), _rounds_to(6403.0))
         self.assertThat(slope.residual, _rounds_to(0.0))
 
     def test_the_residual_shows_a_point_off_the_line(self) -> None:
--- a/tools/capacity/capacity_report.py
+++ b/tools/capacity/capacity_report.py
@@ -197,13 +197,14 @@
         )
 
     def _slope_cells(self, name: str, cost: str) -> list[str]:
-        return [
-            cell(self._model.slope(name, cost).per_unit),
-            *(
-                cell(self._model.growth(name, cost, sizes.sizes[name]))
-                for sizes in (self._target, self._target_70)
-            ),
-        ]
+        slope = self._model.slope(name, cost)
+        cells = [cell(slope.per_unit)]
+        for sizes in (self._target, self._target_70):
+            size = sizes.sizes[name]
+            added = cell(self._model.growth(name, cost, size))
+            beyond = slope.extrapolates(size)
+            cells.append(f"{added} (e)" if beyond else added)
+        return cells
 
     def _entry_total(self) -> str:
         rows = [
--- a/tools/capacity/measured_entry.py
+++ b/tools/capacity/measured_entry.py
@@ -113,7 +113,9 @@
 
     async def start(self) -> None:
         """Start everything and wait until the entry has taken it over."""
-        worker_ports = {name: self._ports.reserve() for name in self._names}
+        worker_ports = {
+            name: self._ports.reserve() for name in self._fleet.workers
+        }
         for name, port in worker_ports.items():
             self._relays[name] = await self._relay("workers", port)
         platform = await self._relay("platform", self._platform_port)
@@ -144,10 +146,6 @@
         await self._table.close()
         await self._stack.aclose()
 
-    @property
-    def _names(self) -> list[str]:
-        return self._fleet.workers
-
     def _cpu_s(self) -> float:
         times = self.process.cpu_times()
         return float(times.user + times.system)
--- a/tools/capacity/slope.py
+++ b/tools/capacity/slope.py
@@ -39,10 +39,6 @@
         )
         return cls(line.slope, line.intercept, residual, max(sizes))
 
-    def at(self, size: float) -> float:
-        """Return the cost at a size."""
-        return self.base + self.per_unit * size
-
     def extrapolates(self, size: float) -> bool:
         """Tell whether a size lies beyond all measured ones."""
         return size > self.largest
