Tell costs from the variation of polls on the capacity page

Cause: windows hold 13 to 15 polls, and the fit turned this variation into bytes for own workers, documents and VMs of the zone.

Change: a slope whose growth over the measured sizes is less than three times its largest residual is named as such in the table of bytes.

Conclusion: the table shows which mechanisms carry bytes.

--- a/tests/tools/capacity/test_slope.py
+++ b/tests/tools/capacity/test_slope.py
@@ -31,6 +31,11 @@
         slope = Slope.fit([0, 1, 2, 3], [0.0, 4.0, 0.0, 4.0])
         self.assertThat(slope.residual, _rounds_to(2.4))
 
+    def test_growth_within_the_residual_is_not_clear(self) -> None:
+        """Variation of the polls would pass for a cost of a size."""
+        self.assertTrue(Slope.fit([0, 1, 2], [0.0, 5.1, 9.9]).is_clear)
+        self.assertFalse(Slope.fit([0, 1, 2], [0.0, 3.0, 1.0]).is_clear)
+
     def test_sizes_beyond_the_measured_ones_are_extrapolated(self) -> None:
         """An extrapolated figure must not pass for a measured one."""
         slope = Slope.fit([8, 96], [1.0, 2.0])
--- a/tools/capacity/capacity_report.py
+++ b/tools/capacity/capacity_report.py
@@ -79,6 +79,7 @@
     "peers/out": "own heartbeats: each second in the zone, each 5 s beyond",
     "peers/in": "heartbeats of the peers, on links of their own",
 }
+_UNCLEAR = "none seen: within the variation of the number of polls"
 _FIELDS = {
     "calls_per_s": "calls/s",
     "sent_bytes_per_s": "B/s sent by the entry",
@@ -180,7 +181,7 @@
                         cost,
                         *self._slope_cells(name, cost),
                         cell(slope.residual),
-                        mechanism,
+                        mechanism if slope.is_clear else _UNCLEAR,
                     ]
                 )
         return table(
--- a/tools/capacity/slope.py
+++ b/tools/capacity/slope.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+# Polls that fall into a window or not shift a point by up to one in ten.
+_CLEAR = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Slope:
@@ -25,6 +28,11 @@
     residual: float
     largest: float
 
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether the measured growth stands out from the residual."""
+        return abs(self.per_unit) * self.largest > _CLEAR * self.residual
+
     @classmethod
     def fit(cls, sizes: Sequence[float], costs: Sequence[float]) -> Slope:
         """Fit a line by least squares.
