--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 VENV ?= .venv
 PYTHON ?= python3
 EXAMPLE ?= papadakis
+SEED ?= 1
+SECONDS ?= 60
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
 
-.PHONY: install demo test lint format unit check-model
+.PHONY: install demo prove-processes test lint format unit check-model
 
 # SKIP_INSTALL=1 uses the environment as it is.
 ifeq ($(SKIP_INSTALL),)
@@ -23,6 +25,10 @@
 demo: install
 	$(BIN)/python -m tools.demo $(EXAMPLE)
 
+# Breaks processes at random for SECONDS and checks the invariants.
+prove-processes: install
+	$(BIN)/python -m tools.prove --seed $(SEED) --seconds $(SECONDS)
+
 lint: install
 	$(BIN)/ruff format --check src tests tools
 	$(BIN)/ruff check src tests tools
--- a/src/carawaystep/entry/heartbeater.py
+++ b/src/carawaystep/entry/heartbeater.py
@@ -85,7 +85,7 @@
             self._state.incarnation,
             settings.availability_zone,
             settings.advertised_url,
-            settings.peer_address,
+            settings.peer_advertised_address or settings.peer_address,
             self._state.documents.revision,
             self._state.draining,
             self._beat,
--- a/src/carawaystep/settings/entry_settings.py
+++ b/src/carawaystep/settings/entry_settings.py
@@ -121,7 +121,14 @@
     )
     peer_address: str = Field(
         pattern=r"^tcp://",
-        description="zmq address to bind and to advertise",
+        description="zmq address to bind and, unless another one is "
+        "advertised, to advertise",
+    )
+    peer_advertised_address: str | None = Field(
+        default=None,
+        pattern=r"^tcp://",
+        description="zmq address under which peers reach it, when it is not "
+        "the one that it binds",
     )
     seed_peers: list[str] = Field(
         default=[],
--- a/tests/tools/test_deployment.py
+++ b/tests/tools/test_deployment.py
@@ -18,6 +18,7 @@
 )
 from tools.deployment import Deployment
 from tools.deployment import load_deployment
+from tools.direct_routes import DirectRoutes
 from tools.managed_process import ROOT
 from tools.port_allocator import PortAllocator
 from tools.settings_writer import SettingsWriter
@@ -84,7 +85,9 @@
         self.addCleanup(ports.close)
         with TemporaryDirectory() as name:
             directory = Path(name)
-            writer = SettingsWriter(deployment, directory, ports)
+            writer = SettingsWriter(
+                deployment, directory, ports, DirectRoutes()
+            )
             writer.write_tokens()
             specs = [
                 writer.write_platform(),
--- a/tests/tools/test_load_generator.py
+++ b/tests/tools/test_load_generator.py
@@ -6,7 +6,6 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
-from aiosonic import HTTPClient
 from testtools import TestCase
 
 from carawaystep.document.service_kind import ServiceKind
@@ -41,8 +40,7 @@
         ]
         urls = [entry.url for entry in entries]
         rotation = EntryRotation([refusing, *urls] if refusing else urls)
-        client = await stack.enter_async_context(HTTPClient())
-        caller = HttpCaller(client)
+        caller = await stack.enter_async_context(HttpCaller())
         generator = LoadGenerator(service, plan, rotation, caller, "t")
         await generator.run()
         return generator.records, [entry.keys for entry in entries]
--- a/tools/call_record.py
+++ b/tools/call_record.py
@@ -21,6 +21,9 @@
     :param request_id: id given by the entry, None when none arrived
     :param status: HTTP status, None when no response arrived
     :param latency_s: time from sending to the last byte of the response
+    :param started_at: when it was sent, seconds of the monotonic clock
+    :param sent_sha256: SHA-256 of the body that was sent
+    :param body: body of the response
     """
 
     service: str
@@ -30,3 +33,6 @@
     request_id: str | None
     status: int | None
     latency_s: float
+    started_at: float = 0.0
+    sent_sha256: str = ""
+    body: bytes = b""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,36 +11,31 @@
 from typing import Annotated
 from typing import TYPE_CHECKING
 
-from aiosonic import HTTPClient
 import cappa
 from result import Err
-from result import Ok
 
 from carawaystep.document.service_kind import ServiceKind
 from tools.demo_summary import DemoSummary
 from tools.demo_summary import summarize
 from tools.deployment import load_deployment
+from tools.document_setup import apply_documents
 from tools.entry_rotation import EntryRotation
 from tools.example_service import load_services
 from tools.http_caller import HttpCaller
 from tools.interruptible import run_interruptible
 from tools.job_driver import JobDriver
 from tools.launcher import Launcher
-from tools.ledger import Ledger
 from tools.ledger_audit import LedgerAudit
+from tools.ledger_reader import read_ledgers
 from tools.load_generator import LoadGenerator
 from tools.load_plan import LoadPlan
 from tools.managed_process import ROOT
-from tools.process_spec import ProcessSpec
 from tools.run_directory import open_run_directory
 
 if TYPE_CHECKING:
-    from result import Result
-
     from tools.example_service import ExampleService
+    from tools.ledger import Ledger
 
-_APPLY_WAIT_S = 16
-_APPLY_LIMIT_S = 60.0
 _JOBS_LIMIT_S = 90.0
 _LEDGER_LIMIT_S = 10.0
 _PROGRESS_S = 5.0
@@ -117,7 +112,7 @@
             return DemoSummary(error=str(started.err_value))
         forced: tuple[str, ...] = ()
         try:
-            summary = await self._use(launcher)
+            summary = await self._use(launcher, directory)
         finally:
             self._say("stopping all processes")
             forced = await launcher.stop()
@@ -125,8 +120,11 @@
             self._say(f"{name} did not stop by itself and was killed")
         return replace(summary, forced=len(forced))
 
-    async def _use(self, launcher: Launcher) -> DemoSummary:
-        failure = await self._apply_documents(launcher)
+    async def _use(self, launcher: Launcher, directory: Path) -> DemoSummary:
+        self._say("applying the documents")
+        failure = await apply_documents(
+            launcher, self._example_path / "documents", directory
+        )
         if failure is not None:
             return DemoSummary(error=failure)
         services = load_services(self._example_path / "documents")
@@ -134,8 +132,7 @@
             process.spec.url or "" for process in launcher.entries
         )
         token = launcher.token("callers")
-        async with HTTPClient() as client:
-            caller = HttpCaller(client)
+        async with HttpCaller() as caller:
             generators = [
                 LoadGenerator(
                     service, self._plan(service), rotation, caller, token
@@ -150,34 +147,12 @@
             ]
             await self._load(launcher, generators, drivers)
             await self._wait_for_jobs(drivers)
-            ledgers = await self._read_ledgers(launcher, caller)
+            self._say("reading the ledgers of all workers")
+            ledgers = await read_ledgers(caller, launcher.worker_urls)
         if isinstance(ledgers, Err):
             return DemoSummary(error=ledgers.err_value)
         return self._judge(services, generators, drivers, ledgers.ok_value)
 
-    async def _apply_documents(self, launcher: Launcher) -> str | None:
-        """Put the documents in force; return what went wrong."""
-        self._say("applying the documents")
-        command = (
-            *(sys.executable, "-m", "carawaystep", "document", "apply"),
-            str(self._example_path / "documents"),
-            *("--url", launcher.entries[0].spec.url or ""),
-            *("--token-file", str(launcher.token_file("operators"))),
-            *("--wait", str(_APPLY_WAIT_S)),
-        )
-        process = launcher.group.start(
-            ProcessSpec("command", "document-apply", command)
-        )
-        code = await process.wait(_APPLY_LIMIT_S)
-        if code == 0:
-            return None
-        if code is None:
-            return f"document apply still runs after {_APPLY_LIMIT_S:.0f} s"
-        return (
-            f"document apply ended with exit code {code}; it wrote:\n"
-            f"{process.last_error_lines()}"
-        )
-
     async def _load(
         self,
         launcher: Launcher,
@@ -224,18 +199,6 @@
             for job in driver.open_jobs:
                 self._say(f"job {job} is still {driver.states[job]}")
 
-    async def _read_ledgers(
-        self, launcher: Launcher, caller: HttpCaller
-    ) -> Result[list[Ledger], str]:
-        self._say("reading the ledgers of all workers")
-        ledgers = []
-        for name, url in launcher.worker_urls.items():
-            sent = await caller.get(f"{url}/ledger", {}, _LEDGER_LIMIT_S)
-            if isinstance(sent, Err) or sent.ok_value.status != 200:
-                return Err(f"the ledger of worker {name} cannot be read")
-            ledgers.append(Ledger.model_validate_json(sent.ok_value.body))
-        return Ok(ledgers)
-
     def _judge(
         self,
         services: tuple[ExampleService, ...],
--- a/tools/entry_rotation.py
+++ b/tools/entry_rotation.py
@@ -33,6 +33,11 @@
         self._urls = self._urls[count:] + taken
         return tuple(taken)
 
+    def mark_up(self, url: str) -> None:
+        """Add an entry that takes calls again."""
+        if url not in self._urls:
+            self._urls.append(url)
+
     def mark_down(self, url: str) -> None:
         """Remove an entry."""
         if url in self._urls:
--- a/tools/http_answer.py
+++ b/tools/http_answer.py
@@ -16,7 +16,7 @@
     """Status, headers and the whole body.
 
     :param status: HTTP status
-    :param headers: headers; names are case-insensitive
+    :param headers: headers by lower-case name
     :param body: the whole body
     :param latency_s: time from sending to the last byte
     """
--- a/tools/http_caller.py
+++ b/tools/http_caller.py
@@ -2,35 +2,50 @@
 
 from __future__ import annotations
 
+import json
 from time import monotonic
 from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
 
-from aiosonic.exceptions import AiosonicError
-from aiosonic.exceptions import ConnectTimeout
-from aiosonic.timeout import Timeouts
 from result import Err
 from result import Ok
 
+from carawaystep.adapters.http_client.http_client import HttpClient
+from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from tools.http_answer import HttpAnswer
 from tools.send_failure import SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from typing import Any
+    from typing import Self
 
-    from aiosonic import HTTPClient
     from result import Result
 
 
+# Connections to one server.
+_CONNECTIONS = 100
+
+
 class HttpCaller:
-    """Sends calls and tells calls never sent from those that broke off."""
+    """Sends calls and tells calls never sent from those that broke off.
+
+    A plain aiosonic client gives the late answer of a timed-out call to the
+    next call, which looks like a fault of the entry.
+    """
 
-    def __init__(self, client: HTTPClient) -> None:
-        """Create a caller.
+    def __init__(self) -> None:
+        """Create a caller without connections."""
+        self._clients: dict[str, HttpClient] = {}
 
-        :param client: never sends a POST twice by itself
-        """
-        self._client = client
+    async def __aenter__(self) -> Self:
+        """Return the caller."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            await client.close()
 
     async def get(
         self, url: str, headers: Mapping[str, str], limit_s: float
@@ -38,6 +53,18 @@
         """Send a GET request."""
         return await self._send("GET", url, headers, None, limit_s)
 
+    async def delete(
+        self, url: str, headers: Mapping[str, str], limit_s: float
+    ) -> Result[HttpAnswer, SendFailure]:
+        """Send a DELETE request."""
+        return await self._send("DELETE", url, headers, None, limit_s)
+
+    async def put(
+        self, url: str, headers: Mapping[str, str], body: bytes, limit_s: float
+    ) -> Result[HttpAnswer, SendFailure]:
+        """Send a PUT request."""
+        return await self._send("PUT", url, headers, body, limit_s)
+
     async def post(
         self,
         url: str,
@@ -46,35 +73,46 @@
         limit_s: float,
     ) -> Result[HttpAnswer, SendFailure]:
         """Send a POST request with a JSON body."""
-        return await self._send("POST", url, headers, content, limit_s)
+        return await self._send(
+            "POST",
+            url,
+            {**headers, "Content-Type": "application/json"},
+            self.encode(content),
+            limit_s,
+        )
+
+    @staticmethod
+    def encode(content: dict[str, Any]) -> bytes:
+        """Return the body that ``post`` sends."""
+        return json.dumps(content).encode()
 
     async def _send(
         self,
         method: str,
         url: str,
         headers: Mapping[str, str],
-        content: dict[str, Any] | None,
+        body: bytes | None,
         limit_s: float,
     ) -> Result[HttpAnswer, SendFailure]:
         start = monotonic()
-        try:
-            response = await self._client.request(
-                url,
-                method=method,
-                headers=dict(headers),
-                json=content,
-                timeouts=Timeouts(request_timeout=limit_s),
-            )
-            body = await response.content()
-        except (ConnectionRefusedError, ConnectTimeout):
-            return Err(SendFailure.NOT_SENT)
-        except (OSError, EOFError, AiosonicError, TimeoutError):
+        parts = urlsplit(url)
+        server = f"{parts.scheme}://{parts.netloc}"
+        client = self._clients.get(server)
+        if client is None:
+            client = HttpClient(server, _CONNECTIONS)
+            self._clients[server] = client
+        path = url.removeprefix(server)
+        sent = await client.request(method, path, limit_s, headers, body)
+        if isinstance(sent, Err):
+            if isinstance(sent.err_value, HttpNotSent):
+                return Err(SendFailure.NOT_SENT)
             return Err(SendFailure.BROKEN)
+        answer = sent.ok_value
         return Ok(
             HttpAnswer(
-                response.status_code,
-                response.headers,
-                body,
+                answer.status,
+                answer.headers,
+                answer.body,
                 monotonic() - start,
             )
         )
--- a/tools/job_driver.py
+++ b/tools/job_driver.py
@@ -12,6 +12,7 @@
 from carawaystep.job.job_state import JobState
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from typing import Any
 
     from tools.entry_rotation import EntryRotation
@@ -21,6 +22,7 @@
 _POLL_S = 1.0
 _MAX_SENDS = 5
 _RETRY_PAUSE_S = 0.5
+_MAX_JOBS_PER_CANCELLATION = 50
 _ENDED = frozenset({JobState.DONE, JobState.PARKED, JobState.CANCELLED})
 
 
@@ -47,6 +49,15 @@
         self._headers = {"Authorization": f"Bearer {token}"}
         self._run = token_hex(4)
         self._states: dict[str, JobState] = {}
+        self._told_done_at: dict[str, float] = {}
+
+    @property
+    def told_done_at(self) -> dict[str, float]:
+        """Return when each job was first told to be done.
+
+        Times are seconds of the monotonic clock.
+        """
+        return dict(self._told_done_at)
 
     @property
     def accepted(self) -> int:
@@ -89,6 +100,30 @@
             await asyncio.sleep(_POLL_S if self.open_jobs else 0)
         return not self.open_jobs
 
+    async def refresh(self) -> None:
+        """Ask once for the state of each open job."""
+        for job in self.open_jobs:
+            await self._refresh(job)
+
+    async def cancel(self, jobs: Sequence[str]) -> int:
+        """Cancel jobs at the same time.
+
+        :param jobs: ids of accepted jobs
+        :returns: number of cancellations that an entry accepted
+        """
+        sent = await asyncio.gather(
+            *(self._cancel(job) for job in jobs[:_MAX_JOBS_PER_CANCELLATION])
+        )
+        return sum(sent)
+
+    async def _cancel(self, job: str) -> bool:
+        for entry in self._rotation.take():
+            sent = await self._caller.delete(
+                f"{entry}/v1/jobs/{job}", self._headers, _CALL_LIMIT_S
+            )
+            return isinstance(sent, Ok) and sent.ok_value.status == 202
+        return False
+
     async def _submit_one(self, number: int, run_s: float) -> None:
         # The key makes a repeated submission find the first one's row.
         headers = {
@@ -115,4 +150,7 @@
                 self._note(sent.ok_value.json())
 
     def _note(self, content: dict[str, Any]) -> None:
-        self._states[content["id"]] = JobState(content["state"])
+        job, state = content["id"], JobState(content["state"])
+        self._states[job] = state
+        if state is JobState.DONE:
+            self._told_done_at.setdefault(job, monotonic())
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -13,6 +13,7 @@
 from result import Err
 from result import Ok
 
+from tools.direct_routes import DirectRoutes
 from tools.launch_failure import LaunchFailure
 from tools.port_allocator import HOST
 from tools.port_allocator import PortAllocator
@@ -28,6 +29,7 @@
     from tools.deployment import Deployment
     from tools.managed_process import ManagedProcess
     from tools.process_spec import ProcessSpec
+    from tools.routes import Routes
 
 _READY_LIMIT_S = 30.0
 _POLL_S = 0.1
@@ -45,6 +47,7 @@
         directory: Path,
         entries: int | None = None,
         ready_limit_s: float = _READY_LIMIT_S,
+        routes: Routes | None = None,
     ) -> None:
         """Create a launcher; nothing is started yet.
 
@@ -52,13 +55,17 @@
         :param directory: where settings, tokens and output go
         :param entries: number of entry processes, None for all
         :param ready_limit_s: time within which each stage must be ready
+        :param routes: how the processes reach each other, None for directly
         """
         self._deployment = deployment
         self._directory = directory
         self._entries = deployment.entry_count if entries is None else entries
         self._ready_limit_s = ready_limit_s
         self._ports = PortAllocator()
-        self._writer = SettingsWriter(deployment, directory, self._ports)
+        self._routes = DirectRoutes() if routes is None else routes
+        self._writer = SettingsWriter(
+            deployment, directory, self._ports, self._routes
+        )
         self._group = ProcessGroup(directory)
 
     @property
@@ -110,7 +117,9 @@
         """
         ready = False
         try:
-            for stage in self._stages():
+            stages = self._stages()
+            await self._routes.open()
+            for stage in stages:
                 failure = await self._start_stage(stage)
                 if failure is not None:
                     return Err(failure)
@@ -134,8 +143,15 @@
             killed = await self._group.stop(limit_s, "entry")
         finally:
             killed += await self._group.stop(_EXIT_MARGIN_S)
+            await self._routes.close()
         return killed
 
+    async def restart(self, name: str) -> Result[None, LaunchFailure]:
+        """Start an ended process again and wait until it is ready."""
+        process = self._group.start(self._group.get(name).spec)
+        failure = await self._await_ready(process)
+        return Ok(None) if failure is None else Err(failure)
+
     def _stages(self) -> list[list[ProcessSpec]]:
         self._writer.write_tokens()
         names = self._deployment.entry_names(self._entries)
@@ -146,7 +162,7 @@
                 for zone in self._deployment.availability_zones
             ],
             [
-                self._writer.write_entry(name, zone)
+                self._writer.write_entry(name, zone, entries)
                 for zone, entries in names.items()
                 for name in entries
             ],
--- a/tools/load_generator.py
+++ b/tools/load_generator.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
+from hashlib import sha256
 from secrets import token_hex
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -30,7 +32,7 @@
 
     A caller whose connection breaks does not know the outcome. It sends an
     idempotent request again through another entry, a non-idempotent one
-    never.
+    only with the same key and when the plan asks for it.
     """
 
     def __init__(
@@ -82,12 +84,21 @@
             return
         key = f"{self._service.service}-{self._run}-{number}"
         copies = 2 if number % self._plan.repeat_every == 0 else 1
-        await asyncio.gather(
+        records = await asyncio.gather(
             *(
                 self._send(number, key, entry)
                 for entry in self._rotation.take(copies)
             )
         )
+        answered = any(
+            record is not None and record.outcome is Outcome.ANSWERED
+            for record in records
+        )
+        if answered or self._plan.resend_after_s is None:
+            return
+        await asyncio.sleep(self._plan.resend_after_s)
+        for entry in self._rotation.take():
+            await self._send(number, key, entry)
 
     async def _send_until_known(self, number: int) -> None:
         for _ in range(_MAX_SENDS):
@@ -107,25 +118,26 @@
         if key is not None:
             headers["Idempotency-Key"] = key
         start = monotonic()
+        content = {"number": number, "run": self._run}
+        digest = sha256(self._caller.encode(content)).hexdigest()
         sent = await self._caller.post(
             f"{entry}/v1/services/{self._service.service}/requests",
             headers,
-            {"number": number, "run": self._run},
+            content,
             self._service.deadline_s + _RESPONSE_MARGIN_S,
         )
         if isinstance(sent, Err):
             if sent.err_value is SendFailure.NOT_SENT:
                 self._rotation.mark_down(entry)
                 return None
-            record = self._broken(key, entry, monotonic() - start)
+            record = self._broken(key, entry, start)
         else:
-            record = self._told(key, entry, sent.ok_value)
+            record = self._told(key, entry, sent.ok_value, start)
+        record = replace(record, sent_sha256=digest)
         self._records.append(record)
         return record
 
-    def _broken(
-        self, key: str | None, entry: str, latency_s: float
-    ) -> CallRecord:
+    def _broken(self, key: str | None, entry: str, start: float) -> CallRecord:
         return CallRecord(
             self._service.service,
             key,
@@ -133,25 +145,28 @@
             Outcome.UNKNOWN,
             None,
             None,
-            latency_s,
+            monotonic() - start,
+            start,
         )
 
     def _told(
-        self, key: str | None, entry: str, answer: HttpAnswer
+        self, key: str | None, entry: str, answer: HttpAnswer, start: float
     ) -> CallRecord:
         return CallRecord(
             self._service.service,
             key,
             entry,
             self._outcome(answer),
-            answer.headers.get("Carawaystep-Request-Id"),
+            answer.headers.get("carawaystep-request-id"),
             answer.status,
             answer.latency_s,
+            start,
+            body=answer.body,
         )
 
     @staticmethod
     def _outcome(answer: HttpAnswer) -> Outcome | None:
-        told = answer.headers.get("Carawaystep-Outcome")
+        told = answer.headers.get("carawaystep-outcome")
         if told is not None:
             return Outcome(told)
         # A fault of the entry leaves the outcome open; any other response
--- a/tools/load_plan.py
+++ b/tools/load_plan.py
@@ -15,6 +15,8 @@
     :param max_requests: after this number no request begins
     :param repeat_every: every so many non-idempotent requests one is sent
         through two entries at once
+    :param resend_after_s: after this time a non-idempotent request that was
+        not answered is sent once more with the same key, None for never
     """
 
     callers: int
@@ -22,3 +24,4 @@
     seconds: float
     max_requests: int = 10_000
     repeat_every: int = 5
+    resend_after_s: float | None = None
--- a/tools/managed_process.py
+++ b/tools/managed_process.py
@@ -20,7 +20,9 @@
 class ManagedProcess:
     """A child process with its output in files."""
 
-    def __init__(self, spec: ProcessSpec, directory: Path) -> None:
+    def __init__(
+        self, spec: ProcessSpec, directory: Path, *, restarted: bool = False
+    ) -> None:
         """Start the process.
 
         It leads a session of its own, so that an interrupt at the terminal
@@ -28,15 +30,17 @@
 
         :param spec: what to start
         :param directory: where its output goes
+        :param restarted: append to the output of the process before it
         """
         self._spec = spec
         self._output_path = directory / f"{spec.name}.stdout"
         self._error_path = directory / f"{spec.name}.stderr"
         environment = dict(os.environ, PYTHONUNBUFFERED="1")
         environment["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+        mode = "ab" if restarted else "wb"
         with (
-            self._output_path.open("wb") as output,
-            self._error_path.open("wb") as errors,
+            self._output_path.open(mode) as output,
+            self._error_path.open(mode) as errors,
         ):
             self._process = Popen(  # noqa: S603
                 spec.command,
@@ -99,6 +103,10 @@
             os.close(descriptor)
         return self.exit_code
 
+    def error_text(self) -> str:
+        """Return its standard error, with that of earlier processes."""
+        return self._error_path.read_bytes().decode(errors="replace")
+
     def last_error_lines(self, count: int = 8) -> str:
         """Return the end of its standard error."""
         content = self._error_path.read_bytes()[-_TAIL_BYTES:]
--- a/tools/process_group.py
+++ b/tools/process_group.py
@@ -43,7 +43,9 @@
         present = self._processes.get(spec.name)
         if present is not None and present.running:
             raise ValueError(f"process {spec.name!r} runs already")
-        process = ManagedProcess(spec, self._directory)
+        process = ManagedProcess(
+            spec, self._directory, restarted=present is not None
+        )
         self._processes[spec.name] = process
         return process
 
--- /dev/null
+++ b/tools/prove/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs over processes that try to break the invariants."""
--- /dev/null
+++ b/tools/prove/fault_kind.py
@@ -0,0 +1,29 @@
+"""Kinds of faults."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class FaultKind(StrEnum):
+    """What a fault does to its target."""
+
+    KILL_ENTRY = "kill-entry"
+    PAUSE_ENTRY = "pause-entry"
+    STOP_ENTRY = "stop-entry"
+    CUT_ZONE = "cut-zone"
+    CUT_ENTRY = "cut-entry"
+    SILENCE = "silence"
+    PLATFORM_REFUSE = "platform-refuse"
+    PLATFORM_DELAY = "platform-delay"
+    PLATFORM_LOSE = "platform-lose-answers"
+    WORKER_REFUSE = "worker-refuse"
+    WORKER_DELAY = "worker-delay"
+    WORKER_FREEZE = "worker-freeze"
+    WORKER_LAG = "worker-lag"
+    WORKER_LOSE = "worker-lose-answers"
+    RESTART_WORKERS = "restart-workers"
+    LEAVE_WORKER = "worker-leaves"
+    LEAVE_VM = "vm-leaves"
+    EDIT_RACE = "edit-race"
+    CANCEL_WAVE = "cancel-wave"
--- /dev/null
+++ b/tools/prove/ledger_archive.py
@@ -0,0 +1,107 @@
+"""Ledgers of worker processes that were killed."""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from carawaystep.worker.execution_end import ExecutionEnd
+from tools.ledger_reader import read_ledgers
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+    from tools.http_caller import HttpCaller
+    from tools.ledger import Execution
+    from tools.ledger import Ledger
+
+_CALL_LIMIT_S = 5.0
+_FREEZE_S = 30.0
+# Requests that run end within this time, so that the ledger stands still.
+_SETTLE_S = 1.0
+_LOST = "lost"
+
+
+class LedgerArchive:
+    """Reads the ledgers of workers just before their process is killed.
+
+    The workers are frozen first: they then start nothing and answer nothing,
+    so that nobody learns of anything that the ledgers do not have.
+    """
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Create an empty archive.
+
+        :param caller: sends the calls
+        """
+        self._caller = caller
+        self._ledgers: list[Ledger] = []
+
+    @property
+    def ledgers(self) -> tuple[Ledger, ...]:
+        """Return the ledgers of all killed workers."""
+        return tuple(self._ledgers)
+
+    async def save(self, workers: Mapping[str, str]) -> str | None:
+        """Freeze workers and save their ledgers.
+
+        :param workers: base URL of each worker
+        :returns: what went wrong, None when the process can be killed
+        """
+        frozen_at = monotonic()
+        unstored = await asyncio.gather(
+            *(self._freeze(url) for url in workers.values())
+        )
+        await asyncio.sleep(_SETTLE_S)
+        read = await read_ledgers(self._caller, workers)
+        if not isinstance(read, Ok):
+            return read.err_value
+        now = monotonic()
+        for ledger, ends in zip(read.ok_value, unstored, strict=True):
+            executions = [
+                self._closed(execution, ends, frozen_at, now)
+                for execution in ledger.executions
+            ]
+            self._ledgers.append(
+                ledger.model_copy(update={"executions": executions})
+            )
+        return None
+
+    async def _freeze(self, url: str) -> set[tuple[str, int]]:
+        """Return the ends that no owner has acknowledged, then freeze."""
+        await self._post(f"{url}/faults", {})
+        sent = await self._caller.get(
+            f"{url}/v1/report?since=0&wait_s=0", {}, _CALL_LIMIT_S
+        )
+        await self._post(f"{url}/faults", {"freeze_s": _FREEZE_S})
+        if not isinstance(sent, Ok) or sent.ok_value.status != 200:
+            return set()
+        ended = sent.ok_value.json()["ended"]
+        return {(one["id"], one["attempt"]) for one in ended}
+
+    async def _post(self, url: str, body: dict[str, Any]) -> None:
+        await self._caller.post(url, {}, body, _CALL_LIMIT_S)
+
+    @staticmethod
+    def _closed(
+        execution: Execution,
+        unstored: set[tuple[str, int]],
+        frozen_at: float,
+        now: float,
+    ) -> Execution:
+        """Return an execution as it counts after the death of its worker.
+
+        What still ran is lost. So is a task whose end no owner can have
+        stored; it has to run again.
+        """
+        if execution.end is None:
+            return execution.model_copy(update={"end": now, "how": _LOST})
+        if execution.kind == "task" and execution.how == ExecutionEnd.DONE:
+            attempt = (execution.id, execution.attempt)
+            if attempt in unstored or execution.end >= frozen_at:
+                return execution.model_copy(update={"how": _LOST})
+        return execution
--- /dev/null
+++ b/tools/prove/sighting.py
@@ -0,0 +1,25 @@
+"""What an entry showed to an operator."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """State of one entry process at one time.
+
+    :param entry: its name
+    :param pid: its process id
+    :param asked_at: when the question was sent, seconds of the monotonic clock
+    :param phase: phase of the process
+    :param workers: workers that it owns
+    :param documents: version and text in force of each service
+    """
+
+    entry: str
+    pid: int
+    asked_at: float
+    phase: str
+    workers: frozenset[str]
+    documents: dict[str, tuple[int, str]]
--- /dev/null
+++ b/tools/prove/silence.py
@@ -0,0 +1,31 @@
+"""Makes connections silent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tools.prove.fault_action import FaultAction
+
+if TYPE_CHECKING:
+    from tools.prove.fault_record import FaultRecord
+    from tools.prove.relay_routes import RelayRoutes
+
+
+class Silence(FaultAction):
+    """Silences the present connections of a relay; new ones work.
+
+    The length is the time that the processes get to notice it.
+    """
+
+    def __init__(self, routes: RelayRoutes) -> None:
+        """Create the action.
+
+        :param routes: relays between the processes
+        """
+        self._routes = routes
+
+    async def run(self, record: FaultRecord) -> None:
+        """Silence the connections and wait."""
+        self._routes.relays[record.fault.target].silence()
+        await asyncio.sleep(record.fault.length_s)
--- a/tools/settings_writer.py
+++ b/tools/settings_writer.py
@@ -23,6 +23,7 @@
 from tools.process_spec import ProcessSpec
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from pathlib import Path
     from typing import Any
 
@@ -30,24 +31,32 @@
     from tools.deployment import DeploymentWorker
     from tools.deployment import DeploymentZone
     from tools.port_allocator import PortAllocator
+    from tools.routes import Routes
 
 
 class SettingsWriter:
     """Writes the settings and token files and says what to start."""
 
     def __init__(
-        self, deployment: Deployment, directory: Path, ports: PortAllocator
+        self,
+        deployment: Deployment,
+        directory: Path,
+        ports: PortAllocator,
+        routes: Routes,
     ) -> None:
         """Create a writer.
 
         :param deployment: what to write settings for
         :param directory: where the files go
         :param ports: source of free ports
+        :param routes: how the processes reach each other
         """
         self._deployment = deployment
         self._directory = directory
         self._ports = ports
+        self._routes = routes
         self._platform_port = ports.reserve()
+        self._peer_ports: dict[str, int] = {}
         self._worker_ports = {
             worker.name: ports.reserve() for worker in deployment.workers
         }
@@ -86,7 +95,11 @@
                     name=worker.name,
                     availability_zone=zone.name,
                     rack=worker.rack,
-                    url=self._worker_url(worker),
+                    url=self._url(
+                        self._routes.worker_port(
+                            worker.name, self._worker_ports[worker.name]
+                        )
+                    ),
                 )
                 for zone in self._deployment.availability_zones
                 for worker in zone.workers
@@ -133,17 +146,29 @@
             },
         )
 
-    def write_entry(self, name: str, zone: str) -> ProcessSpec:
-        """Write the settings of one entry process."""
+    def write_entry(
+        self, name: str, zone: str, peers: Iterable[str] = ()
+    ) -> ProcessSpec:
+        """Write the settings of one entry process.
+
+        :param name: its name
+        :param zone: its availability zone
+        :param peers: entries that it asks when it starts in an outage
+        """
         http_port = self._ports.reserve()
-        peer_port = self._ports.reserve()
+        peer_port = self._peer_port(name)
+        platform_port = self._routes.platform_port(name, self._platform_port)
         settings = EntrySettings(
             name=name,
             availability_zone=zone,
             http=ListenSettings(host=HOST, port=http_port),
             advertised_url=self._url(http_port),
             peer_address=f"tcp://{HOST}:{peer_port}",
-            platform=PlatformSettings(url=self._url(self._platform_port)),
+            peer_advertised_address=self._peer_address(name),
+            seed_peers=[
+                self._peer_address(peer) for peer in peers if peer != name
+            ],
+            platform=PlatformSettings(url=self._url(platform_port)),
             access=AccessSettings(tokens_file=self.tokens_file),
             drain_limit_s=self._deployment.drain_limit_s,
         )
@@ -156,6 +181,15 @@
             ports=(http_port, peer_port),
         )
 
+    def _peer_port(self, entry: str) -> int:
+        if entry not in self._peer_ports:
+            self._peer_ports[entry] = self._ports.reserve()
+        return self._peer_ports[entry]
+
+    def _peer_address(self, entry: str) -> str:
+        port = self._routes.peer_port(entry, self._peer_port(entry))
+        return f"tcp://{HOST}:{port}"
+
     def _command(
         self, name: str, settings: Any, *words: str
     ) -> tuple[str, ...]:
