--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
 import sys
+from time import monotonic
 from typing import Annotated
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,7 @@
 from tools.load_generator import LoadGenerator
 from tools.load_plan import LoadPlan
 from tools.managed_process import ROOT
+from tools.run_directory import copy_documents
 from tools.run_directory import open_run_directory
 
 if TYPE_CHECKING:
@@ -47,6 +49,7 @@
 _JOBS = 30
 _JOB_RUN_S = 3.0
 _KILL_AFTER_SHARE = 0.35
+_STARTED_AT = monotonic()
 
 
 @dataclass
@@ -112,7 +115,8 @@
             return DemoSummary(error=str(started.err_value))
         forced: tuple[str, ...] = ()
         try:
-            summary = await self._use(launcher, directory)
+            documents = copy_documents(self._example_path, directory)
+            summary = await self._use(launcher, documents)
         finally:
             self._say("stopping all processes")
             forced = await launcher.stop()
@@ -120,14 +124,12 @@
             self._say(f"{name} did not stop by itself and was killed")
         return replace(summary, forced=len(forced))
 
-    async def _use(self, launcher: Launcher, directory: Path) -> DemoSummary:
+    async def _use(self, launcher: Launcher, documents: Path) -> DemoSummary:
         self._say("applying the documents")
-        failure = await apply_documents(
-            launcher, self._example_path / "documents", directory
-        )
+        failure = await apply_documents(launcher, documents)
         if failure is not None:
             return DemoSummary(error=failure)
-        services = load_services(self._example_path / "documents")
+        services = load_services(documents)
         rotation = EntryRotation(
             process.spec.url or "" for process in launcher.entries
         )
@@ -217,8 +219,14 @@
             for driver in drivers
             for job, state in driver.states.items()
         }
+        repeated = 0
+        for driver in drivers:
+            repeated += sum(driver.failures.values())
+            if driver.failures:
+                self._say(f"submissions not accepted: {driver.failures}")
         jobs_open = sum(len(driver.open_jobs) for driver in drivers)
-        return summarize(calls, jobs, jobs_open, findings)
+        summary = summarize(calls, jobs, jobs_open, findings)
+        return replace(summary, submissions_repeated=repeated)
 
     def _plan(self, service: ExampleService) -> LoadPlan:
         callers = _NON_IDEMPOTENT_CALLERS
@@ -228,7 +236,8 @@
 
     @staticmethod
     def _say(text: str) -> None:
-        print(f"demo: {text}", file=sys.stderr, flush=True)
+        now_s = monotonic() - _STARTED_AT
+        print(f"demo {now_s:5.1f} s: {text}", file=sys.stderr, flush=True)
 
 
 def main() -> int:
--- a/tools/document_setup.py
+++ b/tools/document_setup.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from shutil import copyfile
 import sys
 from typing import TYPE_CHECKING
 
@@ -17,26 +16,15 @@
 _APPLY_LIMIT_S = 60.0
 
 
-async def apply_documents(
-    launcher: Launcher, documents: Path, directory: Path
-) -> str | None:
-    """Apply the documents of an example.
-
-    The command notes the stored versions next to the documents. They belong
-    to one deployment, so each run applies a copy.
+async def apply_documents(launcher: Launcher, documents: Path) -> str | None:
+    """Apply all documents of a directory; return what went wrong.
 
     :param launcher: the running deployment
-    :param documents: directory of the documents
-    :param directory: run directory, which gets the copy
-    :returns: what went wrong, None when all documents are in force
+    :param documents: copies of the documents in the run directory
     """
-    copies = directory / "documents"
-    copies.mkdir(exist_ok=True)
-    for path in documents.glob("*.yaml"):
-        copyfile(path, copies / path.name)
     command = (
         *(sys.executable, "-m", "carawaystep", "document", "apply"),
-        str(copies),
+        str(documents),
         *("--url", launcher.entries[0].spec.url or ""),
         *("--token-file", str(launcher.token_file("operators"))),
         *("--wait", str(_APPLY_WAIT_S)),
--- a/tools/http_caller.py
+++ b/tools/http_caller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from time import monotonic
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
@@ -17,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from typing import Any
     from typing import Self
 
     from result import Result
@@ -69,23 +67,21 @@
         self,
         url: str,
         headers: Mapping[str, str],
-        content: dict[str, Any],
+        body: bytes,
         limit_s: float,
     ) -> Result[HttpAnswer, SendFailure]:
-        """Send a POST request with a JSON body."""
+        """Send a POST request.
+
+        :param body: JSON text
+        """
         return await self._send(
             "POST",
             url,
             {**headers, "Content-Type": "application/json"},
-            self.encode(content),
+            body,
             limit_s,
         )
 
-    @staticmethod
-    def encode(content: dict[str, Any]) -> bytes:
-        """Return the body that ``post`` sends."""
-        return json.dumps(content).encode()
-
     async def _send(
         self,
         method: str,
--- a/tools/load_generator.py
+++ b/tools/load_generator.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import replace
 from hashlib import sha256
+import json
 from secrets import token_hex
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -83,13 +84,15 @@
             await self._send_until_known(number)
             return
         key = f"{self._service.service}-{self._run}-{number}"
-        copies = 2 if number % self._plan.repeat_every == 0 else 1
-        records = await asyncio.gather(
-            *(
-                self._send(number, key, entry)
-                for entry in self._rotation.take(copies)
-            )
-        )
+        turn, rest = divmod(number, self._plan.repeat_every)
+        entries = self._rotation.take(2 if rest == 0 else 1)
+        sends = [self._send(number, key, entry) for entry in entries]
+        # Every second repeat follows the first reply, so that both the
+        # stored answer and the race for the key are tried.
+        if turn % 2 == 0:
+            records = [await send for send in sends]
+        else:
+            records = list(await asyncio.gather(*sends))
         answered = any(
             record is not None and record.outcome is Outcome.ANSWERED
             for record in records
@@ -117,27 +120,30 @@
         headers = {"Authorization": f"Bearer {self._token}"}
         if key is not None:
             headers["Idempotency-Key"] = key
+        body = json.dumps({"number": number, "run": self._run}).encode()
         start = monotonic()
-        content = {"number": number, "run": self._run}
-        digest = sha256(self._caller.encode(content)).hexdigest()
         sent = await self._caller.post(
             f"{entry}/v1/services/{self._service.service}/requests",
             headers,
-            content,
+            body,
             self._service.deadline_s + _RESPONSE_MARGIN_S,
         )
         if isinstance(sent, Err):
             if sent.err_value is SendFailure.NOT_SENT:
                 self._rotation.mark_down(entry)
                 return None
-            record = self._broken(key, entry, start)
+            record = self._broken(key, entry, monotonic() - start)
         else:
-            record = self._told(key, entry, sent.ok_value, start)
-        record = replace(record, sent_sha256=digest)
+            record = self._told(key, entry, body, sent.ok_value)
+        record = replace(
+            record, started_at=start, sent_sha256=sha256(body).hexdigest()
+        )
         self._records.append(record)
         return record
 
-    def _broken(self, key: str | None, entry: str, start: float) -> CallRecord:
+    def _broken(
+        self, key: str | None, entry: str, latency_s: float
+    ) -> CallRecord:
         return CallRecord(
             self._service.service,
             key,
@@ -145,12 +151,11 @@
             Outcome.UNKNOWN,
             None,
             None,
-            monotonic() - start,
-            start,
+            latency_s,
         )
 
     def _told(
-        self, key: str | None, entry: str, answer: HttpAnswer, start: float
+        self, key: str | None, entry: str, body: bytes, answer: HttpAnswer
     ) -> CallRecord:
         return CallRecord(
             self._service.service,
@@ -160,10 +165,20 @@
             answer.headers.get("carawaystep-request-id"),
             answer.status,
             answer.latency_s,
-            start,
+            self._is_own_answer(body, answer),
             body=answer.body,
         )
 
+    @staticmethod
+    def _is_own_answer(body: bytes, answer: HttpAnswer) -> bool:
+        """Tell whether a stand-in worker's answer has our body's digest."""
+        try:
+            content = answer.json()
+        except ValueError:
+            return False
+        digest = sha256(body).hexdigest()
+        return isinstance(content, dict) and content.get("sha256") == digest
+
     @staticmethod
     def _outcome(answer: HttpAnswer) -> Outcome | None:
         told = answer.headers.get("carawaystep-outcome")
--- a/tools/prove/__main__.py
+++ b/tools/prove/__main__.py
@@ -15,6 +15,7 @@
 from tools.interruptible import run_interruptible
 from tools.managed_process import ROOT
 from tools.prove.prover import Prover
+from tools.run_directory import copy_documents
 from tools.run_directory import open_run_directory
 
 _EXAMPLE = ROOT / "examples" / "papadakis"
@@ -43,8 +44,8 @@
         if isinstance(loaded, Err):
             print(loaded.err_value, file=sys.stderr)
             return 1
-        documents = _EXAMPLE / "documents"
         with open_run_directory(self.directory) as directory:
+            documents = copy_documents(_EXAMPLE, directory)
             prover = Prover(
                 loaded.ok_value,
                 directory,
--- a/tools/prove/ledger_archive.py
+++ b/tools/prove/ledger_archive.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -84,7 +85,9 @@
         return {(one["id"], one["attempt"]) for one in ended}
 
     async def _post(self, url: str, body: dict[str, Any]) -> None:
-        await self._caller.post(url, {}, body, _CALL_LIMIT_S)
+        await self._caller.post(
+            url, {}, json.dumps(body).encode(), _CALL_LIMIT_S
+        )
 
     @staticmethod
     def _closed(
--- a/tools/prove/prover.py
+++ b/tools/prove/prover.py
@@ -96,7 +96,6 @@
         :param seconds: length of the load and the faults
         """
         self._documents = documents
-        self._directory = directory
         self._services = services
         self._seed = seed
         self._seconds = seconds
@@ -141,9 +140,7 @@
         return self._finish(summary, len(forced))
 
     async def _use(self) -> Summary:
-        failure = await apply_documents(
-            self._launcher, self._documents, self._directory
-        )
+        failure = await apply_documents(self._launcher, self._documents)
         if failure is not None:
             return self._failed(failure)
         async with (
--- a/tools/prove/standin_fault.py
+++ b/tools/prove/standin_fault.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 from tools.prove.fault_action import FaultAction
@@ -47,7 +48,9 @@
         return self._launcher.worker_urls[target]
 
     async def _post(self, url: str, body: dict[str, Any]) -> None:
-        await self._caller.post(f"{url}/faults", {}, body, _CALL_LIMIT_S)
+        await self._caller.post(
+            f"{url}/faults", {}, json.dumps(body).encode(), _CALL_LIMIT_S
+        )
 
     @staticmethod
     def _body(fault: Fault) -> dict[str, Any]:
--- a/tools/prove/worker_leave.py
+++ b/tools/prove/worker_leave.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -54,5 +55,7 @@
         await asyncio.sleep(record.fault.length_s)
 
     async def _post(self, url: str, body: dict[str, str]) -> bool:
-        sent = await self._caller.post(url, {}, body, _CALL_LIMIT_S)
+        sent = await self._caller.post(
+            url, {}, json.dumps(body).encode(), _CALL_LIMIT_S
+        )
         return isinstance(sent, Ok) and sent.ok_value.status == 200
