Ask only processes that have started for documents in force

The process had just been restarted into an outage of the platform and was in the phase starting, in which it takes no requests. The check now leaves this phase out; serving and draining processes are judged as before.

--- a/tests/tools/prove/test_checks.py
+++ b/tests/tools/prove/test_checks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from testtools import TestCase
 
 from carawaystep.job.job_state import JobState
@@ -60,6 +62,16 @@
         check.observe(sighting("e1", 36.1, documents=old))
         self._assert_violations("still has version 1")
 
+    def test_process_that_starts_holds_nothing(self) -> None:
+        """Guards against a false alarm for a start in an outage."""
+        check = InForceCheck(self.logs.faults, self.logs.violations)
+        check.accept(Edit("s", 2, "new", accepted_at=10))
+        starting = replace(sighting("e1", 40), phase="starting")
+        check.observe(starting)
+        self._assert_violations()
+        check.observe(replace(starting, phase="draining"))
+        self._assert_violations("still has version 0")
+
     def test_two_winners(self) -> None:
         """Guards against missing two operators who both win a race."""
         check = InForceCheck(self.logs.faults, self.logs.violations)
--- a/tools/prove/in_force_check.py
+++ b/tools/prove/in_force_check.py
@@ -46,7 +46,12 @@
         self._edits.setdefault(name, edit)
 
     def observe(self, sighting: Sighting) -> None:
-        """Compare a sighting with every edit that must be in force."""
+        """Compare a sighting with every edit that must be in force.
+
+        A process that still starts has no documents and takes no requests.
+        """
+        if sighting.phase == "starting":
+            return
         for edit in self._edits.values():
             version, text = sighting.documents.get(edit.service, (0, ""))
             if version == edit.version:
