--- a/tools/prove/prover.py
+++ b/tools/prove/prover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from contextlib import suppress
 from random import Random
 import sys
 from typing import TYPE_CHECKING
@@ -238,14 +239,7 @@
                 group.create_task(generator.run()) for generator in generators
             ]
             loading += [
-                group.create_task(
-                    driver.submit(
-                        int(self._seconds / _JOB_PAUSE_S),
-                        _JOB_PAUSE_S,
-                        _JOB_RUN_S,
-                    )
-                )
-                for driver in drivers
+                group.create_task(self._submit(driver)) for driver in drivers
             ]
             loading.append(group.create_task(injector.run(schedule.faults)))
             await asyncio.wait(loading)
@@ -346,6 +340,17 @@
             resend_after_s=_RESEND_AFTER_S,
         )
 
+    async def _submit(self, driver: JobDriver) -> None:
+        # Submissions take long in an outage, so their number does not bound
+        # the time.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._seconds):
+                await driver.submit(
+                    int(self._seconds / _JOB_PAUSE_S),
+                    _JOB_PAUSE_S,
+                    _JOB_RUN_S,
+                )
+
     @staticmethod
     async def _refresh(driver: JobDriver) -> None:
         while True:
