--- a/tools/call_record.py
+++ b/tools/call_record.py
@@ -22,6 +22,9 @@
     :param status: HTTP status, None when no response arrived
     :param latency_s: time from sending to the last byte of the response
     :param own_answer: False when the body answers another request
+    :param started_at: when it was sent, seconds of the monotonic clock
+    :param sent_sha256: SHA-256 of the body that was sent
+    :param body: body of the response
     """
 
     service: str
@@ -32,3 +35,6 @@
     status: int | None
     latency_s: float
     own_answer: bool = True
+    started_at: float = 0.0
+    sent_sha256: str = ""
+    body: bytes = b""
--- a/tools/load_generator.py
+++ b/tools/load_generator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from hashlib import sha256
 import json
 from secrets import token_hex
@@ -32,7 +33,7 @@
 
     A caller whose connection breaks does not know the outcome. It sends an
     idempotent request again through another entry, a non-idempotent one
-    never.
+    only with the same key and when the plan asks for it.
     """
 
     def __init__(
@@ -89,10 +90,18 @@
         # Every second repeat follows the first reply, so that both the
         # stored answer and the race for the key are tried.
         if turn % 2 == 0:
-            for send in sends:
-                await send
+            records = [await send for send in sends]
         else:
-            await asyncio.gather(*sends)
+            records = list(await asyncio.gather(*sends))
+        answered = any(
+            record is not None and record.outcome is Outcome.ANSWERED
+            for record in records
+        )
+        if answered or self._plan.resend_after_s is None:
+            return
+        await asyncio.sleep(self._plan.resend_after_s)
+        for entry in self._rotation.take():
+            await self._send(number, key, entry)
 
     async def _send_until_known(self, number: int) -> None:
         for _ in range(_MAX_SENDS):
@@ -126,6 +135,9 @@
             record = self._broken(key, entry, monotonic() - start)
         else:
             record = self._told(key, entry, body, sent.ok_value)
+        record = replace(
+            record, started_at=start, sent_sha256=sha256(body).hexdigest()
+        )
         self._records.append(record)
         return record
 
@@ -150,10 +162,11 @@
             key,
             entry,
             self._outcome(answer),
-            answer.headers.get("Carawaystep-Request-Id"),
+            answer.headers.get("carawaystep-request-id"),
             answer.status,
             answer.latency_s,
             self._is_own_answer(body, answer),
+            body=answer.body,
         )
 
     @staticmethod
@@ -168,7 +181,7 @@
 
     @staticmethod
     def _outcome(answer: HttpAnswer) -> Outcome | None:
-        told = answer.headers.get("Carawaystep-Outcome")
+        told = answer.headers.get("carawaystep-outcome")
         if told is not None:
             return Outcome(told)
         # A fault of the entry leaves the outcome open; any other response
