Serve a worker on while its ends wait for the platform

A session stored ended tasks between two reports. Storing now runs beside the session. Ruled out: lost polls (no cut or loss in that time).

--- a/src/carawaystep/entry/worker_session.py
+++ b/src/carawaystep/entry/worker_session.py
@@ -66,6 +66,7 @@
         self._unrecorded: dict[tuple[str, int], EndedTask] = {}
         self._stopped: set[tuple[str, int]] = set()
         self._reported = False
+        self._settling: asyncio.Task[None] | None = None
         self._clock_s = 0.0
         self._clock_seen_at = 0.0
         self._leases_end_at = 0.0
@@ -106,6 +107,8 @@
                 await self._requeue_lapsed()
                 await self._pause()
         finally:
+            if self._settling is not None:
+                self._settling.cancel()
             await self._port.close()
 
     async def start_task(
@@ -150,11 +153,26 @@
             return False
         if not await self._follow_report():
             return False
-        await self._record_ends()
-        await self._requeue_missing()
+        self._settle_in_background()
         await self._stop_unwanted()
         return True
 
+    def _settle_in_background(self) -> None:
+        """Store ends while the worker is served on.
+
+        A silent platform takes seconds for each call. Reports and renewals
+        must not wait for it, or running tasks would lose their leases.
+        """
+        if self._settling is not None:
+            if not self._settling.done():
+                return
+            self._settling.result()
+        self._settling = asyncio.create_task(self._settle())
+
+    async def _settle(self) -> None:
+        await self._record_ends()
+        await self._requeue_missing()
+
     async def _fence(self) -> bool:
         self._fence_wanted.clear()
         token = self._worker.begin_fence()
