--- a/tests/fakes/fake_worker.py
+++ b/tests/fakes/fake_worker.py
@@ -18,12 +18,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from result import Result
 
     from carawaystep.standin.worker.refusal import Refusal
     from carawaystep.standin.worker.standin_worker import StandinWorker
+    from carawaystep.worker.ended_task import EndedTask
     from carawaystep.worker.fence_answer import FenceAnswer
     from carawaystep.worker.worker_request import WorkerRequest
     from carawaystep.worker.worker_task import WorkerTask
@@ -45,6 +47,7 @@
         self._create = create
         self._worker = create()
         self._past: list[tuple[StandinWorker, float]] = []
+        self._told: set[tuple[int, str, int]] = set()
 
     @property
     def name(self) -> str:
@@ -56,6 +59,16 @@
         """Return the aggregates of all runs, with the ends of past ones."""
         return [*self._past, (self._worker, None)]
 
+    def tell(self, ended: Iterable[EndedTask]) -> None:
+        """Record that an entry has received these ends."""
+        run = len(self._past)
+        self._told.update((run, task.id, task.attempt) for task in ended)
+
+    def forgot(self, run: int, job_id: str, attempt: int) -> bool:
+        """Tell whether a past run lost an end before any entry knew it."""
+        known = (run, job_id, attempt) in self._told
+        return run < len(self._past) and not known
+
     def restart(self) -> None:
         """Lose everything that runs, the fence and the reports."""
         now = _now()
