Give no work under a reservation that a fence has dropped

A job was reserved, a fence dropped the reservation while its row was written, and the start was sent under the new token. Ruled out: the fakes, by the traces of each job.

--- a/src/carawaystep/adapters/worker_http/http_worker.py
+++ b/src/carawaystep/adapters/worker_http/http_worker.py
@@ -184,7 +184,7 @@
         return await self._task_command("stop", job_id, attempt, epoch)
 
     async def report(
-        self, since: int, wait_s: float, acknowledged: int
+        self, since: int, wait_s: float, acknowledged: int, epoch: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news from the worker."""
         query = urlencode(
@@ -192,6 +192,7 @@
                 "since": since,
                 "wait_s": wait_s,
                 "acknowledged": acknowledged,
+                "epoch": epoch,
             }
         )
         result = await self._reports.request(
@@ -199,6 +200,9 @@
         )
         if isinstance(result, Err):
             return self._failure(result.err_value)
+        refusal = self._refusal(result.ok_value)
+        if refusal is not None:
+            return Err(refusal)
         parsed = self._parse(ReportBody, result.ok_value)
         if isinstance(parsed, Err):
             return parsed
--- a/src/carawaystep/entry/entry_node.py
+++ b/src/carawaystep/entry/entry_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from carawaystep.entry.assigned_jobs_reader import AssignedJobsReader
 from carawaystep.entry.bootstrap import Bootstrap
@@ -34,6 +35,7 @@
 from carawaystep.request.table_duplicate_guard import TableDuplicateGuard
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from typing import Any
 
     from result import Result
@@ -55,6 +57,8 @@
 
 _DRAIN_POLL_S = 0.05
 
+_Value = TypeVar("_Value")
+
 
 class EntryNode(EntryService):
     """Composition of the aggregates and the tasks that serve them."""
@@ -78,6 +82,7 @@
         state = EntryState(settings, incarnation, ports, counters, events)
         self._state = state
         self._supervisor = Supervisor(counters)
+        self._changing = 0
         self._pool = WorkerPool(state)
         self._recorder = JobRecorder(state)
         self._documents = DocumentFollower(state)
@@ -183,7 +188,7 @@
 
     async def submit_job(self, call: JobCall) -> Result[Job, CallFailure]:
         """Accept a job; it is stored when this returns Ok."""
-        return await self._job_desk.submit(call)
+        return await self._finish(self._job_desk.submit(call))
 
     async def find_job(self, job_id: str) -> Result[Job, CallFailure]:
         """Return a job."""
@@ -191,7 +196,7 @@
 
     async def cancel_job(self, job_id: str) -> Result[Job, CallFailure]:
         """Cancel a job; one that has ended stays as it is."""
-        return await self._job_desk.cancel(job_id)
+        return await self._finish(self._job_desk.cancel(job_id))
 
     def documents(self) -> tuple[StoredDocument, ...]:
         """Return all documents in force, ordered by service."""
@@ -206,7 +211,9 @@
         self, service: str, text: str, expected: int, team: str | None
     ) -> Result[DocumentCommit, CallFailure]:
         """Validate and store a document."""
-        return await self._document_writer.put(service, text, expected, team)
+        return await self._finish(
+            self._document_writer.put(service, text, expected, team)
+        )
 
     async def document_status(
         self, service: str
@@ -284,4 +291,12 @@
             await asyncio.sleep(_DRAIN_POLL_S)
 
     def _in_flight(self) -> int:
-        return self._dispatcher.busy + self._pool.unrecorded
+        return self._dispatcher.busy + self._pool.unrecorded + self._changing
+
+    async def _finish(self, call: Awaitable[_Value]) -> _Value:
+        """Run a call that changes a row; a planned stop waits for it."""
+        self._changing += 1
+        try:
+            return await call
+        finally:
+            self._changing -= 1
--- a/src/carawaystep/entry/job_claimer.py
+++ b/src/carawaystep/entry/job_claimer.py
@@ -77,12 +77,18 @@
         if not claims:
             return False
         results = await asyncio.gather(
-            *(self._start(job, spec, session) for job, spec, session in claims)
+            *(
+                self._start(job, spec, session, token)
+                for job, spec, session, token in claims
+            )
         )
         return any(results)
 
-    def _reserve(self) -> list[tuple[Job, ServiceSpec, WorkerSession]]:
-        """Reserve room for the most urgent jobs that fit."""
+    def _reserve(self) -> list[tuple[Job, ServiceSpec, WorkerSession, int]]:
+        """Reserve room for the most urgent jobs that fit.
+
+        :returns: jobs with the fence token of each reservation
+        """
         state = self._state
         now = state.now
         # Sorting the queued jobs is not worth it without a free slot.
@@ -109,11 +115,15 @@
             if session.worker.find(job.id) is None and session.worker.reserve(
                 held, now
             ):
-                claims.append((job, spec, session))
+                claims.append((job, spec, session, session.worker.guard.token))
         return claims
 
     async def _start(
-        self, job: Job, spec: ServiceSpec, session: WorkerSession
+        self,
+        job: Job,
+        spec: ServiceSpec,
+        session: WorkerSession,
+        token: int,
     ) -> bool:
         """Write the attempt, then send it to the worker."""
         worker = session.worker
@@ -136,10 +146,14 @@
             attempt=assigned.attempt,
             service=job.service,
         )
-        return await self._send(assigned, spec, session)
+        return await self._send(assigned, spec, session, token)
 
     async def _send(
-        self, job: Job, spec: ServiceSpec, session: WorkerSession
+        self,
+        job: Job,
+        spec: ServiceSpec,
+        session: WorkerSession,
+        token: int,
     ) -> bool:
         started = await session.start_task(
             WorkerTask(
@@ -150,7 +164,8 @@
                 None if job.standing else job.run_s,
                 0.0,
                 job.checkpoint,
-            )
+            ),
+            token,
         )
         if isinstance(started, Ok):
             self._state.counters.count("tasks_started")
--- a/src/carawaystep/entry/worker_session.py
+++ b/src/carawaystep/entry/worker_session.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from result import Err
 from result import Ok
 
 from carawaystep.job.job_state import JobState
@@ -65,6 +66,7 @@
         self._renewed_at: float | None = None
         self._unrecorded: dict[tuple[str, int], EndedTask] = {}
         self._stopped: set[tuple[str, int]] = set()
+        self._fenced = False
         self._reported = False
         self._settling: asyncio.Task[None] | None = None
         self._clock_s = 0.0
@@ -112,12 +114,18 @@
             await self._port.close()
 
     async def start_task(
-        self, task: WorkerTask
+        self, task: WorkerTask, token: int
     ) -> Result[None, WorkerFailure]:
-        """Send an attempt to the worker, under a new lease."""
+        """Send an attempt to the worker, under a new lease.
+
+        :param task: the attempt, with a reservation
+        :param token: fence token at the time of the reservation; a later
+            fence has dropped the reservation, because nothing was sent yet
+        """
+        if token != self._worker.guard.token:
+            return Err(WorkerRefused("fenced since the reservation"))
         started = await self._port.start_task(
-            replace(task, lease_until_s=self._next_lease_end()),
-            self._worker.guard.token,
+            replace(task, lease_until_s=self._next_lease_end()), token
         )
         if isinstance(started, Ok):
             return started
@@ -187,6 +195,11 @@
         # Earlier owners may have renewed leases until the fence took effect.
         self._next_lease_end()
         self._worker.inherit(answer.ok_value, sent_at)
+        # The worker may have restarted, and its sequences with it; it tells
+        # every end again that was not acknowledged.
+        self._since = 0
+        self._reported = False
+        self._fenced = True
         self._renewed_at = None
         self._state.record("worker.fenced", self._worker.name, token=token)
         self._state.notify_room()
@@ -249,7 +262,12 @@
         if self._unrecorded:
             wait_s = min(wait_s, 1.0)
         poll = asyncio.create_task(
-            self._port.report(self._since, wait_s, self._acknowledged())
+            self._port.report(
+                self._since,
+                wait_s,
+                self._acknowledged(),
+                self._worker.guard.token,
+            )
         )
         wanted = asyncio.create_task(self._fence_wanted.wait())
         try:
@@ -277,7 +295,8 @@
 
     def _take_report(self, report: WorkerReport) -> None:
         self._see_clock(report.clock_s)
-        self._reported = True
+        # Ends from before the fence are known only from a later report.
+        self._reported = self._worker.is_after_fence(report)
         if self._worker.mark_reachable(True):
             self._state.record("worker.reachable", self._worker.name)
         if report.leaving and self._worker.mark_leaving():
@@ -288,9 +307,6 @@
                 self._worker.release(ended.id)
             self._unrecorded[(ended.id, ended.attempt)] = ended
         self._worker.reconcile(report)
-        # A lower sequence than before means that the worker has restarted.
-        if report.sequence < self._since:
-            self._fence_wanted.set()
         if report.sequence != self._since:
             self._state.notify_room()
         self._since = report.sequence
@@ -326,9 +342,9 @@
         is reported, and the fence refuses every earlier owner. An attempt
         without either was never started, or was lost in a restart.
         """
-        if not self._reported or self._fence_wanted.is_set():
-            return
         for job in self._state.jobs.assigned_to(self._worker.name):
+            if not self._reported or self._fence_wanted.is_set():
+                return
             held = self._worker.find(job.id)
             if held is not None and held.attempt == job.attempt:
                 continue
@@ -384,7 +400,7 @@
         Only this owner can renew them, and the write checks that it still is
         the owner.
         """
-        if not self._reported or self._worker.reachable:
+        if not self._fenced or self._worker.reachable:
             return
         margin_s = self._state.settings.tasks.margin_s
         if self._state.now < self._leases_end_at + margin_s:
--- a/src/carawaystep/standin/worker/application.py
+++ b/src/carawaystep/standin/worker/application.py
@@ -153,6 +153,10 @@
 
     async def _report(self, request: Request) -> Response:
         query = ReportQuery.model_validate(dict(request.query_params))
+        if query.epoch is not None:
+            refusal = self._worker.check_epoch(query.epoch)
+            if refusal is not None:
+                return _refused(refusal)
         self._worker.acknowledge(query.acknowledged)
         deadline = _now() + query.wait_s
         while (now := _now()) < deadline:
--- a/src/carawaystep/standin/worker/bodies.py
+++ b/src/carawaystep/standin/worker/bodies.py
@@ -168,3 +168,4 @@
     since: int = Field(ge=0)
     wait_s: float = Field(ge=0, le=_MAX_WAIT_S)
     acknowledged: int = Field(default=0, ge=0)
+    epoch: int | None = Field(default=None, ge=0)
--- a/src/carawaystep/standin/worker/standin_worker.py
+++ b/src/carawaystep/standin/worker/standin_worker.py
@@ -308,6 +308,13 @@
             seen_at,
         )
 
+    def check_epoch(self, epoch: int) -> Refusal | None:
+        """Return the refusal of a poll under another epoch, if any.
+
+        :param epoch: epoch of the caller's ownership
+        """
+        return self._admission.check_epoch(epoch, self._epoch)
+
     def acknowledge(self, sequence: int) -> None:
         """Forget ends that the owner has stored.
 
--- a/src/carawaystep/worker/worker.py
+++ b/src/carawaystep/worker/worker.py
@@ -158,6 +158,10 @@
         self._leaving = self._leaving or answer.leaving
         self._guard.confirm(sent_at)
 
+    def is_after_fence(self, report: WorkerReport) -> bool:
+        """Tell whether a report shows the worker after the last fence."""
+        return report.clock_s >= self._fenced_clock_s
+
     def reconcile(self, report: WorkerReport) -> list[str]:
         """Release orphans that the worker no longer runs.
 
@@ -165,7 +169,7 @@
 
         :returns: ids that were released
         """
-        if report.clock_s < self._fenced_clock_s:
+        if not self.is_after_fence(report):
             return []
         gone = [name for name in self._orphans if name not in report.running]
         for name in gone:
--- a/src/carawaystep/worker/worker_port.py
+++ b/src/carawaystep/worker/worker_port.py
@@ -89,13 +89,15 @@
 
     @abstractmethod
     async def report(
-        self, since: int, wait_s: float, acknowledged: int
+        self, since: int, wait_s: float, acknowledged: int, epoch: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news from the worker.
 
         :param since: sequence of the last report
         :param wait_s: seconds after which the worker answers without news
         :param acknowledged: the worker may forget ends up to this sequence
+        :param epoch: token of the last fence; a worker that has restarted
+            refuses it, because its sequences have begun anew
         """
 
     @abstractmethod
--- a/tests/adapters/worker_http/test_http_worker.py
+++ b/tests/adapters/worker_http/test_http_worker.py
@@ -97,7 +97,7 @@
         "checkpoint_task": lambda worker: worker.checkpoint_task("j1", 1, 3),
         "throttle_task": lambda worker: worker.throttle_task("j1", 1, 3),
         "stop_task": lambda worker: worker.stop_task("j1", 1, 3),
-        "report": lambda worker: worker.report(0, 0.1, 0),
+        "report": lambda worker: worker.report(0, 0.1, 0, 7),
     }
 
 
@@ -304,13 +304,13 @@
             ) as server:
                 worker = HttpWorker(server.url, _SETTINGS)
                 loop = asyncio.get_running_loop()
-                self.assertIsInstance(await worker.report(0, 0.1, 0), Ok)
+                self.assertIsInstance(await worker.report(0, 0.1, 0, 7), Ok)
                 start_s = loop.time()
-                result = await worker.report(0, 0.1, 0)
+                result = await worker.report(0, 0.1, 0, 7)
                 self.assertIsInstance(result.err_value, WorkerUnknown)
                 elapsed_s = loop.time() - start_s
                 self.assertTrue(2.0 < elapsed_s < 2.4, elapsed_s)
-                self.assertIsInstance(await worker.report(0, 0.1, 0), Ok)
+                self.assertIsInstance(await worker.report(0, 0.1, 0, 7), Ok)
                 self.assertEqual([1, 1, 2], [seen[0] for seen in server.seen])
                 await worker.close()
 
@@ -327,7 +327,7 @@
             ) as server:
                 worker = HttpWorker(server.url, _SETTINGS)
                 await worker.fence("e1", 3)
-                poll = asyncio.ensure_future(worker.report(0, 0.5, 0))
+                poll = asyncio.ensure_future(worker.report(0, 0.5, 0, 7))
                 await asyncio.sleep(0.05)
                 results = await asyncio.gather(
                     *[_run_request(worker) for _ in range(5)]
--- a/tests/fakes/fake_worker.py
+++ b/tests/fakes/fake_worker.py
@@ -129,10 +129,13 @@
         return _answer(ended.map(lambda _: None))
 
     async def report(
-        self, since: int, wait_s: float, acknowledged: int
+        self, since: int, wait_s: float, acknowledged: int, epoch: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news."""
         worker = self._worker
+        refusal = worker.check_epoch(epoch)
+        if refusal is not None:
+            return Err(_refused(refusal))
         worker.acknowledge(acknowledged)
         deadline = _now() + wait_s
         while worker.news_at(since) > _now() < deadline:
--- a/tests/fakes/fake_worker_port.py
+++ b/tests/fakes/fake_worker_port.py
@@ -107,11 +107,11 @@
         )
 
     async def report(
-        self, since: int, wait_s: float, acknowledged: int
+        self, since: int, wait_s: float, acknowledged: int, epoch: int
     ) -> Result[WorkerReport, WorkerFailure]:
         """Wait for news from the worker."""
         answer = await self._call(
-            lambda: self._worker.report(since, wait_s, acknowledged),
+            lambda: self._worker.report(since, wait_s, acknowledged, epoch),
             wait_s + _REPORT_MARGIN_S,
         )
         if isinstance(answer, Ok):
