Move the terms of leases out of the worker session

Lease ends in two clocks are a rule of their own, with the present time as an argument. A worker that reports no guards gets no work, because the fence would protect nothing.

--- a/src/carawaystep/entry/worker_session.py
+++ b/src/carawaystep/entry/worker_session.py
@@ -14,6 +14,7 @@
 from carawaystep.membership.owner_row import TABLE as OWNERS
 from carawaystep.platform.table_failure import TableConflict
 from carawaystep.worker.execution_end import ExecutionEnd
+from carawaystep.worker.lease_terms import LeaseTerms
 from carawaystep.worker.work_kind import WorkKind
 from carawaystep.worker.worker_failure import WorkerRefused
 from carawaystep.worker.worker_failure import WorkerUnknown
@@ -69,9 +70,9 @@
         self._fenced = False
         self._reported = False
         self._settling: asyncio.Task[None] | None = None
-        self._clock_s = 0.0
-        self._clock_seen_at = 0.0
-        self._leases_end_at = 0.0
+        self._terms = LeaseTerms(
+            state.settings.tasks.lease_s, state.settings.tasks.margin_s
+        )
         self._fence_wanted = asyncio.Event()
         self._retry_s = _RETRY_FIRST_S
 
@@ -125,7 +126,7 @@
         if token != self._worker.guard.token:
             return Err(WorkerRefused("fenced since the reservation"))
         started = await self._port.start_task(
-            replace(task, lease_until_s=self._next_lease_end()), token
+            replace(task, lease_until_s=self._terms.grant()), token
         )
         if isinstance(started, Ok):
             return started
@@ -191,9 +192,13 @@
         if not isinstance(answer, Ok):
             self._fence_failed(answer.err_value)
             return False
-        self._see_clock(answer.ok_value.clock_s)
-        # Earlier owners may have renewed leases until the fence took effect.
-        self._next_lease_end()
+        if not answer.ok_value.guards:
+            # Without guards the fence protects nothing, so no work is given.
+            self._state.counters.count("workers_without_guards")
+            self._mark_unreachable()
+            return False
+        self._terms.see(answer.ok_value.clock_s, self._state.now)
+        self._terms.grant()
         self._worker.inherit(answer.ok_value, sent_at)
         # The worker may have restarted, and its sequences with it; it tells
         # every end again that was not acknowledged.
@@ -213,23 +218,6 @@
             return
         self._mark_unreachable()
 
-    def _see_clock(self, clock_s: float) -> None:
-        self._clock_s = clock_s
-        self._clock_seen_at = self._state.now
-
-    def _next_lease_end(self) -> float:
-        """Return the end of a lease that is sent now, by the worker's clock.
-
-        The worker's clock was at least ``_clock_s`` when it was seen, so the
-        lease has ended ``lease_s`` later by the clock of this process too,
-        but for the drift that the margin covers.
-        """
-        lease_s = self._state.settings.tasks.lease_s
-        self._leases_end_at = max(
-            self._leases_end_at, self._clock_seen_at + lease_s
-        )
-        return self._clock_s + lease_s
-
     async def _renew_leases(self) -> bool:
         now = self._state.now
         settings = self._state.settings.tasks
@@ -245,7 +233,7 @@
         ]
         if attempts:
             renewed = await self._port.renew_leases(
-                attempts, self._next_lease_end(), self._worker.guard.token
+                attempts, self._terms.grant(), self._worker.guard.token
             )
             if not isinstance(renewed, Ok):
                 self._call_failed(renewed.err_value)
@@ -294,7 +282,7 @@
         return first - 1
 
     def _take_report(self, report: WorkerReport) -> None:
-        self._see_clock(report.clock_s)
+        self._terms.see(report.clock_s, self._state.now)
         # Ends from before the fence are known only from a later report.
         self._reported = self._worker.is_after_fence(report)
         if self._worker.mark_reachable(True):
@@ -402,8 +390,7 @@
         """
         if not self._fenced or self._worker.reachable:
             return
-        margin_s = self._state.settings.tasks.margin_s
-        if self._state.now < self._leases_end_at + margin_s:
+        if not self._terms.all_ended(self._state.now):
             return
         for job in self._state.jobs.assigned_to(self._worker.name):
             await self._requeue(job.id, job.attempt, "lease lapsed")
