Move the storing of ends out of the worker session

The session mixed serving the worker with storing how attempts ended. The settler keeps reported ends until they are stored.

--- a/src/carawaystep/entry/worker_session.py
+++ b/src/carawaystep/entry/worker_session.py
@@ -10,10 +10,8 @@
 from result import Err
 from result import Ok
 
+from carawaystep.entry.attempt_settler import AttemptSettler
 from carawaystep.job.job_state import JobState
-from carawaystep.membership.owner_row import TABLE as OWNERS
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.worker.execution_end import ExecutionEnd
 from carawaystep.worker.lease_terms import LeaseTerms
 from carawaystep.worker.work_kind import WorkKind
 from carawaystep.worker.worker_failure import WorkerRefused
@@ -24,10 +22,7 @@
 
     from carawaystep.entry.entry_state import EntryState
     from carawaystep.entry.job_recorder import JobRecorder
-    from carawaystep.job.job import Job
     from carawaystep.membership.ownership import Ownership
-    from carawaystep.platform.table_failure import TableFailure
-    from carawaystep.worker.ended_task import EndedTask
     from carawaystep.worker.reservation import Reservation
     from carawaystep.worker.worker import Worker
     from carawaystep.worker.worker_failure import WorkerFailure
@@ -59,13 +54,12 @@
         :param ownership: the row that makes this process its owner
         """
         self._state = state
-        self._recorder = recorder
         self._worker = worker
         self._port = port
         self._ownership = ownership
         self._since = 0
         self._renewed_at: float | None = None
-        self._unrecorded: dict[tuple[str, int], EndedTask] = {}
+        self._settler = AttemptSettler(state, recorder, worker, ownership)
         self._stopped: set[tuple[str, int]] = set()
         self._fenced = False
         self._reported = False
@@ -94,7 +88,7 @@
     @property
     def unrecorded(self) -> int:
         """Return the number of ended tasks that are not yet stored."""
-        return len(self._unrecorded)
+        return self._settler.pending
 
     def request_fence(self) -> None:
         """Have the worker fenced again, because an answer was lost."""
@@ -107,6 +101,7 @@
                 if await self._serve_once():
                     self._retry_s = _RETRY_FIRST_S
                     continue
+                self._settle_in_background()
                 await self._requeue_lapsed()
                 await self._pause()
         finally:
@@ -179,8 +174,11 @@
         self._settling = asyncio.create_task(self._settle())
 
     async def _settle(self) -> None:
-        await self._record_ends()
-        await self._requeue_missing()
+        await self._settler.store_ends()
+        await self._settler.requeue_missing(self._knows_what_runs)
+
+    def _knows_what_runs(self) -> bool:
+        return self._reported and not self._fence_wanted.is_set()
 
     async def _fence(self) -> bool:
         self._fence_wanted.clear()
@@ -247,13 +245,13 @@
             self._state.settings.workers.report_wait_s,
             self._state.settings.tasks.renew_s / 2,
         )
-        if self._unrecorded:
+        if self._settler.pending:
             wait_s = min(wait_s, 1.0)
         poll = asyncio.create_task(
             self._port.report(
                 self._since,
                 wait_s,
-                self._acknowledged(),
+                self._settler.acknowledged(self._since),
                 self._worker.guard.token,
             )
         )
@@ -274,13 +272,6 @@
         self._take_report(report.ok_value)
         return True
 
-    def _acknowledged(self) -> int:
-        """Return the sequence up to which all ends are stored."""
-        if not self._unrecorded:
-            return self._since
-        first = min(ended.sequence for ended in self._unrecorded.values())
-        return first - 1
-
     def _take_report(self, report: WorkerReport) -> None:
         self._terms.see(report.clock_s, self._state.now)
         # Ends from before the fence are known only from a later report.
@@ -293,7 +284,7 @@
             held = self._worker.find(ended.id)
             if held is not None and held.attempt == ended.attempt:
                 self._worker.release(ended.id)
-            self._unrecorded[(ended.id, ended.attempt)] = ended
+        self._settler.take(report.ended)
         self._worker.reconcile(report)
         if report.sequence != self._since:
             self._state.notify_room()
@@ -323,65 +314,6 @@
             return True
         return orphan and not job.is_attempt(self._worker.name, held.attempt)
 
-    async def _requeue_missing(self) -> None:
-        """Requeue attempts that the worker neither runs nor has ended.
-
-        A reservation is held from before an attempt is written until its end
-        is reported, and the fence refuses every earlier owner. An attempt
-        without either was never started, or was lost in a restart.
-        """
-        for job in self._state.jobs.assigned_to(self._worker.name):
-            if not self._reported or self._fence_wanted.is_set():
-                return
-            held = self._worker.find(job.id)
-            if held is not None and held.attempt == job.attempt:
-                continue
-            if (job.id, job.attempt) in self._unrecorded:
-                continue
-            await self._requeue(job.id, job.attempt, "not running")
-
-    async def _record_ends(self) -> None:
-        for key, ended in list(self._unrecorded.items()):
-            if await self._record_end(ended):
-                self._unrecorded.pop(key, None)
-
-    async def _record_end(self, ended: EndedTask) -> bool:
-        """Store the end of an attempt.
-
-        :returns: False when the platform did not answer and it must be
-            stored later
-        """
-
-        def rule(job: Job) -> Job | None:
-            if not job.is_attempt(self._worker.name, ended.attempt):
-                return None
-            return self._after_end(job, ended)
-
-        jobs = self._state.jobs
-        if jobs.find(ended.id) is None and jobs.knows(ended.id):
-            return True
-        changed = await self._recorder.change(ended.id, rule, self._ownership)
-        if isinstance(changed, Ok):
-            self._state.counters.count(f"tasks_{ended.how.value}")
-            self._state.record(
-                "job.attempt-ended",
-                ended.id,
-                attempt=ended.attempt,
-                how=ended.how.value,
-                worker=self._worker.name,
-            )
-            return True
-        return self._ownership_lost(changed.err_value)
-
-    def _after_end(self, job: Job, ended: EndedTask) -> Job:
-        if ended.how is ExecutionEnd.DONE:
-            return job.finish()
-        if ended.how is ExecutionEnd.FAILED:
-            spec = self._state.spec(job.service)
-            limit = spec.max_attempts if spec is not None else 1
-            return job.fail(limit, ended.detail)
-        return job.requeue(ended.checkpoint or job.checkpoint)
-
     async def _requeue_lapsed(self) -> None:
         """Requeue attempts whose lease has certainly ended.
 
@@ -392,32 +324,7 @@
             return
         if not self._terms.all_ended(self._state.now):
             return
-        for job in self._state.jobs.assigned_to(self._worker.name):
-            await self._requeue(job.id, job.attempt, "lease lapsed")
-
-    async def _requeue(self, job_id: str, attempt: int, reason: str) -> None:
-        def rule(job: Job) -> Job | None:
-            if not job.is_attempt(self._worker.name, attempt):
-                return None
-            return job.requeue(job.checkpoint)
-
-        changed = await self._recorder.change(job_id, rule, self._ownership)
-        if isinstance(changed, Ok):
-            self._state.record(
-                "job.requeued", job_id, attempt=attempt, reason=reason
-            )
-        else:
-            self._ownership_lost(changed.err_value)
-
-    def _ownership_lost(self, failure: TableFailure) -> bool:
-        """Revoke the ownership when a write failed its owner check."""
-        if not isinstance(failure, TableConflict):
-            return False
-        if not any(table == OWNERS for table, _ in failure.versions):
-            return False
-        self._worker.guard.revoke()
-        self._state.record("worker.lost", self._worker.name)
-        return True
+        await self._settler.requeue_lapsed()
 
     def _call_failed(self, failure: WorkerFailure) -> None:
         self._fence_wanted.set()
