Let tools/launch.py run as a script

It imported the packages of the repository at its top, so it ran only as a module with PYTHONPATH set.

--- a/tools/launch.py
+++ b/tools/launch.py
@@ -1,103 +1,25 @@
-"""Runs an example deployment until it is interrupted."""
+"""Starts an example: ``python tools/launch.py EXAMPLE``.
+
+Works from any directory and without PYTHONPATH, which a script that imports
+the packages of the repository at its top would not.
+"""
 
 from __future__ import annotations
 
-import asyncio
-from dataclasses import dataclass
-import json
-from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
+from importlib import import_module
+from pathlib import Path
 import sys
-from typing import Annotated
-
-import cappa
-from result import Err
-
-from tools.deployment import load_deployment
-from tools.interruptible import run_interruptible
-from tools.launcher import Launcher
-from tools.managed_process import ROOT
-from tools.run_directory import copy_documents
-from tools.run_directory import open_run_directory
-
-
-@dataclass
-class Launch:
-    """Run a deployment on loopback."""
 
-    example: Annotated[
-        str, cappa.Arg(help="name of a directory below examples/")
-    ]
-    entries: Annotated[
-        int | None,
-        cappa.Arg(
-            long=True,
-            help="entry processes in all; without it all entry VMs",
-        ),
-    ] = None
-    seconds: Annotated[
-        float | None,
-        cappa.Arg(
-            long=True,
-            help="stop after this time; without it at SIGTERM or SIGINT",
-        ),
-    ] = None
-    directory: Annotated[
-        Path | None,
-        cappa.Arg(
-            long=True,
-            help=(
-                "where settings, tokens and output go; it stays. "
-                "Without it a temporary directory is used and "
-                "removed"
-            ),
-        ),
-    ] = None
-
-    async def run(self) -> int:
-        """Start, wait and stop; return the exit code."""
-        example = ROOT / "examples" / self.example
-        loaded = load_deployment(example / "deployment.yaml")
-        if isinstance(loaded, Err):
-            return self._fail(loaded.err_value)
-        deployment = loaded.ok_value
-        if self.entries is not None:
-            refusal = deployment.check_entry_count(self.entries)
-            if refusal is not None:
-                return self._fail(refusal)
-        with open_run_directory(self.directory) as directory:
-            copy_documents(example, directory)
-            return await self._run(
-                Launcher(deployment, directory, self.entries)
-            )
-
-    async def _run(self, launcher: Launcher) -> int:
-        started = await launcher.start()
-        if isinstance(started, Err):
-            return self._fail(str(started.err_value))
-        try:
-            print(json.dumps(launcher.ready_line()), flush=True)
-            await self._wait()
-        except asyncio.CancelledError:
-            print("launch: interrupted, stopping", file=sys.stderr)
-        finally:
-            await launcher.stop()
-        return 0
-
-    async def _wait(self) -> None:
-        if self.seconds is None:
-            await asyncio.Event().wait()
-        else:
-            await asyncio.sleep(self.seconds)
-
-    @staticmethod
-    def _fail(detail: str) -> int:
-        print(f"launch: {detail}", file=sys.stderr)
-        return 1
+_ROOT = Path(__file__).resolve().parent.parent
 
 
 def main() -> int:
-    """Run the command line."""
-    return run_interruptible(cappa.parse(Launch).run())
+    """Run the command.
+
+    :returns: exit code
+    """
+    sys.path[:0] = [str(_ROOT), str(_ROOT / "src")]
+    return int(import_module("tools.launch_command").main())
 
 
 if __name__ == "__main__":
