Keep the rule for a lost attempt in the job

The claimer, the recovery of lost workers and the settler each had their own copy of "queue the job again if this attempt is still the present one". It is Job.requeue_attempt now. WorkerSession.request_fence and Request.dispatches were not used by anything and are gone. Behaviour is unchanged.

--- a/src/carawaystep/entry/attempt_settler.py
+++ b/src/carawaystep/entry/attempt_settler.py
@@ -138,13 +138,11 @@
     async def _requeue(self, lost: Job, reason: str) -> None:
         if (lost.id, lost.attempt) in self._pending:
             return
-
-        def rule(job: Job) -> Job | None:
-            if not job.is_attempt(self._worker.name, lost.attempt):
-                return None
-            return job.requeue(job.checkpoint)
-
-        changed = await self._recorder.change(lost.id, rule, self._ownership)
+        changed = await self._recorder.change(
+            lost.id,
+            lambda job: job.requeue_attempt(self._worker.name, lost.attempt),
+            self._ownership,
+        )
         if not isinstance(changed, Ok):
             self._ownership_lost(changed.err_value)
             return
--- a/src/carawaystep/entry/job_claimer.py
+++ b/src/carawaystep/entry/job_claimer.py
@@ -174,11 +174,7 @@
             return False
         await self._recorder.change(
             job.id,
-            lambda newest: (
-                newest.requeue(newest.checkpoint)
-                if newest.is_attempt(job.worker, job.attempt)
-                else None
-            ),
+            lambda newest: newest.requeue_attempt(job.worker, job.attempt),
             session.ownership,
         )
         return False
--- a/src/carawaystep/entry/lost_worker_recovery.py
+++ b/src/carawaystep/entry/lost_worker_recovery.py
@@ -53,11 +53,7 @@
     async def _requeue(self, lost: Job) -> None:
         await self._recorder.change(
             lost.id,
-            lambda job: (
-                job.requeue(job.checkpoint)
-                if job.is_attempt(lost.worker, lost.attempt)
-                else None
-            ),
+            lambda job: job.requeue_attempt(lost.worker, lost.attempt),
             None,
         )
         self._state.record(
--- a/src/carawaystep/entry/worker_session.py
+++ b/src/carawaystep/entry/worker_session.py
@@ -90,10 +90,6 @@
         """Return the number of ended tasks that are not yet stored."""
         return self._settler.pending
 
-    def request_fence(self) -> None:
-        """Have the worker fenced again, because an answer was lost."""
-        self._fence_wanted.set()
-
     async def run(self) -> None:
         """Serve the worker until ownership is lost or the task cancelled."""
         try:
--- a/src/carawaystep/job/job.py
+++ b/src/carawaystep/job/job.py
@@ -139,6 +139,16 @@
             self._moved("requeue"), worker="", epoch=0, checkpoint=checkpoint
         )
 
+    def requeue_attempt(self, worker: str, attempt: int) -> Job | None:
+        """Return the job ready again, None when the attempt is not present.
+
+        :param worker: worker of the attempt that has certainly ended
+        :param attempt: number of that attempt
+        """
+        if not self.is_attempt(worker, attempt):
+            return None
+        return self.requeue(self.checkpoint)
+
     def cancel(self) -> Job:
         """Return the job on its way to cancellation."""
         return replace(self._moved("cancel"), reason="cancelled")
--- a/src/carawaystep/request/request.py
+++ b/src/carawaystep/request/request.py
@@ -71,11 +71,6 @@
         """Return the deadline, monotonic time in seconds."""
         return self._deadline
 
-    @property
-    def dispatches(self) -> int:
-        """Return how often it was sent to a worker or peer."""
-        return self._dispatches
-
     @property
     def in_doubt(self) -> bool:
         """Tell whether a dispatch may have had an effect."""
