Name the ports by what they are: store and fleet

Cause: the users' adapter takes the folder name platform/ at the root, and the product's ports under src/carawaystep/platform would share it. Change: table service and object store are in carawaystep.store, the list of VMs in carawaystep.fleet. No behaviour changes.

--- a/src/carawaystep/adapters/platform_http/object_store.py
+++ b/src/carawaystep/adapters/platform_http/object_store.py
@@ -9,13 +9,13 @@
 from result import Ok
 
 from carawaystep.adapters.platform_http.platform_client import PlatformClient
-from carawaystep.platform.object_store import ObjectStore
+from carawaystep.store.object_store import ObjectStore
 
 if TYPE_CHECKING:
     from result import Result
 
-    from carawaystep.platform.table_failure import TableFailure
     from carawaystep.settings.entry_settings import PlatformSettings
+    from carawaystep.store.table_failure import TableFailure
 
 _STORED = frozenset({200, 201, 204})
 
--- a/src/carawaystep/adapters/platform_http/platform_bodies.py
+++ b/src/carawaystep/adapters/platform_http/platform_bodies.py
@@ -10,7 +10,7 @@
 
 from pydantic import BaseModel
 
-from carawaystep.platform.vm_state import VmState
+from carawaystep.fleet.vm_state import VmState
 
 
 class CommitBody(BaseModel):
--- a/src/carawaystep/adapters/platform_http/platform_client.py
+++ b/src/carawaystep/adapters/platform_http/platform_client.py
@@ -12,15 +12,15 @@
 
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
-from carawaystep.platform.table_failure import TableRefused
-from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.store.table_failure import TableRefused
+from carawaystep.store.table_failure import TableUnknown
 
 if TYPE_CHECKING:
     from result import Result
 
     from carawaystep.adapters.http_client.http_answer import HttpAnswer
-    from carawaystep.platform.table_failure import TableFailure
     from carawaystep.settings.entry_settings import PlatformSettings
+    from carawaystep.store.table_failure import TableFailure
 
 _REFUSALS = frozenset({429, 503})
 
--- a/src/carawaystep/adapters/platform_http/table_service.py
+++ b/src/carawaystep/adapters/platform_http/table_service.py
@@ -16,15 +16,15 @@
 from carawaystep.adapters.platform_http.platform_bodies import ConflictsBody
 from carawaystep.adapters.platform_http.platform_bodies import RowBody
 from carawaystep.adapters.platform_http.platform_client import PlatformClient
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import DeleteRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.row import Row
-from carawaystep.platform.table_changes import TableChanges
-from carawaystep.platform.table_commit import TableCommit
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableUnknown
-from carawaystep.platform.table_service import TableService
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.row import Row
+from carawaystep.store.table_changes import TableChanges
+from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableUnknown
+from carawaystep.store.table_service import TableService
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,9 +33,9 @@
     from result import Result
 
     from carawaystep.adapters.http_client.http_answer import HttpAnswer
-    from carawaystep.platform.operation import Operation
-    from carawaystep.platform.table_failure import TableFailure
     from carawaystep.settings.entry_settings import PlatformSettings
+    from carawaystep.store.operation import Operation
+    from carawaystep.store.table_failure import TableFailure
 
 _OPERATION_NAMES: dict[type[Operation], str] = {
     PutRow: "put",
--- a/src/carawaystep/adapters/platform_http/vm_directory.py
+++ b/src/carawaystep/adapters/platform_http/vm_directory.py
@@ -9,14 +9,14 @@
 
 from carawaystep.adapters.platform_http.platform_bodies import VmsBody
 from carawaystep.adapters.platform_http.platform_client import PlatformClient
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_directory import VmDirectory
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_directory import VmDirectory
 
 if TYPE_CHECKING:
     from result import Result
 
-    from carawaystep.platform.table_failure import TableFailure
     from carawaystep.settings.entry_settings import PlatformSettings
+    from carawaystep.store.table_failure import TableFailure
 
 
 _CONNECTIONS = 1
--- a/src/carawaystep/adapters/system_ports.py
+++ b/src/carawaystep/adapters/system_ports.py
@@ -13,11 +13,11 @@
 
 if TYPE_CHECKING:
     from carawaystep.entry.clock import Clock
+    from carawaystep.fleet.vm import Vm
+    from carawaystep.fleet.vm_directory import VmDirectory
     from carawaystep.peer.peer_port import PeerPort
-    from carawaystep.platform.table_service import TableService
-    from carawaystep.platform.vm import Vm
-    from carawaystep.platform.vm_directory import VmDirectory
     from carawaystep.settings.entry_settings import EntrySettings
+    from carawaystep.store.table_service import TableService
     from carawaystep.worker.worker_port import WorkerPort
 
 
--- a/src/carawaystep/availability_zone/zone_view.py
+++ b/src/carawaystep/availability_zone/zone_view.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawaystep.fleet.vm import Vm
     from carawaystep.peer.messages import EntryLoad
-    from carawaystep.platform.vm import Vm
 
 # A load older than this says nothing about free slots; heartbeats outside
 # the availability zone come each 5 s.
--- a/src/carawaystep/entry/assigned_jobs_reader.py
+++ b/src/carawaystep/entry/assigned_jobs_reader.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from carawaystep.entry.entry_state import EntryState
     from carawaystep.entry.worker_pool import WorkerPool
-    from carawaystep.platform.row import Row
+    from carawaystep.store.row import Row
 
 _INTERVAL_S = 1.0
 
--- a/src/carawaystep/entry/attempt_settler.py
+++ b/src/carawaystep/entry/attempt_settler.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from carawaystep.membership.owner_row import TABLE as OWNERS
-from carawaystep.platform.table_failure import TableConflict
+from carawaystep.store.table_failure import TableConflict
 from carawaystep.worker.execution_end import ExecutionEnd
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from carawaystep.entry.job_recorder import JobRecorder
     from carawaystep.job.job import Job
     from carawaystep.membership.ownership import Ownership
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.table_failure import TableFailure
     from carawaystep.worker.ended_task import EndedTask
     from carawaystep.worker.worker import Worker
 
--- a/src/carawaystep/entry/bootstrap.py
+++ b/src/carawaystep/entry/bootstrap.py
@@ -7,9 +7,9 @@
 
 from result import Ok
 
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.membership.entry_record import EntryRecord
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_state import VmState
 
 if TYPE_CHECKING:
     from carawaystep.entry.document_follower import DocumentFollower
--- a/src/carawaystep/entry/document_follower.py
+++ b/src/carawaystep/entry/document_follower.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.entry.entry_state import EntryState
-    from carawaystep.platform.row import Row
+    from carawaystep.store.row import Row
 
 TABLE = "documents"
 
--- a/src/carawaystep/entry/document_writer.py
+++ b/src/carawaystep/entry/document_writer.py
@@ -16,15 +16,15 @@
 from carawaystep.entry.document_status import DocumentStatus
 from carawaystep.entry.entries_follower import TABLE as ENTRIES
 from carawaystep.membership.entry_row import EntryRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.store.operation import PutRow
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableUnknown
 
 if TYPE_CHECKING:
     from carawaystep.document.service_spec import ServiceSpec
     from carawaystep.entry.entry_state import EntryState
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_failure import TableFailure
 
 
 class DocumentWriter:
--- a/src/carawaystep/entry/heartbeater.py
+++ b/src/carawaystep/entry/heartbeater.py
@@ -11,9 +11,9 @@
 from carawaystep.entry.entries_follower import TABLE
 from carawaystep.membership.entry_record import EntryRecord
 from carawaystep.membership.entry_row import EntryRow
-from carawaystep.platform.operation import DeleteRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.table_failure import TableConflict
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.table_failure import TableConflict
 
 if TYPE_CHECKING:
     from carawaystep.entry.entry_state import EntryState
--- a/src/carawaystep/entry/job_desk.py
+++ b/src/carawaystep/entry/job_desk.py
@@ -15,14 +15,14 @@
 from carawaystep.job.job import Job
 from carawaystep.job.job_id import job_id
 from carawaystep.job.job_state import JobState
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableUnknown
 
 if TYPE_CHECKING:
     from carawaystep.entry.entry_state import EntryState
     from carawaystep.entry.job_call import JobCall
     from carawaystep.entry.job_recorder import JobRecorder
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.table_failure import TableFailure
 
 
 class JobDesk:
--- a/src/carawaystep/entry/job_recorder.py
+++ b/src/carawaystep/entry/job_recorder.py
@@ -12,11 +12,11 @@
 from carawaystep.job.job_row import JobRow
 from carawaystep.membership.owner_row import owner_key
 from carawaystep.membership.owner_row import TABLE as OWNERS
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableFailure
-from carawaystep.platform.table_failure import TableUnknown
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableFailure
+from carawaystep.store.table_failure import TableUnknown
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,7 +24,7 @@
     from carawaystep.entry.entry_state import EntryState
     from carawaystep.job.job import Job
     from carawaystep.membership.ownership import Ownership
-    from carawaystep.platform.operation import Operation
+    from carawaystep.store.operation import Operation
 
 # Losing this many races in a row means that something else is wrong.
 _MAX_CONFLICTS = 5
--- a/src/carawaystep/entry/owners_follower.py
+++ b/src/carawaystep/entry/owners_follower.py
@@ -14,7 +14,7 @@
     from collections.abc import Sequence
 
     from carawaystep.entry.entry_state import EntryState
-    from carawaystep.platform.row import Row
+    from carawaystep.store.row import Row
 
 
 class OwnersFollower(TableFollower):
--- a/src/carawaystep/entry/ownership_keeper.py
+++ b/src/carawaystep/entry/ownership_keeper.py
@@ -8,11 +8,11 @@
 from result import Ok
 
 from carawaystep.entry.worker_session import WorkerSession
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.membership.owner_row import owner_key
 from carawaystep.membership.owner_row import OwnerRow
 from carawaystep.membership.owner_row import TABLE
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.vm_state import VmState
+from carawaystep.store.operation import PutRow
 from carawaystep.worker.fencing_guard import FencingGuard
 from carawaystep.worker.worker import Worker
 
@@ -22,8 +22,8 @@
     from carawaystep.entry.owners_follower import OwnersFollower
     from carawaystep.entry.supervisor import Supervisor
     from carawaystep.entry.worker_pool import WorkerPool
+    from carawaystep.fleet.vm import Vm
     from carawaystep.membership.ownership import Ownership
-    from carawaystep.platform.vm import Vm
 
 _INTERVAL_S = 0.5
 
--- a/src/carawaystep/platform/vm.py
+++ b/src/carawaystep/fleet/vm.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from carawaystep.platform.vm_state import VmState
+    from carawaystep.fleet.vm_state import VmState
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carawaystep/platform/vm_directory.py
+++ b/src/carawaystep/fleet/vm_directory.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from carawaystep.platform.table_failure import TableFailure
-    from carawaystep.platform.vm import Vm
+    from carawaystep.fleet.vm import Vm
+    from carawaystep.store.table_failure import TableFailure
 
 
 class VmDirectory(ABC):
--- a/src/carawaystep/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Ports to the platform: table service, object store and VM list."""
--- a/src/carawaystep/request/table_duplicate_guard.py
+++ b/src/carawaystep/request/table_duplicate_guard.py
@@ -6,19 +6,19 @@
 
 from result import Ok
 
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableUnknown
 from carawaystep.request.duplicate_claim import DuplicateClaim
 from carawaystep.request.duplicate_guard import DuplicateGuard
 from carawaystep.request.outcome import Outcome
 from carawaystep.request.outcome_reason import OutcomeReason
 from carawaystep.request.reply import Reply
 from carawaystep.request.request_key_row import RequestKeyRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableUnknown
 
 if TYPE_CHECKING:
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_service import TableService
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_service import TableService
 
 TABLE = "request_keys"
 CLAIMED = "claimed"
--- a/src/carawaystep/standin/platform/application.py
+++ b/src/carawaystep/standin/platform/application.py
@@ -13,7 +13,6 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from carawaystep.platform.table_failure import TableConflict
 from carawaystep.standin.http.fault_gate import FaultGate
 from carawaystep.standin.http.fault_switch import FaultSwitch
 from carawaystep.standin.http.json_errors import EXCEPTION_HANDLERS
@@ -22,14 +21,15 @@
 from carawaystep.standin.platform.bodies import ChangesQuery
 from carawaystep.standin.platform.bodies import TransactionBody
 from carawaystep.standin.platform.bodies import VmPhaseBody
+from carawaystep.store.table_failure import TableConflict
 
 if TYPE_CHECKING:
     from starlette.requests import Request
     from starlette.types import ASGIApp
 
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_failure import TableFailure
     from carawaystep.standin.platform.standin_platform import StandinPlatform
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_failure import TableFailure
 
 _CONTROL_PATHS = ("/faults", "/stats", "/vms/")
 
--- a/src/carawaystep/standin/platform/bodies.py
+++ b/src/carawaystep/standin/platform/bodies.py
@@ -11,12 +11,12 @@
 from pydantic import Field
 from pydantic import model_validator
 
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import DeleteRow
-from carawaystep.platform.operation import Operation
-from carawaystep.platform.operation import PutRow
 from carawaystep.standin.http.body_config import BODY_CONFIG
 from carawaystep.standin.platform.vm_phase import VmPhase
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import Operation
+from carawaystep.store.operation import PutRow
 
 _MAX_OPERATIONS = 100
 
--- a/src/carawaystep/standin/platform/lagging_vm_list.py
+++ b/src/carawaystep/standin/platform/lagging_vm_list.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_state import VmState
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.standin.platform.vm_phase import VmPhase
 
 if TYPE_CHECKING:
--- a/src/carawaystep/standin/platform/standin_platform.py
+++ b/src/carawaystep/standin/platform/standin_platform.py
@@ -7,29 +7,29 @@
 from result import Err
 from result import Ok
 
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.table_failure import TableRefused
 from carawaystep.standin.fault_plan import FaultPlan
 from carawaystep.standin.platform.lagging_vm_list import LaggingVmList
 from carawaystep.standin.platform.platform_counts import PlatformCounts
 from carawaystep.standin.platform.token_bucket import TokenBucket
 from carawaystep.standin.platform.transactional_table import TransactionalTable
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.table_failure import TableRefused
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from result import Result
 
-    from carawaystep.platform.operation import Operation
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_changes import TableChanges
-    from carawaystep.platform.table_commit import TableCommit
-    from carawaystep.platform.table_failure import TableFailure
-    from carawaystep.platform.vm import Vm
+    from carawaystep.fleet.vm import Vm
     from carawaystep.settings.standin_platform_settings import (
         StandinPlatformSettings,
     )
     from carawaystep.standin.platform.vm_phase import VmPhase
+    from carawaystep.store.operation import Operation
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_changes import TableChanges
+    from carawaystep.store.table_commit import TableCommit
+    from carawaystep.store.table_failure import TableFailure
 
 
 class StandinPlatform:
--- a/src/carawaystep/standin/platform/transactional_table.py
+++ b/src/carawaystep/standin/platform/transactional_table.py
@@ -8,19 +8,19 @@
 from result import Err
 from result import Ok
 
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.row import Row
-from carawaystep.platform.table_changes import TableChanges
-from carawaystep.platform.table_commit import TableCommit
-from carawaystep.platform.table_failure import TableConflict
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.row import Row
+from carawaystep.store.table_changes import TableChanges
+from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableConflict
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from result import Result
 
-    from carawaystep.platform.operation import Operation
+    from carawaystep.store.operation import Operation
 
 PAGE_ROWS = 1000
 # A log is rewritten when it holds this many entries beyond twice its rows.
--- /dev/null
+++ b/src/carawaystep/store/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the transactional store: table service and object store."""
--- a/src/carawaystep/platform/object_store.py
+++ b/src/carawaystep/store/object_store.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.table_failure import TableFailure
 
 
 class ObjectStore(ABC):
--- a/src/carawaystep/platform/table_changes.py
+++ b/src/carawaystep/store/table_changes.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from carawaystep.platform.row import Row
+    from carawaystep.store.row import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carawaystep/platform/table_service.py
+++ b/src/carawaystep/store/table_service.py
@@ -11,11 +11,11 @@
 
     from result import Result
 
-    from carawaystep.platform.operation import Operation
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_changes import TableChanges
-    from carawaystep.platform.table_commit import TableCommit
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.operation import Operation
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_changes import TableChanges
+    from carawaystep.store.table_commit import TableCommit
+    from carawaystep.store.table_failure import TableFailure
 
 
 class TableService(ABC):
--- a/src/carawaystep/worker/worker.py
+++ b/src/carawaystep/worker/worker.py
@@ -9,7 +9,7 @@
 from carawaystep.worker.work_kind import WorkKind
 
 if TYPE_CHECKING:
-    from carawaystep.platform.vm import Vm
+    from carawaystep.fleet.vm import Vm
     from carawaystep.worker.capacity import Capacity
     from carawaystep.worker.fence_answer import FenceAnswer
     from carawaystep.worker.ownership_guard import OwnershipGuard
--- a/tests/adapters/platform_http/test_platform_http.py
+++ b/tests/adapters/platform_http/test_platform_http.py
@@ -14,17 +14,17 @@
 from carawaystep.adapters.platform_http.object_store import HttpObjectStore
 from carawaystep.adapters.platform_http.table_service import HttpTableService
 from carawaystep.adapters.platform_http.vm_directory import HttpVmDirectory
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import DeleteRow
-from carawaystep.platform.operation import PutRow
-from carawaystep.platform.row import Row
-from carawaystep.platform.table_commit import TableCommit
-from carawaystep.platform.table_failure import TableConflict
-from carawaystep.platform.table_failure import TableRefused
-from carawaystep.platform.table_failure import TableUnknown
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_state import VmState
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.settings.entry_settings import PlatformSettings
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.row import Row
+from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableRefused
+from carawaystep.store.table_failure import TableUnknown
 from tests.adapters.http_client.scripted_server import answer
 from tests.adapters.http_client.scripted_server import CLOSE
 from tests.adapters.http_client.scripted_server import ScriptedServer
@@ -36,7 +36,7 @@
 
     from result import Result
 
-    from carawaystep.platform.table_failure import TableFailure
+    from carawaystep.store.table_failure import TableFailure
 
 _OPERATIONS = (
     CheckRow("owners", "w1", 4),
--- a/tests/fakes/fake_platform.py
+++ b/tests/fakes/fake_platform.py
@@ -9,11 +9,11 @@
 from result import Err
 from result import Ok
 
-from carawaystep.platform.table_failure import TableFailure
-from carawaystep.platform.table_failure import TableRefused
-from carawaystep.platform.table_failure import TableUnknown
-from carawaystep.platform.table_service import TableService
-from carawaystep.platform.vm_directory import VmDirectory
+from carawaystep.fleet.vm_directory import VmDirectory
+from carawaystep.store.table_failure import TableFailure
+from carawaystep.store.table_failure import TableRefused
+from carawaystep.store.table_failure import TableUnknown
+from carawaystep.store.table_service import TableService
 from tests.fakes.fake_network import Lost
 
 if TYPE_CHECKING:
@@ -22,12 +22,12 @@
 
     from result import Result
 
-    from carawaystep.platform.operation import Operation
-    from carawaystep.platform.row import Row
-    from carawaystep.platform.table_changes import TableChanges
-    from carawaystep.platform.table_commit import TableCommit
-    from carawaystep.platform.vm import Vm
+    from carawaystep.fleet.vm import Vm
     from carawaystep.standin.platform.standin_platform import StandinPlatform
+    from carawaystep.store.operation import Operation
+    from carawaystep.store.row import Row
+    from carawaystep.store.table_changes import TableChanges
+    from carawaystep.store.table_commit import TableCommit
     from tests.fakes.fake_network import FakeNetwork
 
 Value = TypeVar("Value")
--- a/tests/standin/platform/test_transactional_table.py
+++ b/tests/standin/platform/test_transactional_table.py
@@ -4,11 +4,11 @@
 
 from testtools import TestCase
 
-from carawaystep.platform.operation import CheckRow
-from carawaystep.platform.operation import DeleteRow
-from carawaystep.platform.operation import PutRow
 from carawaystep.standin.platform.transactional_table import PAGE_ROWS
 from carawaystep.standin.platform.transactional_table import TransactionalTable
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import PutRow
 
 
 def _put(key: str, expected: int | None = None, value: int = 1) -> PutRow:
--- a/tests/worker/test_worker.py
+++ b/tests/worker/test_worker.py
@@ -6,8 +6,8 @@
 from testtools import TestCase
 
 from carawaystep.errors.broken_invariant import BrokenInvariant
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_state import VmState
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.worker.capacity import Capacity
 from carawaystep.worker.fence_answer import FenceAnswer
 from carawaystep.worker.fencing_guard import FencingGuard
--- a/tools/capacity/decision_costs.py
+++ b/tools/capacity/decision_costs.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from carawaystep.document.document_loader import load_document
+from carawaystep.fleet.vm import Vm
+from carawaystep.fleet.vm_state import VmState
 from carawaystep.job.job_board import JobBoard
 from carawaystep.job.job_row import JobRow
 from carawaystep.membership.rendezvous import ranked
-from carawaystep.platform.vm import Vm
-from carawaystep.platform.vm_state import VmState
 from carawaystep.worker.capacity import Capacity
 from carawaystep.worker.fence_answer import FenceAnswer
 from carawaystep.worker.fencing_guard import FencingGuard
--- a/tools/capacity/fleet.py
+++ b/tools/capacity/fleet.py
@@ -10,7 +10,7 @@
 from carawaystep.job.job_row import JobRow
 from carawaystep.membership.entry_row import EntryRow
 from carawaystep.membership.rendezvous import ranked
-from carawaystep.platform.operation import PutRow
+from carawaystep.store.operation import PutRow
 from tools.port_allocator import HOST
 
 if TYPE_CHECKING:
--- a/tools/capacity/measured_entry.py
+++ b/tools/capacity/measured_entry.py
@@ -43,8 +43,8 @@
     from pathlib import Path
     from typing import Any
 
-    from carawaystep.platform.operation import PutRow
     from carawaystep.settings.settings_model import SettingsModel
+    from carawaystep.store.operation import PutRow
     from tools.capacity.scenario import Scenario
 
 _READY_LIMIT_S = 90.0
