Run the scheduler on the users' platform: the whole path, thin

Cause: the users ask for the product on their platform, where submissions are jobs of steps and tasks and the store is the only lasting memory. Change: aggregates workflow, held worker, planner, leadership and routes; one leader plans and writes under the version of its row, members call the workers; the adapter in platform/ decodes the platform's names once.

--- /dev/null
+++ b/src/carawaystep/adapters/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs on standard output."""
--- a/src/carawaystep/adapters/platform_http/table_service.py
+++ b/src/carawaystep/adapters/platform_http/table_service.py
@@ -107,9 +107,16 @@
         return Ok(Row(key, row.value, row.version, row.revision))
 
     async def changes(
-        self, table: str, since: int, prefixes: Sequence[str] = ()
+        self,
+        table: str,
+        since: int,
+        prefixes: Sequence[str] = (),
+        wait_s: float = 0.0,
     ) -> Result[TableChanges, TableFailure]:
-        """Read the rows that were written after a revision."""
+        """Read the rows that were written after a revision.
+
+        The stand-in answers at once, whatever ``wait_s`` allows.
+        """
         query = urlencode(
             [("since", str(since)), *(("prefix", item) for item in prefixes)]
         )
--- /dev/null
+++ b/src/carawaystep/adapters/zmq/cluster_channel.py
@@ -0,0 +1,81 @@
+"""A leader's connection to one member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from zmq import DEALER
+from zmq import IMMEDIATE
+from zmq import LINGER
+from zmq import MAXMSGSIZE
+from zmq import NOBLOCK
+from zmq import RECONNECT_IVL
+from zmq import SNDHWM
+from zmq import ZMQError
+from zmq.asyncio import Context
+
+from carawaystep.adapters.zmq.cluster_codec import ClusterCodec
+from carawaystep.adapters.zmq.cluster_codec import MAX_MESSAGE_BYTES
+from carawaystep.cluster.channel import Channel
+
+if TYPE_CHECKING:
+    from zmq.asyncio import Socket
+
+    from carawaystep.cluster.messages import Message
+
+_SEND_QUEUE_MESSAGES = 2000
+_RECONNECT_MS = 100
+
+
+class ClusterChannel(Channel):
+    """One DEALER socket."""
+
+    def __init__(self, address: str) -> None:
+        """Connect in the background.
+
+        :param address: zmq address of the member
+        """
+        self._address = address
+        self._codec = ClusterCodec()
+        self._socket = self._connect()
+
+    async def send(self, message: Message) -> bool:
+        """Queue a message; False when there is no connection."""
+        try:
+            await self._socket.send(self._codec.encode(message), NOBLOCK)
+        except ZMQError:
+            return False
+        return True
+
+    async def receive(self) -> Message:
+        """Wait for the next message; malformed ones are dropped."""
+        while True:
+            socket = self._socket
+            try:
+                frames = await socket.recv_multipart()
+            except ZMQError:
+                if socket is self._socket:
+                    raise
+                continue
+            message = self._codec.decode(frames[-1])
+            if message is not None:
+                return message
+
+    async def renew(self) -> None:
+        """Replace the socket."""
+        old, self._socket = self._socket, self._connect()
+        old.close()
+
+    async def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def _connect(self) -> Socket:
+        socket = Context.instance().socket(DEALER)
+        socket.setsockopt(LINGER, 0)
+        socket.setsockopt(SNDHWM, _SEND_QUEUE_MESSAGES)
+        socket.setsockopt(IMMEDIATE, 1)
+        socket.setsockopt(MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(RECONNECT_IVL, _RECONNECT_MS)
+        socket.connect(self._address)
+        return socket
--- /dev/null
+++ b/src/carawaystep/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between scheduler processes, and the port that carries them."""
--- /dev/null
+++ b/src/carawaystep/cluster/messages.py
@@ -0,0 +1,173 @@
+"""Messages between the leader and the members.
+
+Times are seconds of the sender's boot-time clock; no two clocks are
+compared.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from carawaystep.fleet.order import PaceOrder
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.order import StopOrder
+from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.fleet.worker_report import WorkerReport
+from carawaystep.workflow.workflow_spec import WorkflowSpec
+from carawaystep.workflow.workflow_state import WorkflowState
+
+
+class Lead(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """The leader lives; sent to each member several times a second.
+
+    :param term: number of the term, which is also the fencing token
+    :param leader: name of the leader
+    :param echo: stamp of the last :class:`Alive` of this member, 0 for none
+    :param store_age_s: time since the store confirmed the leader
+    """
+
+    term: int
+    leader: str
+    echo: float
+    store_age_s: float
+
+
+class AssignedWorker(msgspec.Struct, array_like=True, frozen=True):
+    """A worker that a member calls on behalf of the leader."""
+
+    key: WorkerKey
+    address: str
+
+
+class Assign(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """All workers of a member; others are given up.
+
+    :param version: rises with each change of the member's workers
+    """
+
+    term: int
+    version: int
+    workers: list[AssignedWorker]
+
+
+class NumberedOrder(msgspec.Struct, array_like=True, frozen=True):
+    """An order and the number under which its outcome is reported."""
+
+    number: int
+    order: StartOrder | StopOrder | PaceOrder
+
+
+class Orders(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Orders for workers of a member."""
+
+    term: int
+    orders: list[NumberedOrder]
+
+
+class Acknowledge(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Ends of a worker up to a number are stored."""
+
+    term: int
+    worker: WorkerKey
+    number: int
+
+
+class Told(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """States that callers may be told.
+
+    :param states: state by workflow id
+    :param queued: workflows that have not started, by queue; None when the
+        counts are not part of the message
+    """
+
+    term: int
+    states: dict[str, WorkflowState]
+    queued: dict[str, int] | None = None
+
+
+class Farewell(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """The leader has ended its term by itself."""
+
+    term: int
+
+
+class CallReply(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Answer to a call of a member.
+
+    :param call: number of the call
+    :param known: whether the workflow is stored
+    :param state: its state, None when it is not known
+    :param refused: True when nothing was done because the store is away
+    """
+
+    call: int
+    known: bool
+    state: WorkflowState | None = None
+    refused: bool = False
+
+
+class Alive(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """A member's answer to :class:`Lead`.
+
+    :param name: name of the member
+    :param term: highest term that it has heard of
+    :param stamp: its clock, to be echoed
+    :param assignment: version of its workers, 0 for none
+    :param draining: whether it is about to stop
+    """
+
+    name: str
+    term: int
+    stamp: float
+    assignment: int
+    draining: bool
+
+
+class Report(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Lists of a worker, read under a term's token."""
+
+    term: int
+    report: WorkerReport
+
+
+class Superseded(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """A worker refused the term's token, or another lifetime answered."""
+
+    term: int
+    worker: WorkerKey
+    fenced: bool
+
+
+class Concluded(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """What became of an order."""
+
+    term: int
+    number: int
+    outcome: OrderOutcome
+
+
+class Submit(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """A caller submitted a workflow."""
+
+    call: int
+    spec: WorkflowSpec
+
+
+class Cancel(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """A caller cancelled a workflow."""
+
+    call: int
+    workflow: str
+
+
+class Ask(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """A caller asked for the state of a workflow."""
+
+    call: int
+    workflow: str
+
+
+FromLeader = Lead | Assign | Orders | Acknowledge | Told | Farewell | CallReply
+FromMember = Alive | Report | Superseded | Concluded | Submit | Cancel | Ask
+Message = FromLeader | FromMember
--- /dev/null
+++ b/src/carawaystep/fleet/held_run.py
@@ -0,0 +1,37 @@
+"""A run as the planner accounts for it on a worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.workflow.step_spec import StepSpec
+
+
+@dataclass(slots=True)
+class HeldRun:
+    """What one run takes from its worker.
+
+    :param run: number of the run
+    :param step: step of the task
+    :param priority: priority of its workflow, 0 is the highest
+    :param placed_at: when it was given to the worker, seconds
+    :param stopping: whether it has been ordered to stop
+    :param in_doubt: whether the answer to its start was lost
+    :param percent: reported progress
+    :param advanced_at: when the progress last rose, seconds
+    :param figure: reported tail latency or processor use
+    :param pace: share of full speed it was last ordered to, percent
+    """
+
+    run: int
+    step: StepSpec
+    priority: int
+    placed_at: float
+    stopping: bool = False
+    in_doubt: bool = False
+    percent: float = 0.0
+    advanced_at: float = 0.0
+    figure: float = 0.0
+    pace: int = 100
--- /dev/null
+++ b/src/carawaystep/fleet/held_worker.py
@@ -0,0 +1,151 @@
+"""The held worker: what a planner has on one lifetime of a worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.errors.broken_invariant import BrokenInvariant
+from carawaystep.fleet.worker_health import WorkerHealth
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawaystep.fleet.held_run import HeldRun
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_offer import WorkerOffer
+    from carawaystep.workflow.step_spec import StepSpec
+    from carawaystep.workflow.task_ref import TaskRef
+
+# A worker that was not heard for so long gets no new work.
+QUIET_AFTER_S = 1.2
+
+
+class HeldWorker:
+    """Runs, room and health of one lifetime of a worker.
+
+    Its rule: the runs that may exist on it never take more than it has.
+    What is being stopped still counts.
+    """
+
+    def __init__(self, offer: WorkerOffer) -> None:
+        """Create a worker that has not been heard yet.
+
+        :param offer: how the platform lists it
+        """
+        self._offer = offer
+        self._listed = True
+        self._runs: dict[TaskRef, HeldRun] = {}
+        self._cpu = 0
+        self._filling_cpu = 0
+        self._memory = 0
+        self._accelerators = 0
+        self._heard_at: float | None = None
+        self._leaving = False
+        self.health = WorkerHealth()
+
+    @property
+    def key(self) -> WorkerKey:
+        """Return its lifetime."""
+        return self._offer.key
+
+    @property
+    def offer(self) -> WorkerOffer:
+        """Return how the platform last listed it."""
+        return self._offer
+
+    @property
+    def listed(self) -> bool:
+        """Tell whether the platform's list still holds it."""
+        return self._listed
+
+    @property
+    def heard_at(self) -> float | None:
+        """Return when it last reported under this planner's token."""
+        return self._heard_at
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it drains or has been told to leave."""
+        return self._leaving or self._offer.draining
+
+    @property
+    def runs(self) -> dict[TaskRef, HeldRun]:
+        """Return the runs that may exist on it, for reading only."""
+        return self._runs
+
+    @property
+    def free_cpu(self) -> int:
+        """Return the processor that reserved tasks leave, in millis."""
+        return self._offer.capacity.cpu_millis - self._cpu
+
+    @property
+    def spare_cpu(self) -> int:
+        """Return the processor left after filling tasks as well."""
+        return self.free_cpu - self._filling_cpu
+
+    def list_as(self, offer: WorkerOffer) -> None:
+        """Take a newer entry of the list."""
+        self._offer = offer
+        self._listed = True
+
+    def unlist(self) -> None:
+        """Note that the list does not hold it any more."""
+        self._listed = False
+
+    def hear(self, now: float, leaving: bool) -> None:
+        """Note a report."""
+        self._heard_at = now
+        self._leaving = leaving
+
+    def usable(self, now: float) -> bool:
+        """Tell whether it may get new work.
+
+        :param now: present time, seconds of a steady clock
+        """
+        return (
+            self._listed
+            and not self.leaving
+            and self._heard_at is not None
+            and now - self._heard_at < QUIET_AFTER_S
+            and not self.health.suspended(now)
+        )
+
+    def fits(self, step: StepSpec) -> bool:
+        """Tell whether one more task of a step has room."""
+        capacity = self._offer.capacity
+        if self._memory + step.memory_mb > capacity.memory_mb:
+            return False
+        if self._accelerators + step.accelerators > capacity.accelerators:
+            return False
+        return step.fills or step.cpu_millis <= self.free_cpu
+
+    def add(self, ref: TaskRef, run: HeldRun) -> None:
+        """Account for a run.
+
+        A run that an earlier planner placed is taken as it is.
+        """
+        if ref in self._runs:
+            raise BrokenInvariant(f"task {ref} is twice on {self.key.id}")
+        self._runs[ref] = run
+        self._count(run.step, 1)
+
+    def remove(self, ref: TaskRef, run: int) -> HeldRun | None:
+        """Give back the room of a run that cannot exist any more."""
+        held = self._runs.get(ref)
+        if held is None or held.run != run:
+            return None
+        del self._runs[ref]
+        self._count(held.step, -1)
+        return held
+
+    def of_step(self, ref: TaskRef) -> Iterator[TaskRef]:
+        """Return the tasks of the same step and occurrence on it."""
+        return (held for held in self._runs if held[:3] == ref[:3])
+
+    def _count(self, step: StepSpec, sign: int) -> None:
+        if step.fills:
+            self._filling_cpu += sign * step.cpu_millis
+        else:
+            self._cpu += sign * step.cpu_millis
+        self._memory += sign * step.memory_mb
+        self._accelerators += sign * step.accelerators
--- /dev/null
+++ b/src/carawaystep/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""The leadership aggregate: which process plans, and for how long."""
--- /dev/null
+++ b/src/carawaystep/planner/__init__.py
@@ -0,0 +1,1 @@
+"""The planner: decides which task runs on which worker, and when."""
--- /dev/null
+++ b/src/carawaystep/planner/changes.py
@@ -0,0 +1,51 @@
+"""What a planner wants stored, and what follows once it is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.fleet.order import Order
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.workflow.workflow_record import WorkflowRecord
+    from carawaystep.workflow.workflow_spec import WorkflowSpec
+    from carawaystep.workflow.workflow_state import WorkflowState
+
+
+@dataclass(slots=True)
+class Changes:
+    """One batch; nothing in it takes effect before it is stored.
+
+    :param accepted: workflows to insert
+    :param progress: progress to store, by workflow id
+    :param ended: final states of settled workflows, by id
+    :param orders: orders to send afterwards
+    :param acknowledged: number of the last stored end, by worker
+    :param states: states to tell callers afterwards, by id
+    """
+
+    accepted: list[WorkflowSpec] = field(default_factory=list)
+    progress: dict[str, WorkflowRecord] = field(default_factory=dict)
+    ended: dict[str, WorkflowState] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    acknowledged: dict[WorkerKey, int] = field(default_factory=dict)
+    states: dict[str, WorkflowState] = field(default_factory=dict)
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether there is nothing to do."""
+        return not (
+            self.accepted
+            or self.progress
+            or self.ended
+            or self.orders
+            or self.acknowledged
+            or self.states
+        )
+
+    @property
+    def stores(self) -> bool:
+        """Tell whether something has to be stored first."""
+        return bool(self.accepted or self.progress or self.ended)
--- /dev/null
+++ b/src/carawaystep/planner/planner.py
@@ -0,0 +1,537 @@
+"""The planner aggregate: workflows and workers of one term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.fleet.held_run import HeldRun
+from carawaystep.fleet.held_worker import HeldWorker
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.order import StopOrder
+from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.planner.changes import Changes
+from carawaystep.workflow.run_end import RunEnd
+from carawaystep.workflow.task_state import TaskState
+from carawaystep.workflow.workflow import Workflow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from carawaystep.fleet.order import Order
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_offer import WorkerOffer
+    from carawaystep.fleet.worker_report import EndedRun
+    from carawaystep.fleet.worker_report import WorkerReport
+    from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.planner.planner_limits import PlannerLimits
+    from carawaystep.planner.task_placement import TaskPlacement
+    from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow_record import WorkflowRecord
+    from carawaystep.workflow.workflow_spec import WorkflowSpec
+    from carawaystep.workflow.workflow_state import WorkflowState
+
+_NOT_DONE = frozenset(
+    {
+        OrderOutcome.FULL,
+        OrderOutcome.SUPERSEDED,
+        OrderOutcome.FENCED,
+        OrderOutcome.EXPIRED,
+        OrderOutcome.REFUSED,
+        OrderOutcome.UNHEALTHY,
+        OrderOutcome.OTHER_LIFETIME,
+        OrderOutcome.NOT_SENT,
+    }
+)
+
+
+class Planner:
+    """Decides for all workflows and workers during one term of a leader.
+
+    It is built from what is stored. A run that is stored as placed may
+    exist until its worker has reported under this term's token or can no
+    longer hold a lease; nothing is started before it is stored.
+    """
+
+    def __init__(
+        self,
+        limits: PlannerLimits,
+        placement: TaskPlacement,
+        log: DecisionLog,
+        now: float,
+    ) -> None:
+        """Create a planner without workflows and workers.
+
+        :param limits: times after which runs count as lost
+        :param placement: chooses workers
+        :param log: takes a line for each decision
+        :param now: present time, seconds of a steady clock
+        """
+        self._limits = limits
+        self._placement = placement
+        self._log = log
+        self._began_at = now
+        self._workflows: dict[str, Workflow] = {}
+        self._finals: dict[str, WorkflowState] = {}
+        self._workers: dict[WorkerKey, HeldWorker] = {}
+        # Workers of stored runs that no list or report has shown yet.
+        self._missing: dict[WorkerKey, float] = {}
+        self._hungry: set[str] = set()
+        self._dirty: set[str] = set()
+        self._next = Changes()
+        self._urgent: list[Order] = []
+
+    @property
+    def workers(self) -> Mapping[WorkerKey, HeldWorker]:
+        """Return the workers that are listed or hold runs."""
+        return self._workers
+
+    @property
+    def workflows(self) -> Mapping[str, Workflow]:
+        """Return the workflows that are not settled."""
+        return self._workflows
+
+    @property
+    def finals(self) -> Mapping[str, WorkflowState]:
+        """Return the final states of settled workflows."""
+        return self._finals
+
+    def restore(
+        self, spec: WorkflowSpec, record: WorkflowRecord | None
+    ) -> None:
+        """Take over a stored workflow at the start of the term."""
+        workflow = Workflow(spec)
+        if record is not None:
+            workflow.restore(record)
+        self._workflows[spec.id] = workflow
+        self._hungry.add(spec.id)
+        for _, task in workflow.placed():
+            if task.worker is not None:
+                self._missing.setdefault(task.worker, self._began_at)
+        if workflow.settled:
+            self._touch(workflow)
+
+    def restore_final(self, workflow_id: str, state: WorkflowState) -> None:
+        """Take over the stored final state of a workflow."""
+        self._finals[workflow_id] = state
+
+    def state(self, workflow_id: str) -> WorkflowState | None:
+        """Return a workflow's state, None when it is not known."""
+        final = self._finals.get(workflow_id)
+        if final is not None:
+            return final
+        workflow = self._workflows.get(workflow_id)
+        return None if workflow is None else workflow.state
+
+    def queued(self) -> dict[str, int]:
+        """Return the workflows that have not started, by queue."""
+        counts: dict[str, int] = {}
+        for workflow in self._workflows.values():
+            if not workflow.started and not workflow.ended:
+                queue = workflow.spec.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def admit(self, spec: WorkflowSpec, stored: bool) -> bool:
+        """Accept a workflow.
+
+        :param spec: what the caller submitted
+        :param stored: whether another process has stored it already
+        :returns: False when it is known already
+        """
+        if self.state(spec.id) is not None:
+            return False
+        workflow = Workflow(spec)
+        self._workflows[spec.id] = workflow
+        self._hungry.add(spec.id)
+        if not stored:
+            self._next.accepted.append(spec)
+        self._next.states[spec.id] = workflow.state
+        self._log.line("workflow.admitted", spec.id, queue=spec.queue)
+        return True
+
+    def cancel(self, workflow_id: str) -> bool:
+        """Cancel a workflow.
+
+        :returns: False when it is not known
+        """
+        if workflow_id in self._finals:
+            return True
+        workflow = self._workflows.get(workflow_id)
+        if workflow is None:
+            return False
+        if workflow.cancel():
+            self._touch(workflow)
+            for ref, task in workflow.placed():
+                self._stop(ref, task.run, "cancelled")
+        return True
+
+    def offer(self, offers: Iterable[WorkerOffer]) -> None:
+        """Take the list of workers."""
+        listed = {offer.key: offer for offer in offers}
+        for key, offer in listed.items():
+            worker = self._workers.get(key)
+            if worker is None:
+                self._meet(offer)
+            else:
+                worker.list_as(offer)
+        for key, worker in list(self._workers.items()):
+            if key not in listed:
+                worker.unlist()
+                if not worker.runs:
+                    del self._workers[key]
+
+    def hear(self, report: WorkerReport, now: float) -> None:
+        """Take a worker's report under this term's token."""
+        self._forget_earlier(report.worker)
+        worker = self._workers.get(report.worker)
+        if worker is None:
+            return
+        first = worker.heard_at is None
+        worker.hear(now, report.remaining_s is not None)
+        for ended in report.ended:
+            self._end(worker, ended, now)
+        if report.ended:
+            self._next.acknowledged[report.worker] = report.ended[-1].number
+        seen = {(item.ref, item.run) for item in report.running}
+        for item in report.running:
+            self._see(worker, item.ref, item.run, item.checkpoint, now)
+            held = worker.runs.get(item.ref)
+            if held is not None and held.run == item.run:
+                if item.percent > held.percent:
+                    held.advanced_at = now
+                held.percent = item.percent
+                held.figure = item.figure
+        if first:
+            # Older tokens are refused from now on: what is not listed was
+            # never started.
+            for ref, held in list(worker.runs.items()):
+                if (ref, held.run) not in seen:
+                    self._lose(worker, ref, held.run, "not-started")
+
+    def conclude(
+        self, order: Order, outcome: OrderOutcome, now: float
+    ) -> None:
+        """Take what became of an order."""
+        worker = self._workers.get(order.worker)
+        if worker is None:
+            return
+        held = worker.runs.get(order.ref)
+        if held is None or held.run != order.run:
+            return
+        if isinstance(order, StopOrder):
+            self._conclude_stop(worker, order, held, outcome)
+            return
+        if not isinstance(order, StartOrder):
+            return
+        if outcome in _NOT_DONE:
+            if outcome is not OrderOutcome.FULL:
+                worker.health.pause(now)
+            self._lose(worker, order.ref, order.run, outcome.value)
+        elif outcome is OrderOutcome.UNKNOWN:
+            worker.health.pause(now)
+            held.in_doubt = True
+            self._stop(order.ref, order.run, "start-unanswered")
+
+    def expire(self, now: float) -> None:
+        """Requeue what was on workers that can no longer run it."""
+        for key, since in list(self._missing.items()):
+            if now - since > self._limits.takeover_lost_after_s:
+                del self._missing[key]
+                self._requeue_missing(key)
+        for worker in list(self._workers.values()):
+            heard_at = worker.heard_at
+            if heard_at is None:
+                deadline = self._began_at + self._limits.takeover_lost_after_s
+            else:
+                deadline = heard_at + self._limits.lost_after_s
+            if now <= deadline:
+                continue
+            for ref, held in list(worker.runs.items()):
+                self._lose(worker, ref, held.run, "lease-passed")
+
+    def plan(self, now: float, wall_now: float) -> None:
+        """Place tasks that are ready, the most urgent workflows first.
+
+        :param now: present time, seconds of a steady clock
+        :param wall_now: present wall-clock time in seconds
+        """
+        usable = [w for w in self._workers.values() if w.usable(now)]
+        hungry = [
+            self._workflows[name]
+            for name in self._hungry
+            if name in self._workflows
+        ]
+        hungry.sort(key=lambda workflow: self._urgency(workflow, wall_now))
+        fed: set[str] = set()
+        for workflow in hungry:
+            if self._feed(workflow, usable, now, wall_now):
+                fed.add(workflow.id)
+        self._hungry -= fed
+
+    def wants(self, order: Order) -> bool:
+        """Tell whether a start is still to be sent once it is stored."""
+        workflow = self._workflows.get(order.ref.workflow)
+        if workflow is None or workflow.ended:
+            return False
+        return workflow.present_run(order.ref, order.run)
+
+    def retry_stops(self) -> None:
+        """Order again what should have stopped and still runs."""
+        for worker in self._workers.values():
+            if worker.heard_at is None or not worker.listed:
+                continue
+            for ref, held in worker.runs.items():
+                if held.stopping:
+                    self._urgent.append(StopOrder(worker.key, ref, held.run))
+
+    def take_urgent(self) -> list[Order]:
+        """Return orders that need nothing stored first."""
+        urgent, self._urgent = self._urgent, []
+        return urgent
+
+    def take_changes(self) -> Changes:
+        """Return what has changed since the last call."""
+        changes, self._next = self._next, Changes()
+        for name in self._dirty:
+            workflow = self._workflows[name]
+            changes.progress[name] = workflow.record()
+            changes.states[name] = workflow.state
+            if workflow.settled:
+                changes.ended[name] = workflow.state
+                self._finals[name] = workflow.state
+                del self._workflows[name]
+                self._hungry.discard(name)
+        self._dirty.clear()
+        return changes
+
+    def _urgency(
+        self, workflow: Workflow, wall_now: float
+    ) -> tuple[int, bool, float]:
+        spec = workflow.spec
+        due = spec.accepted_at_s + spec.objective_s
+        due += spec.stretch * spec.chain_s()
+        return (spec.priority, due < wall_now, due)
+
+    def _feed(
+        self,
+        workflow: Workflow,
+        usable: list[HeldWorker],
+        now: float,
+        wall_now: float,
+    ) -> bool:
+        """Place a workflow's ready tasks; tell whether none is left over."""
+        complete = not workflow.spec.scheduled
+        refused: set[tuple[int, int]] = set()
+        for ref in list(workflow.ready(wall_now)):
+            if (ref.occurrence, ref.step) in refused:
+                complete = False
+                continue
+            step = workflow.step(ref)
+            worker = self._placement.choose(
+                step, self._candidates(workflow, ref, usable)
+            )
+            if worker is None:
+                refused.add((ref.occurrence, ref.step))
+                complete = False
+                continue
+            self._start(workflow, ref, worker, now)
+        return complete
+
+    def _candidates(
+        self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
+    ) -> Iterable[HeldWorker]:
+        step = workflow.step(ref)
+        for worker in usable:
+            offer = worker.offer
+            if offer.service != workflow.spec.service:
+                continue
+            if step.label and step.label not in offer.labels:
+                continue
+            if not worker.fits(step):
+                continue
+            if step.max_per_worker:
+                same = sum(1 for _ in worker.of_step(ref))
+                if same >= step.max_per_worker:
+                    continue
+            yield worker
+
+    def _start(
+        self, workflow: Workflow, ref: TaskRef, worker: HeldWorker, now: float
+    ) -> None:
+        run = workflow.place(ref, worker.key)
+        step = workflow.step(ref)
+        worker.add(
+            ref,
+            HeldRun(run, step, workflow.spec.priority, now, advanced_at=now),
+        )
+        checkpoint = workflow.task(ref).checkpoint
+        self._next.orders.append(
+            StartOrder(worker.key, ref, run, workflow.spec.payload, checkpoint)
+        )
+        self._touch(workflow)
+        self._log.line(
+            "task.placed",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            report_age_s=now - (worker.heard_at or now),
+        )
+
+    def _end(
+        self,
+        worker: HeldWorker,
+        ended: EndedRun,
+        now: float,
+    ) -> None:
+        ref, run, end = ended.ref, ended.run, ended.end
+        worker.remove(ref, run)
+        workflow = self._workflows.get(ref.workflow)
+        if workflow is None:
+            return
+        if not workflow.present_run(ref, run):
+            return
+        if workflow.task(ref).worker != worker.key:
+            return
+        members = workflow.members(ref) if workflow.step(ref).gang else []
+        workflow.end_run(ref, run, end, ended.checkpoint)
+        if end is RunEnd.DONE:
+            worker.health.succeed()
+        elif end is RunEnd.FAILED and worker.health.fail(ref.workflow, now):
+            self._log.line("worker.suspended", worker.key.id, task=str(ref))
+        for member in members:
+            if workflow.task(member).state is TaskState.DONE:
+                self._release_everywhere(member, run)
+        self._touch(workflow)
+        self._log.line(
+            "task.ended", str(ref), run=run, worker=worker.key.id, end=end
+        )
+        if workflow.ended:
+            for other, task in list(workflow.placed()):
+                self._stop(other, task.run, "workflow-ended")
+
+    def _see(
+        self,
+        worker: HeldWorker,
+        ref: TaskRef,
+        run: int,
+        checkpoint: str,
+        now: float,
+    ) -> None:
+        held = worker.runs.get(ref)
+        workflow = self._workflows.get(ref.workflow)
+        if held is not None and held.run == run and workflow is not None:
+            workflow.see_running(ref, run, checkpoint)
+            if workflow.ended and not held.stopping:
+                self._stop(ref, run, "workflow-ended")
+            return
+        # Runs that this planner has given up; they keep their room until
+        # their end is listed.
+        self._urgent.append(StopOrder(worker.key, ref, run))
+        self._log.line(
+            "task.unexpected", str(ref), run=run, worker=worker.key.id
+        )
+
+    def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
+        workflow = self._workflows[ref.workflow]
+        key = workflow.task(ref).worker
+        worker = None if key is None else self._workers.get(key)
+        held = None if worker is None else worker.runs.get(ref)
+        if worker is None or held is None or held.run != run:
+            return
+        if held.stopping:
+            return
+        held.stopping = True
+        self._urgent.append(StopOrder(worker.key, ref, run))
+        self._log.line(
+            "task.stopping",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            reason=reason,
+        )
+
+    def _conclude_stop(
+        self,
+        worker: HeldWorker,
+        order: StopOrder,
+        held: HeldRun,
+        outcome: OrderOutcome,
+    ) -> None:
+        workflow = self._workflows.get(order.ref.workflow)
+        task = None if workflow is None else workflow.task(order.ref)
+        if outcome is not OrderOutcome.DONE or task is None:
+            return
+        # A run that was there is listed among the ends; one that never
+        # arrived will now be refused.
+        if held.in_doubt and not task.seen_running:
+            self._lose(worker, order.ref, order.run, "stopped-before-start")
+
+    def _lose(
+        self, worker: HeldWorker, ref: TaskRef, run: int, reason: str
+    ) -> None:
+        worker.remove(ref, run)
+        workflow = self._workflows.get(ref.workflow)
+        if workflow is None or not workflow.lose_run(ref, run):
+            return
+        self._touch(workflow)
+        self._log.line(
+            "task.lost",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            reason=reason,
+        )
+
+    def _release_everywhere(self, ref: TaskRef, run: int) -> None:
+        for worker in self._workers.values():
+            worker.remove(ref, run)
+
+    def _meet(self, offer: WorkerOffer) -> None:
+        worker = HeldWorker(offer)
+        self._workers[offer.key] = worker
+        self._missing.pop(offer.key, None)
+        for workflow in self._workflows.values():
+            for ref, task in workflow.placed():
+                if task.worker == offer.key:
+                    step = workflow.step(ref)
+                    worker.add(
+                        ref,
+                        HeldRun(
+                            task.run,
+                            step,
+                            workflow.spec.priority,
+                            self._began_at,
+                        ),
+                    )
+
+    def _forget_earlier(self, key: WorkerKey) -> None:
+        """Requeue what was on an earlier lifetime of a worker."""
+        for earlier in list(self._workers):
+            if earlier.id == key.id and earlier.born_ms < key.born_ms:
+                worker = self._workers.pop(earlier)
+                for ref, held in list(worker.runs.items()):
+                    self._lose(worker, ref, held.run, "worker-restarted")
+        for earlier in list(self._missing):
+            if earlier.id == key.id and earlier.born_ms < key.born_ms:
+                del self._missing[earlier]
+                self._requeue_missing(earlier)
+
+    def _requeue_missing(self, key: WorkerKey) -> None:
+        for workflow in self._workflows.values():
+            for ref, task in list(workflow.placed()):
+                if task.worker == key:
+                    run = task.run
+                    workflow.lose_run(ref, run)
+                    self._touch(workflow)
+                    self._log.line(
+                        "task.lost",
+                        str(ref),
+                        run=run,
+                        worker=key.id,
+                        reason="worker-gone",
+                    )
+
+    def _touch(self, workflow: Workflow) -> None:
+        self._dirty.add(workflow.id)
+        self._hungry.add(workflow.id)
--- /dev/null
+++ b/src/carawaystep/planner/task_placement.py
@@ -0,0 +1,27 @@
+"""Choice of a worker for a task."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaystep.fleet.held_worker import HeldWorker
+    from carawaystep.workflow.step_spec import StepSpec
+
+
+class TaskPlacement(ABC):
+    """Policy that ranks workers which may run a task."""
+
+    @abstractmethod
+    def choose(
+        self, step: StepSpec, candidates: Iterable[HeldWorker]
+    ) -> HeldWorker | None:
+        """Return the worker for one more task, None to wait.
+
+        :param step: step of the task
+        :param candidates: usable workers with room that the step allows
+        """
--- /dev/null
+++ b/src/carawaystep/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of a scheduler process and their composition."""
--- /dev/null
+++ b/src/carawaystep/scheduler/member_session.py
@@ -0,0 +1,127 @@
+"""The leader's session with one member."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawaystep.cluster.messages import Alive
+from carawaystep.cluster.messages import Assign
+from carawaystep.cluster.messages import Lead
+
+if TYPE_CHECKING:
+    from carawaystep.cluster.channel import Channel
+    from carawaystep.cluster.messages import AssignedWorker
+    from carawaystep.cluster.messages import Message
+    from carawaystep.leadership.member_record import MemberRecord
+    from carawaystep.scheduler.leader_context import LeaderContext
+
+_LEAD_INTERVAL_S = 0.25
+# A member that was silent for so long gets no workers.
+_SILENT_S = 1.0
+# A connection that was silent for so long is replaced.
+_RENEW_S = 1.0
+
+
+class MemberSession:
+    """One connection: signs of life, workers, orders and what comes back."""
+
+    def __init__(
+        self, record: MemberRecord, channel: Channel, context: LeaderContext
+    ) -> None:
+        """Create a session that has heard nothing.
+
+        :param record: the member
+        :param channel: connection to it
+        :param context: the leader
+        """
+        self._record = record
+        self._channel = channel
+        self._context = context
+        self._heard_at: float | None = None
+        self._stamp = 0.0
+        self._draining = False
+        self._renewed_at = context.now
+        self._version = 0
+        self._workers: list[AssignedWorker] = []
+
+    @property
+    def record(self) -> MemberRecord:
+        """Return the member."""
+        return self._record
+
+    def available(self, now: float) -> bool:
+        """Tell whether the member can call workers."""
+        return (
+            self._heard_at is not None
+            and now - self._heard_at < _SILENT_S
+            and not self._draining
+        )
+
+    async def send(self, message: Message) -> bool:
+        """Send a message; False when it certainly does not arrive."""
+        return await self._channel.send(message)
+
+    async def assign(self, workers: list[AssignedWorker]) -> None:
+        """Give the member its workers, unless it has just these."""
+        if workers == self._workers:
+            return
+        self._workers = workers
+        self._version += 1
+        await self._send_workers()
+
+    async def run(self) -> None:
+        """Serve the member until the task is cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._send_signs())
+                group.create_task(self._receive())
+        finally:
+            await self._channel.close()
+
+    async def _send_signs(self) -> None:
+        while True:
+            now = self._context.now
+            if self._context.may_lead(now):
+                await self._channel.send(
+                    Lead(
+                        self._context.term,
+                        self._context.name,
+                        self._stamp,
+                        self._context.store_age(now),
+                    )
+                )
+            last = max(self._heard_at or 0.0, self._renewed_at)
+            if now - last > _RENEW_S:
+                self._renewed_at = now
+                await self._channel.renew()
+            await asyncio.sleep(_LEAD_INTERVAL_S)
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._channel.receive()
+            if isinstance(message, Alive):
+                await self._hear(message)
+            else:
+                await self._context.take(self, message)
+
+    async def _hear(self, message: Alive) -> None:
+        if message.name != self._record.name:
+            return
+        if message.term > self._context.term:
+            self._context.doubt_term()
+            return
+        self._heard_at = self._context.now
+        self._stamp = message.stamp
+        if self._draining != message.draining:
+            self._draining = message.draining
+        if message.assignment != self._version:
+            await self._send_workers()
+
+    async def _send_workers(self) -> None:
+        if not self._version:
+            return
+        # A member that restarted or changed leaders counts anew.
+        await self._channel.send(
+            Assign(self._context.term, self._version, self._workers)
+        )
--- /dev/null
+++ b/src/carawaystep/scheduler/ports.py
@@ -0,0 +1,62 @@
+"""Ports that a scheduler process is composed with."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.cluster.channel import Channel
+    from carawaystep.cluster.leader_port import LeaderPort
+    from carawaystep.entry.clock import Clock
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_link import WorkerLink
+    from carawaystep.fleet.worker_list import WorkerList
+    from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.routing.route_source import RouteSource
+    from carawaystep.store.table_service import TableService
+
+
+class SchedulerPorts(ABC):
+    """Everything outside the process."""
+
+    @property
+    @abstractmethod
+    def clock(self) -> Clock:
+        """Return the clocks."""
+
+    @property
+    @abstractmethod
+    def table(self) -> TableService:
+        """Return the store."""
+
+    @property
+    @abstractmethod
+    def routes(self) -> RouteSource:
+        """Return the row that holds the routes."""
+
+    @property
+    @abstractmethod
+    def worker_list(self) -> WorkerList:
+        """Return the table of workers."""
+
+    @property
+    @abstractmethod
+    def leaders(self) -> LeaderPort:
+        """Return the socket on which leaders reach this process."""
+
+    @property
+    @abstractmethod
+    def log(self) -> DecisionLog:
+        """Return the log of decisions."""
+
+    @abstractmethod
+    def worker(
+        self, key: WorkerKey, address: str, lease_s: float
+    ) -> WorkerLink:
+        """Return a new link to one lifetime of a worker."""
+
+    @abstractmethod
+    def member(self, address: str) -> Channel:
+        """Return a new connection to another process."""
--- a/src/carawaystep/store/table_failure.py
+++ b/src/carawaystep/store/table_failure.py
@@ -34,3 +34,8 @@
 @dataclass(frozen=True, slots=True)
 class TableUnknown(TableFailure):
     """No answer came; a write may or may not have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class TableHistoryGone(TableFailure):
+    """The changes since the given revision are no longer kept."""
--- a/src/carawaystep/store/table_service.py
+++ b/src/carawaystep/store/table_service.py
@@ -48,12 +48,18 @@
 
     @abstractmethod
     async def changes(
-        self, table: str, since: int, prefixes: Sequence[str] = ()
+        self,
+        table: str,
+        since: int,
+        prefixes: Sequence[str] = (),
+        wait_s: float = 0.0,
     ) -> Result[TableChanges, TableFailure]:
         """Read the rows that were written after a revision.
 
         :param table: name of the table
         :param since: revision of the last call, 0 for all rows
         :param prefixes: only keys with one of these prefixes; all when empty
-        :returns: one page of rows
+        :param wait_s: how long the service may wait for a first change
+        :returns: one page of rows, or :class:`TableHistoryGone` when the
+            changes are no longer kept and all rows must be read again
         """
--- /dev/null
+++ b/src/carawaystep/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""The workflow aggregate: a job of steps, whose tasks run on workers."""
--- /dev/null
+++ b/src/carawaystep/workflow/task.py
@@ -0,0 +1,31 @@
+"""One task of a workflow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from carawaystep.workflow.task_state import TaskState
+
+if TYPE_CHECKING:
+    from carawaystep.fleet.worker_key import WorkerKey
+
+
+@dataclass(slots=True)
+class Task:
+    """State of a task; only its workflow changes it.
+
+    :param state: present state
+    :param run: number of the last run, 0 before the first
+    :param worker: worker of the present run, None unless placed
+    :param checkpoint: latest checkpoint, empty for none
+    :param failures: runs that ended as failed
+    :param seen_running: whether a report has shown the present run
+    """
+
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    worker: WorkerKey | None = None
+    checkpoint: str = ""
+    failures: int = 0
+    seen_running: bool = False
--- /dev/null
+++ b/src/carawaystep/workflow/workflow.py
@@ -0,0 +1,287 @@
+"""The workflow aggregate and the rules of its tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.errors.broken_invariant import BrokenInvariant
+from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.workflow.run_end import RunEnd
+from carawaystep.workflow.task import Task
+from carawaystep.workflow.task_ref import TaskRef
+from carawaystep.workflow.task_state import TaskState
+from carawaystep.workflow.workflow_record import TaskRecord
+from carawaystep.workflow.workflow_record import WorkflowRecord
+from carawaystep.workflow.workflow_state import WorkflowState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawaystep.workflow.step_spec import StepSpec
+    from carawaystep.workflow.workflow_spec import WorkflowSpec
+
+_Slot = tuple[int, int]
+
+
+class Workflow:
+    """One accepted workflow: order of steps, runs, attempts and its end.
+
+    Its rules: a task has at most one run at a time, run numbers only rise,
+    a task that is done stays done, and nothing starts before the steps that
+    it depends on or after the workflow has ended.
+    """
+
+    def __init__(self, spec: WorkflowSpec) -> None:
+        """Create a workflow of which nothing has started.
+
+        :param spec: what the caller submitted
+        """
+        self._spec = spec
+        self._tasks: dict[_Slot, list[Task]] = {
+            (occurrence, number): [Task() for _ in range(step.count)]
+            for occurrence in range(spec.occurrences)
+            for number, step in enumerate(spec.steps)
+        }
+        self._open = {slot: len(tasks) for slot, tasks in self._tasks.items()}
+        self._placed = 0
+        self._started = False
+        self._cancelled = False
+        self._failed = False
+
+    @property
+    def spec(self) -> WorkflowSpec:
+        """Return what the caller submitted."""
+        return self._spec
+
+    @property
+    def id(self) -> str:
+        """Return the id."""
+        return self._spec.id
+
+    @property
+    def state(self) -> WorkflowState:
+        """Return the state that callers are told."""
+        if self._cancelled:
+            return WorkflowState.CANCELLED
+        if self._failed:
+            return WorkflowState.FAILED
+        if not any(self._open.values()):
+            return WorkflowState.DONE
+        if self._started:
+            return WorkflowState.RUNNING
+        return WorkflowState.PENDING
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether no task may start any more."""
+        return self.state.final
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether it has ended and no run can exist."""
+        return self.ended and self._placed == 0
+
+    @property
+    def started(self) -> bool:
+        """Tell whether a task was ever placed."""
+        return self._started
+
+    def step(self, ref: TaskRef) -> StepSpec:
+        """Return the step of a task."""
+        return self._spec.steps[ref.step]
+
+    def task(self, ref: TaskRef) -> Task:
+        """Return a task's state, for reading only."""
+        return self._tasks[ref.occurrence, ref.step][ref.task]
+
+    def find(self, ref: TaskRef) -> Task | None:
+        """Return a task's state, None when there is no such task."""
+        tasks = self._tasks.get((ref.occurrence, ref.step), [])
+        return tasks[ref.task] if 0 <= ref.task < len(tasks) else None
+
+    def ready(self, wall_now: float) -> Iterator[TaskRef]:
+        """Return the tasks that may start now.
+
+        :param wall_now: present wall-clock time in seconds
+        """
+        if self.ended:
+            return
+        for (occurrence, number), tasks in self._tasks.items():
+            step = self._spec.steps[number]
+            if not self._open[occurrence, number]:
+                continue
+            if self._spec.due_at_s(occurrence) > wall_now:
+                continue
+            if any(self._open[occurrence, earlier] for earlier in step.after):
+                continue
+            if step.gang and any(t.state is TaskState.PLACED for t in tasks):
+                continue
+            for index, task in enumerate(tasks):
+                if task.state is TaskState.WAITING:
+                    yield TaskRef(self.id, occurrence, number, index)
+
+    def placed(self) -> Iterator[tuple[TaskRef, Task]]:
+        """Return the tasks of which a run may exist."""
+        if not self._placed:
+            return
+        for (occurrence, number), tasks in self._tasks.items():
+            for index, task in enumerate(tasks):
+                if task.state is TaskState.PLACED:
+                    yield TaskRef(self.id, occurrence, number, index), task
+
+    def members(self, ref: TaskRef) -> list[TaskRef]:
+        """Return all tasks of a task's step and occurrence."""
+        count = len(self._tasks[ref.occurrence, ref.step])
+        return [ref._replace(task=index) for index in range(count)]
+
+    def present_run(self, ref: TaskRef, run: int) -> bool:
+        """Tell whether a run is the one that may exist now."""
+        task = self.find(ref)
+        return (
+            task is not None
+            and task.state is TaskState.PLACED
+            and task.run == run
+        )
+
+    def place(self, ref: TaskRef, worker: WorkerKey) -> int:
+        """Give a task's next run to a worker.
+
+        :returns: number of the run
+        """
+        task = self.task(ref)
+        if task.state is not TaskState.WAITING or self.ended:
+            raise BrokenInvariant(f"task {ref} cannot start: {task.state}")
+        task.run = self._next_run(ref, task)
+        task.state = TaskState.PLACED
+        task.worker = worker
+        task.seen_running = False
+        self._placed += 1
+        self._started = True
+        return task.run
+
+    def see_running(self, ref: TaskRef, run: int, checkpoint: str) -> bool:
+        """Note that a report shows a run.
+
+        :param checkpoint: latest checkpoint, empty for none
+        :returns: False when this is not the present run
+        """
+        if not self.present_run(ref, run):
+            return False
+        task = self.task(ref)
+        task.seen_running = True
+        if checkpoint:
+            task.checkpoint = checkpoint
+        return True
+
+    def end_run(
+        self, ref: TaskRef, run: int, end: RunEnd, checkpoint: str
+    ) -> bool:
+        """Note the end of a run.
+
+        :returns: False when it is not the present run
+        """
+        if not self.present_run(ref, run):
+            return False
+        step = self.step(ref)
+        if end is RunEnd.DONE and not step.long_running:
+            if step.gang:
+                self._finish_gang(ref)
+            else:
+                self._finish(ref)
+            return True
+        task = self.task(ref)
+        if checkpoint:
+            task.checkpoint = checkpoint
+        self._release(task)
+        if end is RunEnd.FAILED and not step.long_running:
+            task.failures += 1
+            if task.failures >= self._spec.max_attempts:
+                self._failed = True
+        return True
+
+    def lose_run(self, ref: TaskRef, run: int) -> bool:
+        """Note that a run never started or cannot run any more.
+
+        :returns: False when it is not the present run
+        """
+        if not self.present_run(ref, run):
+            return False
+        self._release(self.task(ref))
+        return True
+
+    def cancel(self) -> bool:
+        """Cancel the workflow.
+
+        :returns: False when it has already ended
+        """
+        if self.ended:
+            return False
+        self._cancelled = True
+        return True
+
+    def record(self) -> WorkflowRecord:
+        """Return what has to be stored."""
+        tasks = [
+            TaskRecord(
+                occurrence,
+                number,
+                index,
+                task.state.value,
+                task.run,
+                task.worker.id if task.worker else "",
+                task.worker.born_ms if task.worker else 0,
+                task.checkpoint,
+                task.failures,
+            )
+            for (occurrence, number), tasks in self._tasks.items()
+            for index, task in enumerate(tasks)
+            if task.run
+        ]
+        return WorkflowRecord(tasks, self._cancelled, self._failed)
+
+    def restore(self, record: WorkflowRecord) -> None:
+        """Take over stored progress; the workflow must be new."""
+        for stored in record.tasks:
+            slot = (stored.occurrence, stored.step)
+            task = self._tasks[slot][stored.index]
+            task.state = TaskState(stored.state)
+            task.run = stored.run
+            task.checkpoint = stored.checkpoint
+            task.failures = stored.failures
+            if task.state is TaskState.PLACED:
+                task.worker = WorkerKey(
+                    stored.worker_id, stored.worker_born_ms
+                )
+                self._placed += 1
+            if task.state is TaskState.DONE:
+                self._open[slot] -= 1
+        self._started = bool(record.tasks)
+        self._cancelled = record.cancelled
+        self._failed = record.failed
+
+    def _next_run(self, ref: TaskRef, task: Task) -> int:
+        if not self.step(ref).gang:
+            return task.run + 1
+        tasks = self._tasks[ref.occurrence, ref.step]
+        placed = [t.run for t in tasks if t.state is TaskState.PLACED]
+        if placed:
+            return max(placed)
+        return max(t.run for t in tasks) + 1
+
+    def _finish_gang(self, ref: TaskRef) -> None:
+        for member in self.members(ref):
+            if self.task(member).state is not TaskState.DONE:
+                self._finish(member)
+
+    def _finish(self, ref: TaskRef) -> None:
+        task = self.task(ref)
+        self._release(task)
+        task.state = TaskState.DONE
+        self._open[ref.occurrence, ref.step] -= 1
+
+    def _release(self, task: Task) -> None:
+        if task.state is TaskState.PLACED:
+            self._placed -= 1
+        task.state = TaskState.WAITING
+        task.worker = None
+        task.seen_running = False
--- a/tests/fakes/fake_platform.py
+++ b/tests/fakes/fake_platform.py
@@ -72,7 +72,11 @@
         )
 
     async def changes(
-        self, table: str, since: int, prefixes: Sequence[str] = ()
+        self,
+        table: str,
+        since: int,
+        prefixes: Sequence[str] = (),
+        wait_s: float = 0.0,
     ) -> Result[TableChanges, TableFailure]:
         """Read the rows that were written after a revision."""
         return await self._call(
