Keep filling tasks away from serving tasks that they harm

Ruled out: start latency (half of all workflows started within 72 ms). Change: likely spare processor, learned interference per pair of images, serving tasks grouped by image.

--- a/src/carawaystep/fleet/held_worker.py
+++ b/src/carawaystep/fleet/held_worker.py
@@ -19,6 +19,9 @@
 # A worker that was not heard for so long gets no new work.
 QUIET_AFTER_S = 1.2
 
+# Serving tasks reserve their peak; this share is what they use on average.
+_SERVING_LOAD = 0.6
+
 
 class HeldWorker:
     """Runs, room and health of one lifetime of a worker.
@@ -37,6 +40,9 @@
         self._runs: dict[TaskRef, HeldRun] = {}
         self._cpu = 0
         self._filling_cpu = 0
+        self._filling_count = 0
+        self._serving_cpu = 0
+        self._serving_images: dict[str, int] = {}
         self._memory = 0
         self._accelerators = 0
         self._heard_at: float | None = None
@@ -79,9 +85,20 @@
         return self._offer.capacity.cpu_millis - self._cpu
 
     @property
-    def spare_cpu(self) -> int:
-        """Return the processor left after filling tasks as well."""
-        return self.free_cpu - self._filling_cpu
+    def likely_spare_cpu(self) -> float:
+        """Return the processor that is likely unused, in millis."""
+        unused = (1 - _SERVING_LOAD) * self._serving_cpu
+        return self.free_cpu + unused - self._filling_cpu
+
+    @property
+    def filling_count(self) -> int:
+        """Return the number of filling tasks."""
+        return self._filling_count
+
+    @property
+    def serving_images(self) -> dict[str, int]:
+        """Return the number of serving tasks by image, for reading only."""
+        return self._serving_images
 
     def list_as(self, offer: WorkerOffer) -> None:
         """Take a newer entry of the list."""
@@ -145,7 +162,14 @@
     def _count(self, step: StepSpec, sign: int) -> None:
         if step.fills:
             self._filling_cpu += sign * step.cpu_millis
+            self._filling_count += sign
         else:
             self._cpu += sign * step.cpu_millis
+        if step.tail_target_ms:
+            self._serving_cpu += sign * step.cpu_millis
+            count = self._serving_images.get(step.image, 0) + sign
+            self._serving_images[step.image] = count
+            if not count:
+                del self._serving_images[step.image]
         self._memory += sign * step.memory_mb
         self._accelerators += sign * step.accelerators
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -6,6 +6,7 @@
 
 from carawaystep.fleet.held_run import HeldRun
 from carawaystep.fleet.held_worker import HeldWorker
+from carawaystep.fleet.order import PaceOrder
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
@@ -24,6 +25,7 @@
     from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.planner.interference import Interference
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.task_placement import TaskPlacement
     from carawaystep.workflow.task_ref import TaskRef
@@ -31,6 +33,10 @@
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from carawaystep.workflow.workflow_state import WorkflowState
 
+# A filling task without checkpoints that has got further is slowed down
+# rather than started again elsewhere.
+_RESTART_PERCENT = 40.0
+
 _NOT_DONE = frozenset(
     {
         OrderOutcome.FULL,
@@ -57,6 +63,7 @@
         self,
         limits: PlannerLimits,
         placement: TaskPlacement,
+        interference: Interference,
         log: DecisionLog,
         now: float,
     ) -> None:
@@ -64,11 +71,13 @@
 
         :param limits: times after which runs count as lost
         :param placement: chooses workers
+        :param interference: learns which images harm each other
         :param log: takes a line for each decision
         :param now: present time, seconds of a steady clock
         """
         self._limits = limits
         self._placement = placement
+        self._interference = interference
         self._log = log
         self._began_at = now
         self._workflows: dict[str, Workflow] = {}
@@ -202,6 +211,9 @@
                     held.advanced_at = now
                 held.percent = item.percent
                 held.figure = item.figure
+        self._interference.observe(worker, now)
+        self._protect(worker)
+        self._resume(worker)
         if first:
             # Older tokens are refused from now on: what is not listed was
             # never started.
@@ -376,6 +388,12 @@
             run=run,
             worker=worker.key.id,
             report_age_s=now - (worker.heard_at or now),
+            queue=workflow.spec.queue,
+            cpu=step.cpu_millis,
+            fills=step.fills,
+            spare=int(worker.likely_spare_cpu),
+            estimated_s=step.estimated_s,
+            image=step.image,
         )
 
     def _end(
@@ -432,6 +450,42 @@
             "task.unexpected", str(ref), run=run, worker=worker.key.id
         )
 
+    def _protect(self, worker: HeldWorker) -> None:
+        """Move filling tasks away from serving tasks that they harm."""
+        culprits = self._interference.culprits(worker)
+        if not culprits:
+            return
+        for ref, held in list(worker.runs.items()):
+            if held.step.image not in culprits or not held.step.fills:
+                continue
+            if held.stopping or held.pace == 0:
+                continue
+            if held.step.checkpointing or held.percent < _RESTART_PERCENT:
+                self._stop(ref, held.run, "harms-a-serving-task")
+            else:
+                self._pace(worker, ref, held, 0)
+
+    def _pace(
+        self, worker: HeldWorker, ref: TaskRef, held: HeldRun, percent: int
+    ) -> None:
+        held.pace = percent
+        self._urgent.append(PaceOrder(worker.key, ref, held.run, percent))
+        self._log.line(
+            "task.paced",
+            str(ref),
+            run=held.run,
+            worker=worker.key.id,
+            percent=percent,
+        )
+
+    def _resume(self, worker: HeldWorker) -> None:
+        """Let paced tasks work again once nobody beside them is harmed."""
+        for ref, held in worker.runs.items():
+            if held.pace == 100 or held.stopping:
+                continue
+            if not self._interference.harms(held.step.image, worker):
+                self._pace(worker, ref, held, 100)
+
     def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
         workflow = self._workflows[ref.workflow]
         key = workflow.task(ref).worker
--- /dev/null
+++ b/src/carawaystep/planner/sharing_placement.py
@@ -0,0 +1,90 @@
+"""Placement that keeps harmful neighbours apart."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.planner.task_placement import TaskPlacement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaystep.fleet.held_worker import HeldWorker
+    from carawaystep.planner.interference import Interference
+    from carawaystep.workflow.step_spec import StepSpec
+
+# A filling task starts only where it finds at least this share of the
+# processor it can use; with less it would only hold memory.
+_FILLING_SHARE = 0.6
+
+
+class SharingPlacement(TaskPlacement):
+    """Groups serving tasks by image and places filling ones beside others.
+
+    Serving tasks of one image on few workers leave more workers on which a
+    filling image harms nobody.
+    """
+
+    def __init__(self, interference: Interference) -> None:
+        """Create the policy.
+
+        :param interference: what is known of pairs of images
+        """
+        self._interference = interference
+
+    def choose(
+        self, step: StepSpec, candidates: Iterable[HeldWorker]
+    ) -> HeldWorker | None:
+        """Return the worker for one more task, None to wait."""
+        if step.fills:
+            return self._choose_filling(step, candidates)
+        if step.tail_target_ms:
+            return max(
+                candidates,
+                key=lambda worker: self._serving_rank(step, worker),
+                default=None,
+            )
+        return max(
+            candidates,
+            key=lambda worker: (
+                self._near(step, worker),
+                worker.likely_spare_cpu,
+            ),
+            default=None,
+        )
+
+    def _choose_filling(
+        self, step: StepSpec, candidates: Iterable[HeldWorker]
+    ) -> HeldWorker | None:
+        needed = step.cpu_millis * _FILLING_SHARE
+        return min(
+            (
+                worker
+                for worker in candidates
+                if worker.likely_spare_cpu >= needed
+                and not self._interference.harms(step.image, worker)
+            ),
+            key=lambda worker: (
+                not self._near(step, worker),
+                self._interference.risk(step.image, worker),
+                -worker.likely_spare_cpu,
+            ),
+            default=None,
+        )
+
+    def _serving_rank(
+        self, step: StepSpec, worker: HeldWorker
+    ) -> tuple[bool, int, int, int]:
+        images = worker.serving_images
+        same = images.get(step.image, 0)
+        others = sum(images.values()) - same
+        return (
+            self._near(step, worker),
+            min(same, 1) - others,
+            -worker.filling_count,
+            worker.free_cpu,
+        )
+
+    @staticmethod
+    def _near(step: StepSpec, worker: HeldWorker) -> bool:
+        return not step.rack or worker.offer.rack == step.rack
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -27,9 +27,10 @@
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.membership.rendezvous import weight
+from carawaystep.planner.interference import Interference
 from carawaystep.planner.planner import Planner
 from carawaystep.planner.planner_limits import PlannerLimits
-from carawaystep.planner.spreading_placement import SpreadingPlacement
+from carawaystep.planner.sharing_placement import SharingPlacement
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.feed import Feed
 from carawaystep.scheduler.leader_context import LeaderContext
@@ -89,9 +90,11 @@
         self._pulse = pulse
         lease_s = min(LEASE_S, settings.max_lease_s) * _CLOCK_DRIFT
         lost_s = GRANT_S + lease_s + _MARGIN_S
+        interference = Interference()
         self._planner = Planner(
             PlannerLimits(lost_s, LEADER_LEASE_S + lost_s),
-            SpreadingPlacement(),
+            SharingPlacement(interference),
+            interference,
             ports.log,
             self.now,
         )
