Attribute harm to images by Bayes' rule and end a term on errors

Cause: a harmed tail blamed every filling image beside it, so most pairs counted as harmful and 1,452 runs were moved; an error in a member's session ended only that session, in silence. Ruled out: harm without filling tasks (no tail of 3,400 was over its target 1.5 s after the last of them); grouping of serving tasks by image. Change: a probability for each pair; an error in a session ends the term with its traceback.

--- a/src/carawaystep/planner/interference.py
+++ b/src/carawaystep/planner/interference.py
@@ -2,93 +2,127 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
+from math import prod
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from carawaystep.fleet.held_run import HeldRun
     from carawaystep.fleet.held_worker import HeldWorker
+    from carawaystep.fleet.worker_key import WorkerKey
+
+# Share of its target from which a tail counts as harmed, and below which it
+# counts as unharmed.
+_HARMED = 1.0
+_UNHARMED = 0.9
+
+# Probability that a pair is harmful before anything was seen.
+_PRIOR = 0.2
+# Chance of an unharmed tail beside a harmful image: the serving task has
+# little load at the time.
+_QUIET_CHANCE = 0.6
+_HARMFUL = 0.5
+_LEAST = 0.01
+_MOST = 0.99
 
-# Share of its target from which a tail counts as harmed, and below which
-# everything beside it counts as harmless.
-_HARMED = 0.9
-_HARMLESS = 0.65
+# A reported tail covers the last half second, and reports are late.
+_WINDOW_S = 0.8
 
-_UNKNOWN = 0.25
-_HARMFUL = 0.5
-_BLAME = 0.6
-_RELIEF = 0.7
 
-# A reported tail covers the last half second and is late by the wait of a
-# report; younger runs have not shown in it.
-_SETTLED_S = 0.7
+@dataclass(slots=True)
+class _Sightings:
+    """What was seen on one worker.
+
+    :param since: start of the present stay, by filling image
+    :param last: last time that a filling image was there
+    :param learned_at: last report that was learned from
+    :param acted_at: last time that a culprit was named
+    """
+
+    since: dict[str, float] = field(default_factory=dict)
+    last: dict[str, float] = field(default_factory=dict)
+    learned_at: float = 0.0
+    acted_at: float = 0.0
 
 
 class Interference:
     """Learns per pair of images whether one harms the other.
 
-    A score from 0 to 1 for each pair rises when the serving task is over
-    its target beside the filling one, shared among all that are there, and
-    falls when it is well below.
+    Each pair has a probability. A harmed tail shows that at least one of the
+    images beside it is harmful, so the probabilities rise by Bayes' rule; an
+    unharmed one lowers those of all images that were there.
     """
 
     def __init__(self) -> None:
         """Create a record that knows no pair."""
-        self._scores: dict[tuple[str, str], float] = {}
+        self._odds: dict[tuple[str, str], float] = {}
+        self._sightings: dict[WorkerKey, _Sightings] = {}
 
-    def score(self, filling: str, serving: str) -> float:
-        """Return how surely one image harms another, 0 to 1."""
-        return self._scores.get((filling, serving), _UNKNOWN)
+    def probability(self, filling: str, serving: str) -> float:
+        """Return how likely one image harms another."""
+        return self._odds.get((filling, serving), _PRIOR)
 
     def harms(self, filling: str, worker: HeldWorker) -> bool:
-        """Tell whether an image is known to harm a task on a worker."""
+        """Tell whether an image likely harms a task on a worker."""
         return any(
-            self.score(filling, serving) >= _HARMFUL
+            self.probability(filling, serving) >= _HARMFUL
             for serving in worker.serving_images
         )
 
     def risk(self, filling: str, worker: HeldWorker) -> float:
-        """Return the sum of the scores over the tasks that serve there."""
+        """Return the expected number of harmed tasks on a worker."""
         return sum(
-            count * self.score(filling, serving)
+            count * self.probability(filling, serving)
             for serving, count in worker.serving_images.items()
         )
 
     def observe(self, worker: HeldWorker, now: float) -> None:
         """Learn from the tails in a worker's report."""
-        filling = {
-            held.step.image
-            for held in worker.runs.values()
-            if self._presses(held, now)
-        }
-        if not filling:
+        seen = self._sightings.setdefault(worker.key, _Sightings())
+        self._note_presence(seen, worker, now)
+        if now - seen.learned_at < _WINDOW_S:
             return
+        seen.learned_at = now
+        recent = {
+            image for image, at in seen.last.items() if now - at < _WINDOW_S
+        }
+        steady = {
+            image for image, at in seen.since.items() if now - at > _WINDOW_S
+        }
         for held in worker.runs.values():
             if not self.at_work(held):
                 continue
             ratio = held.figure / held.step.tail_target_ms
             if ratio > _HARMED:
-                self._blame(filling, held.step.image)
-            elif ratio < _HARMLESS:
-                self._relieve(filling, held.step.image)
-
-    def culprits(self, worker: HeldWorker) -> set[str]:
-        """Return the filling images that harm a task on a worker now."""
-        filling = {
+                self._blame(recent, held.step.image)
+            elif ratio < _UNHARMED:
+                self._relieve(steady, held.step.image)
+
+    def culprit(self, worker: HeldWorker, now: float) -> str | None:
+        """Return the filling image that most likely harms a task now."""
+        seen = self._sightings.get(worker.key)
+        if seen is None or now - seen.acted_at < _WINDOW_S:
+            return None
+        harmed = {
             held.step.image
             for held in worker.runs.values()
-            if held.step.fills and held.pace > 0
+            if self.at_work(held)
+            and held.figure > _HARMED * held.step.tail_target_ms
         }
-        found: set[str] = set()
-        for held in worker.runs.values():
-            if not self.at_work(held) or not filling:
-                continue
-            if held.figure > _HARMED * held.step.tail_target_ms:
-                serving = held.step.image
-                worst = max(self.score(f, serving) for f in filling)
-                found.update(
-                    f for f in filling if self.score(f, serving) >= worst
-                )
-        return found
+        if not harmed or not seen.since:
+            return None
+        seen.acted_at = now
+        return max(
+            seen.since,
+            key=lambda image: max(
+                self.probability(image, serving) for serving in harmed
+            ),
+        )
+
+    def forget(self, worker: WorkerKey) -> None:
+        """Drop what was seen on a worker that is gone."""
+        self._sightings.pop(worker, None)
 
     @staticmethod
     def at_work(held: HeldRun) -> bool:
@@ -99,23 +133,36 @@
             and held.percent >= 100
         )
 
-    def _blame(self, filling: set[str], serving: str) -> None:
-        total = sum(self.score(image, serving) for image in filling)
-        for image in filling:
-            score = self.score(image, serving)
-            share = score / total if total else 1.0
-            self._scores[image, serving] = score + _BLAME * share * (1 - score)
-
-    def _relieve(self, filling: set[str], serving: str) -> None:
-        for image in filling:
-            score = self.score(image, serving)
-            self._scores[image, serving] = score * _RELIEF
-
     @staticmethod
-    def _presses(held: HeldRun, now: float) -> bool:
-        return (
-            held.step.fills
-            and held.percent > 0
-            and held.pace == 100
-            and now - held.placed_at > _SETTLED_S
-        )
+    def _note_presence(
+        seen: _Sightings, worker: HeldWorker, now: float
+    ) -> None:
+        present = {
+            held.step.image
+            for held in worker.runs.values()
+            if held.step.fills and held.pace > 0 and held.percent > 0
+        }
+        for image in present:
+            seen.since.setdefault(image, now)
+            seen.last[image] = now
+        for image in list(seen.since):
+            if image not in present:
+                del seen.since[image]
+        for image, at in list(seen.last.items()):
+            if now - at > _WINDOW_S:
+                del seen.last[image]
+
+    def _blame(self, images: set[str], serving: str) -> None:
+        if not images:
+            return
+        none = prod(1 - self.probability(i, serving) for i in images)
+        for image in images:
+            raised = self.probability(image, serving) / (1 - none)
+            self._odds[image, serving] = min(_MOST, raised)
+
+    def _relieve(self, images: set[str], serving: str) -> None:
+        for image in images:
+            known = self.probability(image, serving)
+            quiet = known * _QUIET_CHANCE
+            lowered = quiet / (quiet + 1 - known)
+            self._odds[image, serving] = max(_LEAST, lowered)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -189,6 +189,7 @@
                 worker.unlist()
                 if not worker.runs:
                     del self._workers[key]
+                    self._interference.forget(key)
 
     def hear(self, report: WorkerReport, now: float) -> None:
         """Take a worker's report under this term's token."""
@@ -212,7 +213,7 @@
                 held.percent = item.percent
                 held.figure = item.figure
         self._interference.observe(worker, now)
-        self._protect(worker)
+        self._protect(worker, now)
         self._resume(worker)
         if first:
             # Older tokens are refused from now on: what is not listed was
@@ -450,13 +451,13 @@
             "task.unexpected", str(ref), run=run, worker=worker.key.id
         )
 
-    def _protect(self, worker: HeldWorker) -> None:
-        """Move filling tasks away from serving tasks that they harm."""
-        culprits = self._interference.culprits(worker)
-        if not culprits:
+    def _protect(self, worker: HeldWorker, now: float) -> None:
+        """Move a filling image away from serving tasks that it harms."""
+        culprit = self._interference.culprit(worker, now)
+        if culprit is None:
             return
         for ref, held in list(worker.runs.items()):
-            if held.step.image not in culprits or not held.step.fills:
+            if held.step.image != culprit or not held.step.fills:
                 continue
             if held.stopping or held.pace == 0:
                 continue
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -110,6 +110,7 @@
         self._doubt = asyncio.Event()
         self._stopping = False
         self._resigned = asyncio.Event()
+        self._errors: asyncio.Queue[Exception] = asyncio.Queue()
         self._queued_at = 0.0
         self._stopped_at = 0.0
 
@@ -154,6 +155,7 @@
                 group.create_task(self._tick())
                 group.create_task(self._pump())
                 group.create_task(self._until_resigned())
+                group.create_task(self._raise_errors())
         except* TermEnded:
             self._ports.log.line("leader.deposed", self.name, term=self._term)
         finally:
@@ -236,6 +238,9 @@
         await self._resigned.wait()
         raise TermEnded
 
+    async def _raise_errors(self) -> None:
+        raise await self._errors.get()
+
     async def _pump(self) -> None:
         """Plan, store and send, again and again."""
         while True:
@@ -378,9 +383,19 @@
         )
         self._sessions[record.name] = session
         self._session_tasks[record.name] = asyncio.create_task(
-            session.run(), name=f"member {record.name}"
+            self._serve(session), name=f"member {record.name}"
         )
 
+    async def _serve(self, session: MemberSession) -> None:
+        """Serve a member; an error in its messages ends the term.
+
+        The next leader starts from what is stored.
+        """
+        try:
+            await session.run()
+        except Exception as error:
+            self._errors.put_nowait(error)
+
     async def _follow_workers(self) -> None:
         source = self._ports.worker_list
         feed = Feed(self._ports, self._pulse, source.table, _FEED_WAIT_S)
