Confirm stops twice, press starving workflows, halt lasting harm

Cause: (TWICE) a stop whose start had no answer was taken as proof that the run never started, while the worker still had 200 ms to end it; (LOST) work whose image harms serving tasks everywhere waited for ever; (HARM) slowing down in steps took longer than the time that harm may last; a member that was itself cut off deposed a healthy leader when it came back. Ruled out: two leaders (one term at the time of each double run). Change: two reports without the run after the confirmation; placement despite harm after 1.5 s; all filling tasks halted after 1.8 s of harm; no challenge within 0.8 s of the store's return.

--- a/src/carawaystep/fleet/held_run.py
+++ b/src/carawaystep/fleet/held_run.py
@@ -19,10 +19,17 @@
     :param placed_at: when it was given to the worker, seconds
     :param stopping: whether it has been ordered to stop
     :param in_doubt: whether the answer to its start was lost
+    :param absences: reports without it since its stop was confirmed, None
+        before the confirmation
+    :param pressed: whether it was placed beside tasks that it likely harms,
+        because nothing else of its workflow runs
     :param percent: reported progress
     :param advanced_at: when the progress last rose, seconds
     :param figure: reported tail latency or processor use
     :param pace: share of full speed it was last ordered to, percent
+    :param paced_at: when that was, seconds
+    :param over_since: when the tail of a serving task was first reported
+        over its target, None while it is not
     """
 
     run: int
@@ -31,7 +38,11 @@
     placed_at: float
     stopping: bool = False
     in_doubt: bool = False
+    absences: int | None = None
+    pressed: bool = False
     percent: float = 0.0
     advanced_at: float = 0.0
     figure: float = 0.0
     pace: int = 100
+    paced_at: float = 0.0
+    over_since: float | None = None
--- a/src/carawaystep/planner/interference.py
+++ b/src/carawaystep/planner/interference.py
@@ -107,8 +107,7 @@
         harmed = {
             held.step.image
             for held in worker.runs.values()
-            if self.at_work(held)
-            and held.figure > _HARMED * held.step.tail_target_ms
+            if self.is_harmed(held)
         }
         if not harmed or not seen.since:
             return None
@@ -120,10 +119,25 @@
             ),
         )
 
+    def harmed(self, worker: HeldWorker) -> bool:
+        """Tell whether a serving task is close to its target or over it."""
+        return any(
+            held.figure > _UNHARMED * held.step.tail_target_ms
+            for held in worker.runs.values()
+            if self.at_work(held)
+        )
+
     def forget(self, worker: WorkerKey) -> None:
         """Drop what was seen on a worker that is gone."""
         self._sightings.pop(worker, None)
 
+    def is_harmed(self, held: HeldRun) -> bool:
+        """Tell whether a serving task is over its target."""
+        return (
+            self.at_work(held)
+            and held.figure > _HARMED * held.step.tail_target_ms
+        )
+
     @staticmethod
     def at_work(held: HeldRun) -> bool:
         """Tell whether a run serves users and reports a tail."""
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -33,6 +33,19 @@
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from carawaystep.workflow.workflow_state import WorkflowState
 
+# Reports without a run after its stop was confirmed that prove that it did
+# not start.
+_ABSENCES = 2
+
+# A workflow of which nothing has run for so long is placed even where it
+# likely harms; it is slowed down there as far as needed.
+_PRESS_AFTER_S = 1.5
+_PACE_STEP = 20
+# Half of the time that serving tasks may be harmed; reports and orders take
+# about a second of the rest.
+_HALT_S = 1.8
+_PACE_INTERVAL_S = 1.0
+
 # A filling task without checkpoints that has got further is slowed down
 # rather than started again elsewhere.
 _RESTART_PERCENT = 40.0
@@ -86,6 +99,7 @@
         # Workers of stored runs that no list or report has shown yet.
         self._missing: dict[WorkerKey, float] = {}
         self._hungry: set[str] = set()
+        self._starving_since: dict[str, float] = {}
         self._dirty: set[str] = set()
         self._next = Changes()
         self._urgent: list[Order] = []
@@ -212,9 +226,11 @@
                     held.advanced_at = now
                 held.percent = item.percent
                 held.figure = item.figure
+                self._note_tail(held, now)
+        self._settle_doubts(worker, seen)
         self._interference.observe(worker, now)
         self._protect(worker, now)
-        self._resume(worker)
+        self._resume(worker, now)
         if first:
             # Older tokens are refused from now on: what is not listed was
             # never started.
@@ -233,7 +249,7 @@
         if held is None or held.run != order.run:
             return
         if isinstance(order, StopOrder):
-            self._conclude_stop(worker, order, held, outcome)
+            self._conclude_stop(held, outcome)
             return
         if not isinstance(order, StartOrder):
             return
@@ -246,6 +262,17 @@
             held.in_doubt = True
             self._stop(order.ref, order.run, "start-unanswered")
 
+    def reassigned(self, key: WorkerKey) -> None:
+        """Note that another member calls a worker from now on.
+
+        Its reports do not follow the confirmations of the earlier member.
+        """
+        worker = self._workers.get(key)
+        if worker is None:
+            return
+        for held in worker.runs.values():
+            held.absences = None
+
     def expire(self, now: float) -> None:
         """Requeue what was on workers that can no longer run it."""
         for key, since in list(self._missing.items()):
@@ -315,6 +342,7 @@
                 self._finals[name] = workflow.state
                 del self._workflows[name]
                 self._hungry.discard(name)
+                self._starving_since.pop(name, None)
         self._dirty.clear()
         return changes
 
@@ -341,16 +369,30 @@
                 complete = False
                 continue
             step = workflow.step(ref)
-            worker = self._placement.choose(
-                step, self._candidates(workflow, ref, usable)
-            )
+            candidates = self._candidates(workflow, ref, usable)
+            worker = self._placement.choose(step, candidates)
+            pressed = False
+            if worker is None and self._starves(workflow, now):
+                candidates = self._candidates(workflow, ref, usable)
+                worker = self._placement.choose_despite_harm(step, candidates)
+                pressed = worker is not None
             if worker is None:
                 refused.add((ref.occurrence, ref.step))
                 complete = False
                 continue
-            self._start(workflow, ref, worker, now)
+            self._start(workflow, ref, worker, pressed, now)
+        if not complete and not workflow.has_placed:
+            self._starving_since.setdefault(workflow.id, now)
+        else:
+            self._starving_since.pop(workflow.id, None)
         return complete
 
+    def _starves(self, workflow: Workflow, now: float) -> bool:
+        if workflow.has_placed:
+            return False
+        since = self._starving_since.get(workflow.id, now)
+        return now - since > _PRESS_AFTER_S
+
     def _candidates(
         self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
     ) -> Iterable[HeldWorker]:
@@ -370,13 +412,25 @@
             yield worker
 
     def _start(
-        self, workflow: Workflow, ref: TaskRef, worker: HeldWorker, now: float
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        worker: HeldWorker,
+        pressed: bool,
+        now: float,
     ) -> None:
         run = workflow.place(ref, worker.key)
         step = workflow.step(ref)
         worker.add(
             ref,
-            HeldRun(run, step, workflow.spec.priority, now, advanced_at=now),
+            HeldRun(
+                run,
+                step,
+                workflow.spec.priority,
+                now,
+                advanced_at=now,
+                pressed=pressed,
+            ),
         )
         checkpoint = workflow.task(ref).checkpoint
         self._next.orders.append(
@@ -451,8 +505,23 @@
             "task.unexpected", str(ref), run=run, worker=worker.key.id
         )
 
+    def _note_tail(self, held: HeldRun, now: float) -> None:
+        if not self._interference.is_harmed(held):
+            held.over_since = None
+        elif held.over_since is None:
+            held.over_since = now
+
     def _protect(self, worker: HeldWorker, now: float) -> None:
-        """Move a filling image away from serving tasks that it harms."""
+        """Move a filling image away from serving tasks that it harms.
+
+        Where that has not helped soon, all filling tasks are halted.
+        """
+        if any(
+            held.over_since is not None and now - held.over_since > _HALT_S
+            for held in worker.runs.values()
+        ):
+            self._halt(worker, now)
+            return
         culprit = self._interference.culprit(worker, now)
         if culprit is None:
             return
@@ -461,15 +530,29 @@
                 continue
             if held.stopping or held.pace == 0:
                 continue
-            if held.step.checkpointing or held.percent < _RESTART_PERCENT:
+            restartable = (
+                held.step.checkpointing or held.percent < _RESTART_PERCENT
+            )
+            if restartable and not held.pressed:
                 self._stop(ref, held.run, "harms-a-serving-task")
             else:
-                self._pace(worker, ref, held, 0)
+                self._pace(worker, ref, held, held.pace // 3, now)
+
+    def _halt(self, worker: HeldWorker, now: float) -> None:
+        for ref, held in worker.runs.items():
+            if held.step.fills and held.pace > 0 and not held.stopping:
+                self._pace(worker, ref, held, 0, now)
 
     def _pace(
-        self, worker: HeldWorker, ref: TaskRef, held: HeldRun, percent: int
+        self,
+        worker: HeldWorker,
+        ref: TaskRef,
+        held: HeldRun,
+        percent: int,
+        now: float,
     ) -> None:
         held.pace = percent
+        held.paced_at = now
         self._urgent.append(PaceOrder(worker.key, ref, held.run, percent))
         self._log.line(
             "task.paced",
@@ -479,13 +562,18 @@
             percent=percent,
         )
 
-    def _resume(self, worker: HeldWorker) -> None:
-        """Let paced tasks work again once nobody beside them is harmed."""
+    def _resume(self, worker: HeldWorker, now: float) -> None:
+        """Let paced tasks work faster while nobody beside them is harmed."""
         for ref, held in worker.runs.items():
             if held.pace == 100 or held.stopping:
                 continue
+            if now - held.paced_at < _PACE_INTERVAL_S:
+                continue
             if not self._interference.harms(held.step.image, worker):
-                self._pace(worker, ref, held, 100)
+                self._pace(worker, ref, held, 100, now)
+            elif not self._interference.harmed(worker):
+                faster = min(100, held.pace + _PACE_STEP)
+                self._pace(worker, ref, held, faster, now)
 
     def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
         workflow = self._workflows[ref.workflow]
@@ -506,21 +594,32 @@
             reason=reason,
         )
 
-    def _conclude_stop(
-        self,
-        worker: HeldWorker,
-        order: StopOrder,
-        held: HeldRun,
-        outcome: OrderOutcome,
+    def _conclude_stop(self, held: HeldRun, outcome: OrderOutcome) -> None:
+        """Note that a stop was confirmed.
+
+        A run that was there is listed among the ends once it has stopped;
+        one that never arrived will now be refused.
+        """
+        if outcome is OrderOutcome.DONE and held.in_doubt:
+            held.absences = held.absences or 0
+
+    def _settle_doubts(
+        self, worker: HeldWorker, seen: set[tuple[TaskRef, int]]
     ) -> None:
-        workflow = self._workflows.get(order.ref.workflow)
-        task = None if workflow is None else workflow.task(order.ref)
-        if outcome is not OrderOutcome.DONE or task is None:
-            return
-        # A run that was there is listed among the ends; one that never
-        # arrived will now be refused.
-        if held.in_doubt and not task.seen_running:
-            self._lose(worker, order.ref, order.run, "stopped-before-start")
+        """Give up runs that a confirmed stop kept from starting.
+
+        The first report after the confirmation may have been taken before
+        it; the second was asked for after the first had arrived.
+        """
+        for ref, held in list(worker.runs.items()):
+            if held.absences is None:
+                continue
+            if (ref, held.run) in seen:
+                held.absences = 0
+                continue
+            held.absences += 1
+            if held.absences >= _ABSENCES:
+                self._lose(worker, ref, held.run, "stopped-before-start")
 
     def _lose(
         self, worker: HeldWorker, ref: TaskRef, run: int, reason: str
--- a/src/carawaystep/planner/sharing_placement.py
+++ b/src/carawaystep/planner/sharing_placement.py
@@ -53,6 +53,19 @@
             default=None,
         )
 
+    def choose_despite_harm(
+        self, step: StepSpec, candidates: Iterable[HeldWorker]
+    ) -> HeldWorker | None:
+        """Return the worker on which one more task does least harm."""
+        return min(
+            candidates,
+            key=lambda worker: (
+                self._interference.risk(step.image, worker),
+                -worker.likely_spare_cpu,
+            ),
+            default=None,
+        )
+
     def _choose_filling(
         self, step: StepSpec, candidates: Iterable[HeldWorker]
     ) -> HeldWorker | None:
--- a/src/carawaystep/planner/task_placement.py
+++ b/src/carawaystep/planner/task_placement.py
@@ -25,3 +25,13 @@
         :param step: step of the task
         :param candidates: usable workers with room that the step allows
         """
+
+    @abstractmethod
+    def choose_despite_harm(
+        self, step: StepSpec, candidates: Iterable[HeldWorker]
+    ) -> HeldWorker | None:
+        """Return the worker on which one more task does least harm.
+
+        :param step: step of a task that has waited too long
+        :param candidates: usable workers with room that the step allows
+        """
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -94,12 +94,16 @@
 
         Taking its row at first sight would depose each new leader in turn.
         """
-        if row is None or self._version == self._leadership.term:
+        now = self._ports.clock.now()
+        if row is None:
             return False
+        if self._version == self._leadership.term:
+            # After a cut of its own, this process hears the leader again.
+            return self._pulse.steady_s(now) < _SETTLE_S
         try:
             present = msgspec.convert(row.value, LeaderRecord)
         except msgspec.ValidationError:
             return False
         if present.name == self._record.name:
             return False
-        return self._ports.clock.now() - self._seen_at < _SETTLE_S
+        return now - self._seen_at < _SETTLE_S
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -338,6 +338,9 @@
             owners[key] = name
             load[name] += 1.0 / available[name].cores
             shares[name].append(AssignedWorker(key, offer.address))
+        for key, name in owners.items():
+            if self._owners.get(key) != name:
+                self._planner.reassigned(key)
         self._owners = owners
         for name, workers in shares.items():
             await self._sessions[name].assign(workers)
--- a/src/carawaystep/scheduler/store_pulse.py
+++ b/src/carawaystep/scheduler/store_pulse.py
@@ -19,6 +19,7 @@
         self._log = log
         self._answered_at: float | None = None
         self._lost = False
+        self._steady_since: float | None = None
 
     @property
     def answered_at(self) -> float | None:
@@ -31,8 +32,16 @@
             return now
         return now - self._answered_at
 
+    def steady_s(self, now: float) -> float:
+        """Return for how long the store has answered without a loss."""
+        if self._lost or self._steady_since is None:
+            return 0.0
+        return now - self._steady_since
+
     def answered(self, now: float) -> None:
         """Note an answer of any kind but a refusal."""
+        if self._lost or self._steady_since is None:
+            self._steady_since = now
         if self._lost:
             self._lost = False
             self._log.line("store.regained", "store", away_s=self.age(now))
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -86,6 +86,11 @@
         """Tell whether a task was ever placed."""
         return self._started
 
+    @property
+    def has_placed(self) -> bool:
+        """Tell whether a run may exist."""
+        return self._placed > 0
+
     def step(self, ref: TaskRef) -> StepSpec:
         """Return the step of a task."""
         return self._spec.steps[ref.step]
