--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 60
 BIN = $(VENV)/bin
-export PYTHONPATH = src:.
+export PYTHONPATH = src:platform:.
 # Random runs repeat exactly only when sets iterate in the same order.
 export PYTHONHASHSEED = 0
 
@@ -37,14 +37,14 @@
 	$(BIN)/python -m tools.prove --seed $(SEED) --seconds $(SECONDS)
 
 lint: install
-	$(BIN)/ruff format --check src tests tools
-	$(BIN)/ruff check src tests tools
-	$(BIN)/flake8 src tests tools
+	$(BIN)/ruff format --check src platform tests tools
+	$(BIN)/ruff check src platform tests tools
+	$(BIN)/flake8 src platform tests tools
 	$(BIN)/mypy
 
 format: install
-	$(BIN)/ruff format src tests tools
-	$(BIN)/ruff check --fix src tests tools
+	$(BIN)/ruff format src platform tests tools
+	$(BIN)/ruff check --fix src platform tests tools
 
 unit: install
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/tests/planner/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of planner."""
--- /dev/null
+++ b/tests/planner/test_interference.py
@@ -0,0 +1,67 @@
+"""Tests of what is learned of pairs of images."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from carawaystep.fleet.held_run import HeldRun
+from carawaystep.fleet.held_worker import HeldWorker
+from carawaystep.planner.interference import Interference
+from carawaystep.workflow.step_spec import StepSpec
+from carawaystep.workflow.task_ref import TaskRef
+from tests.planner.planners import offer
+
+
+def _run(image: str, fills: bool, tail: float = 0.0) -> HeldRun:
+    step = StepSpec(
+        1, image=image, fills=fills, tail_target_ms=0.0 if fills else 100.0
+    )
+    return HeldRun(1, step, 0, 0.0, percent=100.0, figure=tail)
+
+
+def _worker(tail: float, *filling: str) -> HeldWorker:
+    worker = HeldWorker(offer("w1"))
+    worker.add(TaskRef("s", 0, 0, 0), _run("serving", False, tail))
+    for number, image in enumerate(filling):
+        worker.add(TaskRef("f", 0, 0, number), _run(image, True))
+    return worker
+
+
+def _watch(record: Interference, worker: HeldWorker, since: float) -> None:
+    for step in range(6):
+        record.observe(worker, since + step)
+
+
+class InterferenceTest(TestCase):
+    """Blame and relief."""
+
+    def test_single_image_beside_a_harmed_task_is_harmful(self) -> None:
+        """Guards against placing a harmful pair again."""
+        record = Interference()
+        _watch(record, _worker(300.0, "f1"), 1.0)
+        self.assertTrue(record.harms("f1", _worker(50.0)))
+
+    def test_harmless_image_stays_so_beside_a_harmful_one(self) -> None:
+        """Guards against blaming every image that happens to be there."""
+        record = Interference()
+        _watch(record, _worker(50.0, "harmless"), 1.0)
+        _watch(record, _worker(300.0, "harmless", "harmful"), 20.0)
+        self.assertTrue(record.harms("harmful", _worker(50.0)))
+        self.assertFalse(record.harms("harmless", _worker(50.0)))
+
+    def test_long_relief_can_still_be_overturned(self) -> None:
+        """Guards against a probability of 0, which divides by zero."""
+        record = Interference()
+        worker = _worker(50.0, "f1")
+        for step in range(2000):
+            record.observe(worker, 1.0 + step)
+        _watch(record, _worker(300.0, "f1"), 5000.0)
+        self.assertTrue(record.harms("f1", worker))
+
+    def test_culprit_is_named_once_in_a_window(self) -> None:
+        """Guards against blaming the next image for a tail that lags."""
+        record = Interference()
+        worker = _worker(300.0, "f1", "f2")
+        record.observe(worker, 1.0)
+        self.assertIsNotNone(record.culprit(worker, 1.0))
+        self.assertIsNone(record.culprit(worker, 1.3))
--- /dev/null
+++ b/tests/planner/test_planner.py
@@ -0,0 +1,316 @@
+"""Tests of the planner's rules."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.fleet.order import PaceOrder
+from carawaystep.fleet.order import StopOrder
+from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.fleet.worker_report import EndedRun
+from carawaystep.workflow.run_end import RunEnd
+from carawaystep.workflow.step_spec import StepSpec
+from carawaystep.workflow.workflow import Workflow
+from carawaystep.workflow.workflow_state import WorkflowState
+from tests.planner.planners import LIMITS
+from tests.planner.planners import new_planner
+from tests.planner.planners import offer
+from tests.planner.planners import report
+from tests.planner.planners import running
+from tests.planner.planners import starts
+from tests.workflow.workflows import workflow_spec
+
+if TYPE_CHECKING:
+    from carawaystep.planner.planner import Planner
+
+_ONE = StepSpec(1, cpu_millis=1000, memory_mb=100)
+
+
+def _with_workers(*names: str) -> Planner:
+    planner = new_planner()
+    planner.offer([offer(name) for name in names])
+    for name in names:
+        planner.hear(report(name), 0.0)
+    return planner
+
+
+class PlannerTest(TestCase):
+    """Starts, doubts, losses and cancellations."""
+
+    def test_worker_gets_no_more_than_it_has(self) -> None:
+        """Guards against overcommitted processors."""
+        planner = _with_workers("w1")
+        planner.admit(
+            workflow_spec(StepSpec(9, cpu_millis=1000, memory_mb=1)), False
+        )
+        self.assertEqual(4, len(starts(planner)))
+
+    def test_memory_of_filling_tasks_counts(self) -> None:
+        """Guards against filling tasks that overcommit the memory."""
+        planner = _with_workers("w1")
+        step = StepSpec(9, cpu_millis=1, memory_mb=300, fills=True)
+        planner.admit(workflow_spec(step), False)
+        self.assertEqual(3, len(starts(planner)))
+
+    def test_unheard_and_draining_workers_get_nothing(self) -> None:
+        """Guards against starts on workers that leave or do not answer."""
+        planner = new_planner()
+        planner.offer([offer("w1"), offer("w2", draining=True)])
+        planner.hear(report("w2"), 0.0)
+        planner.admit(workflow_spec(_ONE), False)
+        self.assertEqual([], starts(planner))
+
+    def test_limit_of_tasks_on_one_worker(self) -> None:
+        """Guards against more tasks of a step on a worker than allowed."""
+        planner = _with_workers("w1", "w2")
+        step = StepSpec(4, cpu_millis=1, memory_mb=1, max_per_worker=1)
+        planner.admit(workflow_spec(step), False)
+        workers = [order.worker.id for order in starts(planner)]
+        self.assertEqual(["w1", "w2"], sorted(workers))
+
+    def test_unanswered_start_is_not_repeated_when_its_stop_is_confirmed(
+        self,
+    ) -> None:
+        """Guards against two runs while the first one is being stopped.
+
+        A worker confirms a stop before the run has ended; only a report
+        that was asked for later shows that there is no such run.
+        """
+        planner = _with_workers("w1", "w2")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        planner.conclude(start, OrderOutcome.UNKNOWN, 0.1)
+        (stop,) = planner.take_urgent()
+        self.assertIsInstance(stop, StopOrder)
+        planner.conclude(stop, OrderOutcome.DONE, 0.2)
+        self.assertEqual([], starts(planner, 0.2))
+        planner.hear(report("w1"), 0.3)
+        planner.hear(report("w2"), 0.3)
+        self.assertEqual([], starts(planner, 0.3))
+        planner.hear(report(start.worker.id), 1.2)
+        planner.hear(report("w1"), 1.3)
+        planner.hear(report("w2"), 1.3)
+        self.assertEqual(2, starts(planner, 1.3)[0].run)
+
+    def test_confirmed_stop_does_not_end_a_run_that_is_reported(self) -> None:
+        """Guards against a second run beside one that is still stopping."""
+        planner = _with_workers("w1")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        planner.conclude(start, OrderOutcome.UNKNOWN, 0.1)
+        (stop,) = planner.take_urgent()
+        planner.conclude(stop, OrderOutcome.DONE, 0.2)
+        for now in (0.3, 0.4, 0.5):
+            planner.hear(report("w1", [running(start)]), now)
+            self.assertEqual([], starts(planner, now))
+        ended = EndedRun(1, start.ref, start.run, RunEnd.STOPPED, "")
+        planner.hear(report("w1", [], [ended]), 2.0)
+        self.assertEqual(2, starts(planner, 2.0)[0].run)
+
+    def test_refused_start_is_placed_again(self) -> None:
+        """Guards against a task that is forgotten after a refusal."""
+        planner = _with_workers("w1", "w2")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        planner.conclude(start, OrderOutcome.UNHEALTHY, 0.1)
+        (again,) = starts(planner, 0.1)
+        self.assertNotEqual(start.worker, again.worker)
+
+    def test_runs_on_a_silent_worker_wait_until_its_lease_has_passed(
+        self,
+    ) -> None:
+        """Guards against a run beside one on a worker that is cut off."""
+        planner = _with_workers("w1")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        planner.hear(report("w1", [running(start)]), 1.0)
+        planner.offer([offer("w2")])
+        planner.hear(report("w2"), 1.0 + LIMITS.lost_after_s)
+        planner.expire(1.0 + LIMITS.lost_after_s)
+        self.assertEqual([], starts(planner, 1.0 + LIMITS.lost_after_s))
+        planner.expire(1.1 + LIMITS.lost_after_s)
+        self.assertEqual(1, len(starts(planner, 1.1 + LIMITS.lost_after_s)))
+
+    def test_restarted_worker_has_lost_its_runs(self) -> None:
+        """Guards against waiting for runs of an earlier lifetime."""
+        planner = _with_workers("w1")
+        planner.admit(workflow_spec(_ONE), False)
+        starts(planner)
+        planner.offer([offer("w1", born_ms=2)])
+        planner.hear(report("w1", born_ms=2), 1.0)
+        (again,) = starts(planner, 1.0)
+        self.assertEqual(WorkerKey("w1", 2), again.worker)
+
+    def test_new_term_waits_for_the_worker_of_a_stored_run(self) -> None:
+        """Guards against a run beside one that an earlier leader started."""
+        first = _with_workers("w1")
+        spec = workflow_spec(_ONE)
+        first.admit(spec, False)
+        (start,) = starts(first)
+        record = first.workflows[spec.id].record()
+        planner = new_planner(10.0)
+        planner.restore(spec, record)
+        planner.offer([offer("w1"), offer("w2")])
+        planner.hear(report("w2"), 10.0)
+        self.assertEqual([], starts(planner, 10.0))
+        planner.hear(report("w1", [running(start)]), 10.1)
+        self.assertEqual([], starts(planner, 10.1))
+
+    def test_new_term_restarts_what_its_worker_does_not_list(self) -> None:
+        """Guards against waiting for a start that the fence has refused."""
+        first = _with_workers("w1")
+        spec = workflow_spec(_ONE)
+        first.admit(spec, False)
+        starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.offer([offer("w1")])
+        planner.hear(report("w1"), 10.0)
+        self.assertEqual(2, starts(planner, 10.0)[0].run)
+
+    def test_stored_run_on_a_vanished_worker_is_placed_after_the_limit(
+        self,
+    ) -> None:
+        """Guards against waiting for ever for a worker that is gone."""
+        first = _with_workers("w1")
+        spec = workflow_spec(_ONE)
+        first.admit(spec, False)
+        starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.offer([offer("w2")])
+        later = 10.1 + LIMITS.takeover_lost_after_s
+        planner.hear(report("w2"), later)
+        self.assertEqual([], starts(planner, later))
+        planner.expire(later)
+        self.assertEqual(1, len(starts(planner, later)))
+
+    def test_cancellation_stops_runs_and_settles_after_their_ends(
+        self,
+    ) -> None:
+        """Guards against runs that outlive their workflow."""
+        planner = _with_workers("w1")
+        spec = workflow_spec(_ONE)
+        planner.admit(spec, False)
+        (start,) = starts(planner)
+        planner.hear(report("w1", [running(start)]), 0.1)
+        self.assertTrue(planner.cancel(spec.id))
+        self.assertFalse(planner.wants(start))
+        self.assertIsInstance(planner.take_urgent()[0], StopOrder)
+        self.assertEqual({}, planner.take_changes().ended)
+        ended = EndedRun(1, start.ref, start.run, RunEnd.STOPPED, "")
+        planner.hear(report("w1", [], [ended]), 0.3)
+        changes = planner.take_changes()
+        self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.ended)
+        self.assertEqual({start.worker: 1}, changes.acknowledged)
+
+    def test_unknown_workflow_is_not_cancelled(self) -> None:
+        """Guards against confirming the cancellation of nothing."""
+        self.assertFalse(new_planner().cancel("0" * 16))
+
+    def test_unexpected_run_is_stopped(self) -> None:
+        """Guards against a run that a late order has started."""
+        planner = _with_workers("w1")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        planner.conclude(start, OrderOutcome.EXPIRED, 0.1)
+        planner.hear(report("w1", [running(start)]), 0.2)
+        (stop,) = planner.take_urgent()
+        self.assertEqual((start.ref, start.run), (stop.ref, stop.run))
+
+    def test_a_worker_that_fails_several_workflows_is_suspended(self) -> None:
+        """Guards against a bad worker that uses up attempts of good work."""
+        planner = _with_workers("w1")
+        for number in range(2):
+            planner.admit(workflow_spec(_ONE, id=f"{number:016x}"), False)
+        ends = [
+            EndedRun(number, order.ref, order.run, RunEnd.FAILED, "")
+            for number, order in enumerate(starts(planner), 1)
+        ]
+        planner.hear(report("w1", [], ends), 0.5)
+        self.assertEqual([], starts(planner, 0.5))
+
+
+class SharingTest(TestCase):
+    """Filling tasks beside serving ones."""
+
+    _SERVING = StepSpec(
+        1,
+        cpu_millis=1000,
+        memory_mb=100,
+        long_running=True,
+        image="serving",
+        tail_target_ms=100.0,
+    )
+    _FILLING = StepSpec(
+        1, cpu_millis=1000, memory_mb=100, fills=True, image="filling"
+    )
+
+    def setUp(self) -> None:
+        """Run a serving task on the only worker."""
+        super().setUp()
+        self.planner = _with_workers("w1")
+        self.planner.admit(workflow_spec(self._SERVING, id="a" * 16), False)
+        (self.serving,) = starts(self.planner)
+        self.planner.admit(workflow_spec(self._FILLING, id="b" * 16), False)
+        (self.filling,) = starts(self.planner)
+
+    def _hear(self, now: float, tail: float, percent: float = 10.0) -> None:
+        rows = [
+            running(self.serving, 100.0, tail),
+            running(self.filling, percent),
+        ]
+        self.planner.hear(report("w1", rows), now)
+
+    def test_harmful_image_is_moved_away(self) -> None:
+        """Guards against a tail that stays over its target."""
+        self._hear(1.0, 50.0)
+        self._hear(2.0, 900.0)
+        (order,) = self.planner.take_urgent()
+        self.assertIsInstance(order, StopOrder)
+        self.assertEqual(self.filling.ref, order.ref)
+
+    def test_workflow_of_which_nothing_runs_is_placed_despite_harm(
+        self,
+    ) -> None:
+        """Guards against work that waits for ever for a harmless place."""
+        self._hear(1.0, 50.0)
+        self._hear(2.0, 900.0)
+        ended = EndedRun(1, self.filling.ref, 1, RunEnd.STOPPED, "")
+        rows = [running(self.serving, 100.0, 50.0)]
+        self.planner.hear(report("w1", rows, [ended]), 2.2)
+        self.assertEqual([], starts(self.planner, 2.2))
+        self.planner.hear(report("w1", rows), 4.0)
+        self.assertEqual(1, len(starts(self.planner, 4.0)))
+
+    def test_lasting_harm_halts_all_filling_tasks(self) -> None:
+        """Guards against harm for longer than it is allowed."""
+        for now in (1.0, 1.9, 2.8, 3.1):
+            self._hear(now, 900.0, percent=80.0)
+        orders = self.planner.take_urgent()
+        self.assertEqual(
+            0, [o for o in orders if isinstance(o, PaceOrder)][-1].percent
+        )
+
+
+class RestoreTest(TestCase):
+    """Final states after a restart."""
+
+    def test_settled_workflow_is_known(self) -> None:
+        """Guards against running a repeated submission again."""
+        planner = new_planner()
+        planner.restore_final("c" * 16, WorkflowState.DONE)
+        self.assertFalse(planner.admit(workflow_spec(id="c" * 16), False))
+
+    def test_cancelled_workflow_without_runs_settles_at_once(self) -> None:
+        """Guards against a row that is never removed."""
+        spec = workflow_spec(_ONE)
+        flow = Workflow(spec)
+        flow.cancel()
+        planner = new_planner()
+        planner.restore(spec, flow.record())
+        changes = planner.take_changes()
+        self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.ended)
--- /dev/null
+++ b/tests/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of users_platform."""
