Run the real adapter against stand-ins of store and workers

Nodes, store and workers on loopback: acceptance, completion through any node, lost answers of the store, refusals, takeover, unanswered starts and cancellation; decoding of submissions, rows, manifest and settings; a test that keeps the platform's names in its folder.

--- /dev/null
+++ b/tests/users_platform/deployment.py
@@ -0,0 +1,160 @@
+"""Nodes, store and workers of one deployment on loopback."""
+
+from __future__ import annotations
+
+from base64 import b64encode
+import json
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.adapters.http_client.http_client import HttpClient
+from carawaystep.entry.supervisor import Supervisor
+from carawaystep.scheduler.node_settings import NodeSettings
+from carawaystep.scheduler.scheduler_node import SchedulerNode
+from carawaystep_platform.front import FrontEnd
+from carawaystep_platform.ports import PlatformPorts
+from carawaystep_platform.settings import PlatformSettings
+from tests.fakes.fake_counters import FakeCounters
+from tests.planner.planners import SilentLog
+from tests.users_platform.store_standin import StoreStandin
+from tests.users_platform.worker_standin import WorkerStandin
+
+if TYPE_CHECKING:
+    from carawaystep.adapters.http_client.http_answer import HttpAnswer
+
+MANIFEST = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "desk.example",
+            "path_prefix": "/bookings/",
+            "type": "non_idempotent",
+            "timeout_ms": 3000,
+            "target_duration_ms": 250,
+            "priority": 0,
+            "service": "desk",
+            "max_attempts": 3,
+            "stretch": 1.5,
+        }
+    ],
+    "services": [],
+    "limits": {"max_body_bytes": 262144, "header_timeout_ms": 3000},
+}
+
+
+def encoded(value: Any) -> str:
+    """Return a value as the store keeps it."""
+    return b64encode(json.dumps(value).encode()).decode()
+
+
+def free_port() -> int:
+    """Return a port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Node:
+    """One process of the deployment, without its process."""
+
+    def __init__(self, name: str, store_address: str) -> None:
+        """Compose a node; call it within a running loop."""
+        self.name = name
+        self.log = SilentLog()
+        self.port = free_port()
+        settings = PlatformSettings(
+            NodeSettings(
+                name, "zone", 1.0, f"tcp://127.0.0.1:{free_port()}", 6.0, 0.1
+            ),
+            f"127.0.0.1:{self.port}",
+            "",
+            "",
+            store_address,
+        )
+        self.ports = PlatformPorts(settings, self.log)
+        self.supervisor = Supervisor(FakeCounters())
+        self.node = SchedulerNode(settings.node, self.ports, self.supervisor)
+        app = FrontEnd(self.node, self.log).app()
+        self.server = UvicornServer(app, "127.0.0.1", self.port)
+        self.client = HttpClient(f"http://127.0.0.1:{self.port}", 4)
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this node was elected."""
+        return any(event == "leader.elected" for event, _ in self.log.events)
+
+    async def start(self) -> None:
+        """Serve callers and start the node."""
+        await self.server.start()
+        self.node.start()
+
+    async def stop(self) -> None:
+        """End the node as a killed process does, without a farewell."""
+        await self.supervisor.stop()
+        await self.server.stop(0.0)
+        await self.client.close()
+        await self.ports.close()
+
+    async def call(
+        self, method: str, path: str, body: Any = None
+    ) -> HttpAnswer:
+        """Call the front end as a requester does."""
+        data = None if body is None else json.dumps(body).encode()
+        result = await self.client.request(
+            method, path, 5.0, {"Host": "desk.example"}, data
+        )
+        return result.unwrap()
+
+
+class Deployment:
+    """Store, workers and nodes."""
+
+    def __init__(self, nodes: int, workers: int, run_s: float) -> None:
+        """Compose the deployment; call it within a running loop."""
+        self.store = StoreStandin()
+        port = free_port()
+        self._address = f"127.0.0.1:{port}"
+        self._servers = [UvicornServer(self.store.app(), "127.0.0.1", port)]
+        self.workers = [
+            WorkerStandin(f"i-{number}", run_s) for number in range(workers)
+        ]
+        self.nodes = [
+            Node(f"edge-{number}", self._address) for number in range(nodes)
+        ]
+
+    async def start(self) -> None:
+        """Start everything and write manifest and workers."""
+        await self._servers[0].start()
+        await self.store.put("op", "config", encoded(MANIFEST))
+        for worker in self.workers:
+            port = free_port()
+            server = UvicornServer(worker.app(), "127.0.0.1", port)
+            await server.start()
+            self._servers.append(server)
+            row = {
+                "service": "desk",
+                "address": f"127.0.0.1:{port}",
+                "zone": "zone",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0},
+                "labels": ["a", "r1"],
+                "seq": 1,
+                "born": worker.born,
+            }
+            await self.store.put("servers", worker.name, encoded(row))
+        for node in self.nodes:
+            await node.start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in self.nodes:
+            await node.stop()
+        for server in self._servers:
+            await server.stop(0.0)
--- /dev/null
+++ b/tests/users_platform/test_decoding.py
@@ -0,0 +1,148 @@
+"""Tests of the decoding of the platform's bodies, rows and settings."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+import tempfile
+
+from result import Err
+from result import Ok
+from testtools import TestCase
+
+from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.routing.queue_route import QueueRoute
+from carawaystep.store.row import Row
+from carawaystep_platform.manifest import Manifest
+from carawaystep_platform.settings import load_settings
+from carawaystep_platform.submissions import SubmissionReader
+from carawaystep_platform.task_names import parse_task_name
+from carawaystep_platform.task_names import task_name
+from carawaystep_platform.worker_list import ServerRows
+from tests.users_platform.deployment import MANIFEST
+
+_ROUTE = QueueRoute("r-1", "desk.example", "/b/", "desk", 0, 3, 1.5, 0.25)
+
+_WORKER = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "chaguanas",
+    "state": "draining",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 12,
+}
+
+_SETTINGS = """
+node_name = "edge-1"
+ip = "10.1.0.13"
+zone = "chaguanas"
+port_range = [7720, 7735]
+unknown = true
+[listen_addrs]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[limits]
+cpu_quota = 0.5
+cores = 2
+[bounds]
+grace_s = 6
+max_hold_ms = 10000
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+
+class DecodingTest(TestCase):
+    """Each name is decoded once, and bad input is refused."""
+
+    def _read(self, body: object) -> object:
+        reader = SubmissionReader()
+        return reader.read("a" * 16, _ROUTE, json.dumps(body).encode(), 5.0)
+
+    def test_task_names_round_trip(self) -> None:
+        """Guards against an end that is noted for another task."""
+        ref = parse_task_name("5c0e7a21d94b36f8.0.1.17")
+        self.assertEqual((0, 1, 17), ref[1:])
+        self.assertEqual("5c0e7a21d94b36f8.0.1.17", task_name(ref))
+
+    def test_step_keeps_every_field(self) -> None:
+        """Guards against a field that is decoded under another meaning."""
+        step = {
+            "count": 4,
+            "cpu": 500,
+            "mem_mb": 256,
+            "estimated_ms": 900,
+            "affinity": "r1-3",
+            "anti_affinity": 2,
+            "constraints": "a",
+            "max_unavailable": 1,
+            "target_ms": 150,
+            "image": "x",
+        }
+        result = self._read({"spec": "s", "steps": [step]})
+        assert isinstance(result, Ok)
+        found = result.ok_value.steps[0]
+        self.assertEqual(
+            (0.9, "r1-3", 2, "a"),
+            (found.estimated_s, found.rack, found.max_per_worker, found.label),
+        )
+        self.assertEqual(1, result.ok_value.occurrences)
+        self.assertFalse(result.ok_value.scheduled)
+
+    def test_malformed_submissions_are_refused(self) -> None:
+        """Guards against steps that depend on themselves or have no tasks."""
+        for body in (
+            [],
+            {"spec": "s", "steps": []},
+            {"spec": "s", "steps": [{"count": 0}]},
+            {"spec": "s", "steps": [{"count": 1, "after": [0]}]},
+            {"spec": "s", "steps": [{"count": "1"}]},
+            {"spec": "s", "steps": [{"count": 9000}]},
+        ):
+            self.assertIsInstance(self._read(body), Err)
+
+    def test_foreign_worker_rows_name_no_worker(self) -> None:
+        """Guards against work on a worker that a foreign row describes."""
+        rows = ServerRows()
+        offer = rows.offer(Row("i-1", _WORKER, 1, 1))
+        assert offer is not None
+        self.assertEqual(WorkerKey("i-1", 12), offer.key)
+        self.assertEqual("r1-3", offer.rack)
+        self.assertTrue(offer.draining)
+        for broken in (
+            {},
+            {**_WORKER, "state": "asleep"},
+            {**_WORKER, "address": 5},
+            {**_WORKER, "capacity": "large"},
+        ):
+            self.assertIsNone(rows.offer(Row("i-1", broken, 1, 1)))
+
+    def test_unreadable_manifest_changes_nothing(self) -> None:
+        """Guards against routes of a row that is not a manifest."""
+        manifest = Manifest()
+        table = manifest.routes(Row("config", MANIFEST, 1, 1))
+        assert table is not None
+        self.assertEqual(3, table.version)
+        found = table.resolve("DESK.example", "/bookings/abc")
+        assert found is not None
+        self.assertEqual(0.25, found.objective_s)
+        self.assertIsNone(table.resolve("desk.example", "/other"))
+        self.assertIsNone(manifest.routes(Row("config", {"version": 1}, 1, 1)))
+
+    def test_settings_are_checked(self) -> None:
+        """Guards against a start with settings that mean something else."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "local.toml"
+            path.write_text(_SETTINGS)
+            result = load_settings(str(path))
+            assert isinstance(result, Ok)
+            settings = result.ok_value
+            self.assertEqual(1.0, settings.node.cores)
+            self.assertEqual(10.0, settings.node.max_lease_s)
+            self.assertEqual("10.1.0.13:7735", settings.metrics_address)
+            path.write_text(_SETTINGS.replace("[7720, 7735]", '"many"'))
+            self.assertIsInstance(load_settings(str(path)), Err)
+            path.write_text("node_name = ")
+            self.assertIsInstance(load_settings(str(path)), Err)
+        self.assertIsInstance(load_settings("/absent/file"), Err)
