Blame the image that arrived before the harm; preempt for urgent work

Ruled out: harm without filling tasks; the share of processor that filling tasks use (0.4 of a worker without harm). Change: one blame for each harm, by arrival; pairs outlive their leader; filling tasks leave memory to urgent work, which may preempt; work that starves runs at a tenth of its speed where it would harm.

--- a/src/carawaystep/fleet/held_worker.py
+++ b/src/carawaystep/fleet/held_worker.py
@@ -8,6 +8,7 @@
 from carawaystep.fleet.worker_health import WorkerHealth
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from carawaystep.fleet.held_run import HeldRun
@@ -20,7 +21,7 @@
 QUIET_AFTER_S = 1.2
 
 # Serving tasks reserve their peak; this share is what they use on average.
-_SERVING_LOAD = 0.6
+_SERVING_LOAD = 0.7
 
 
 class HeldWorker:
@@ -90,11 +91,23 @@
         unused = (1 - _SERVING_LOAD) * self._serving_cpu
         return self.free_cpu + unused - self._filling_cpu
 
+    @property
+    def free_memory_mb(self) -> int:
+        """Return the memory that no run takes."""
+        return self._offer.capacity.memory_mb - self._memory
+
     @property
     def filling_count(self) -> int:
         """Return the number of filling tasks."""
         return self._filling_count
 
+    @property
+    def filling_images(self) -> set[str]:
+        """Return the images of the filling tasks."""
+        return {
+            held.step.image for held in self._runs.values() if held.step.fills
+        }
+
     @property
     def serving_images(self) -> dict[str, int]:
         """Return the number of serving tasks by image, for reading only."""
@@ -136,6 +149,29 @@
             return False
         return step.fills or step.cpu_millis <= self.free_cpu
 
+    def room_after(self, step: StepSpec, leaving: Iterable[HeldRun]) -> int:
+        """Return how many tasks of a step fit once some runs have left."""
+        gone = list(leaving)
+        free_cpu = self.free_cpu + sum(
+            held.step.cpu_millis for held in gone if not held.step.fills
+        )
+        free_memory = self.free_memory_mb + sum(
+            held.step.memory_mb for held in gone
+        )
+        capacity = self._offer.capacity
+        free_accelerators = capacity.accelerators - self._accelerators
+        free_accelerators += sum(held.step.accelerators for held in gone)
+        rooms = [
+            free // needed
+            for free, needed in (
+                (free_cpu, 0 if step.fills else step.cpu_millis),
+                (free_memory, step.memory_mb),
+                (free_accelerators, step.accelerators),
+            )
+            if needed
+        ]
+        return max(0, min(rooms, default=step.count))
+
     def add(self, ref: TaskRef, run: HeldRun) -> None:
         """Account for a run.
 
--- a/src/carawaystep/fleet/worker_health.py
+++ b/src/carawaystep/fleet/worker_health.py
@@ -8,6 +8,7 @@
 _FIRST_SUSPENSION_S = 3.0
 _LONGEST_SUSPENSION_S = 12.0
 _PAUSE_S = 1.0
+_SHORT_PAUSE_S = 0.2
 
 
 class WorkerHealth:
@@ -42,5 +43,10 @@
         return True
 
     def pause(self, now: float) -> None:
-        """Note an order that was refused or not answered."""
+        """Note an order that the worker refused or did not answer."""
         self._suspended_until = max(self._suspended_until, now + _PAUSE_S)
+
+    def pause_briefly(self, now: float) -> None:
+        """Note an order that did not reach the worker."""
+        until = now + _SHORT_PAUSE_S
+        self._suspended_until = max(self._suspended_until, until)
--- a/src/carawaystep/planner/interference.py
+++ b/src/carawaystep/planner/interference.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawaystep.fleet.held_run import HeldRun
     from carawaystep.fleet.held_worker import HeldWorker
     from carawaystep.fleet.worker_key import WorkerKey
@@ -16,33 +18,48 @@
 # counts as unharmed.
 _HARMED = 1.0
 _UNHARMED = 0.9
+# A harmful image raises tails to a multiple of the target. Smaller excesses
+# come from the serving task's own load and tell nothing of images.
+_PLAIN = 2.5
 
 # Probability that a pair is harmful before anything was seen.
 _PRIOR = 0.2
-# Chance of an unharmed tail beside a harmful image: the serving task has
-# little load at the time.
-_QUIET_CHANCE = 0.6
-_HARMFUL = 0.5
+# Chance of an unharmed tail beside a harmful image. Below _QUIET the serving
+# task has little load at the time, and its tail says little.
+_QUIET = 0.4
+_QUIET_CHANCE = 0.95
+_BUSY_CHANCE = 0.4
+_HARMFUL = 0.6
+_FULL_PACE = 100
 _LEAST = 0.01
 _MOST = 0.99
 
-# A reported tail covers the last half second, and reports are late.
+# A tail covers half a second and is reported late: it shows an image within
+# _ONSET_S after its start, and until _LAG_S after its end.
+_ONSET_S = 1.6
+_LAG_S = 1.3
 _WINDOW_S = 0.8
+# Tails within this time say the same.
+_RELIEF_S = 1.5
 
 
 @dataclass(slots=True)
 class _Sightings:
     """What was seen on one worker.
 
-    :param since: start of the present stay, by filling image
+    :param since: start of the present or last stay, by filling image
     :param last: last time that a filling image was there
-    :param learned_at: last report that was learned from
+    :param steady: since when an image has worked at full speed
+    :param harmed: serving images whose present harm was learned from
+    :param relieved_at: last unharmed report learned from, by serving image
     :param acted_at: last time that a culprit was named
     """
 
     since: dict[str, float] = field(default_factory=dict)
     last: dict[str, float] = field(default_factory=dict)
-    learned_at: float = 0.0
+    steady: dict[str, float] = field(default_factory=dict)
+    harmed: set[str] = field(default_factory=set)
+    relieved_at: dict[str, float] = field(default_factory=dict)
     acted_at: float = 0.0
 
 
@@ -59,6 +76,15 @@
         self._odds: dict[tuple[str, str], float] = {}
         self._sightings: dict[WorkerKey, _Sightings] = {}
 
+    def known(self) -> list[tuple[str, str, float]]:
+        """Return filling image, serving image and probability by pair."""
+        return [(*pair, odds) for pair, odds in sorted(self._odds.items())]
+
+    def restore(self, pairs: Iterable[tuple[str, str, float]]) -> None:
+        """Take over what an earlier leader has learned."""
+        for filling, serving, odds in pairs:
+            self._odds[filling, serving] = min(_MOST, max(_LEAST, odds))
+
     def probability(self, filling: str, serving: str) -> float:
         """Return how likely one image harms another."""
         return self._odds.get((filling, serving), _PRIOR)
@@ -71,9 +97,12 @@
         )
 
     def risk(self, filling: str, worker: HeldWorker) -> float:
-        """Return the expected number of harmed tasks on a worker."""
+        """Return the expected number of tasks that an image harms anew."""
+        present = worker.filling_images
         return sum(
-            count * self.probability(filling, serving)
+            count
+            * self.probability(filling, serving)
+            * prod(1 - self.probability(image, serving) for image in present)
             for serving, count in worker.serving_images.items()
         )
 
@@ -81,23 +110,21 @@
         """Learn from the tails in a worker's report."""
         seen = self._sightings.setdefault(worker.key, _Sightings())
         self._note_presence(seen, worker, now)
-        if now - seen.learned_at < _WINDOW_S:
-            return
-        seen.learned_at = now
-        recent = {
-            image for image, at in seen.last.items() if now - at < _WINDOW_S
-        }
         steady = {
-            image for image, at in seen.since.items() if now - at > _WINDOW_S
+            image for image, at in seen.steady.items() if now - at > _WINDOW_S
         }
-        for held in worker.runs.values():
-            if not self.at_work(held):
-                continue
-            ratio = held.figure / held.step.tail_target_ms
-            if ratio > _HARMED:
-                self._blame(recent, held.step.image)
+        for serving, ratio in self._worst_ratios(worker).items():
+            if ratio > _PLAIN:
+                # Later reports of the same harm are no further evidence.
+                if serving not in seen.harmed:
+                    seen.harmed.add(serving)
+                    self._blame(self._causes(seen, now), serving)
             elif ratio < _UNHARMED:
-                self._relieve(steady, held.step.image)
+                seen.harmed.discard(serving)
+                if now - seen.relieved_at.get(serving, 0.0) > _RELIEF_S:
+                    seen.relieved_at[serving] = now
+                    chance = _QUIET_CHANCE if ratio < _QUIET else _BUSY_CHANCE
+                    self._relieve(steady, serving, chance)
 
     def culprit(self, worker: HeldWorker, now: float) -> str | None:
         """Return the filling image that most likely harms a task now."""
@@ -109,16 +136,45 @@
             for held in worker.runs.values()
             if self.is_harmed(held)
         }
-        if not harmed or not seen.since:
+        filling = {
+            held.step.image
+            for held in worker.runs.values()
+            if held.step.fills and held.pace and not held.stopping
+        }
+        if not harmed or not filling:
             return None
         seen.acted_at = now
         return max(
-            seen.since,
-            key=lambda image: max(
-                self.probability(image, serving) for serving in harmed
+            sorted(filling),
+            key=lambda image: (
+                max(self.probability(image, serving) for serving in harmed),
+                seen.since.get(image, now),
             ),
         )
 
+    def suspects(
+        self, worker: HeldWorker, now: float, since_s: float, least: float
+    ) -> set[str]:
+        """Return the images that may harm a task for some time already.
+
+        :param since_s: for how long the task has been harmed
+        :param least: lowest probability that makes an image a suspect
+        """
+        harmed = {
+            held.step.image
+            for held in worker.runs.values()
+            if held.over_since is not None and now - held.over_since > since_s
+        }
+        return {
+            held.step.image
+            for held in worker.runs.values()
+            if held.step.fills
+            and any(
+                self.probability(held.step.image, serving) >= least
+                for serving in harmed
+            )
+        }
+
     def harmed(self, worker: HeldWorker) -> bool:
         """Tell whether a serving task is close to its target or over it."""
         return any(
@@ -151,20 +207,49 @@
     def _note_presence(
         seen: _Sightings, worker: HeldWorker, now: float
     ) -> None:
-        present = {
-            held.step.image
-            for held in worker.runs.values()
-            if held.step.fills and held.pace > 0 and held.percent > 0
-        }
+        """Note which images work there, and which at full speed."""
+        present: set[str] = set()
+        full: set[str] = set()
+        for held in worker.runs.values():
+            if not held.step.fills or not held.pace or not held.percent:
+                continue
+            present.add(held.step.image)
+            if held.pace == _FULL_PACE:
+                full.add(held.step.image)
         for image in present:
             seen.since.setdefault(image, now)
             seen.last[image] = now
-        for image in list(seen.since):
-            if image not in present:
-                del seen.since[image]
-        for image, at in list(seen.last.items()):
-            if now - at > _WINDOW_S:
+        for image in list(seen.last):
+            if image not in present and now - seen.last[image] > _LAG_S:
                 del seen.last[image]
+                del seen.since[image]
+        for image in full:
+            seen.steady.setdefault(image, now)
+        for image in list(seen.steady):
+            if image not in full:
+                del seen.steady[image]
+
+    @staticmethod
+    def _causes(seen: _Sightings, now: float) -> set[str]:
+        """Return the images to which harm that begins now can be due.
+
+        Harm begins soon after an image arrives. Those that were there
+        before without harm come into question only when none has arrived.
+        """
+        arrived = {
+            image for image, at in seen.since.items() if now - at < _ONSET_S
+        }
+        return arrived or set(seen.since)
+
+    def _worst_ratios(self, worker: HeldWorker) -> dict[str, float]:
+        """Return the highest tail against its target by serving image."""
+        worst: dict[str, float] = {}
+        for held in worker.runs.values():
+            if self.at_work(held):
+                ratio = held.figure / held.step.tail_target_ms
+                image = held.step.image
+                worst[image] = max(ratio, worst.get(image, 0.0))
+        return worst
 
     def _blame(self, images: set[str], serving: str) -> None:
         if not images:
@@ -174,9 +259,9 @@
             raised = self.probability(image, serving) / (1 - none)
             self._odds[image, serving] = min(_MOST, raised)
 
-    def _relieve(self, images: set[str], serving: str) -> None:
+    def _relieve(self, images: set[str], serving: str, chance: float) -> None:
         for image in images:
             known = self.probability(image, serving)
-            quiet = known * _QUIET_CHANCE
-            lowered = quiet / (quiet + 1 - known)
+            unharmed = known * chance
+            lowered = unharmed / (unharmed + 1 - known)
             self._odds[image, serving] = max(_LEAST, lowered)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -41,9 +41,13 @@
 # likely harms; it is slowed down there as far as needed.
 _PRESS_AFTER_S = 1.5
 _PACE_STEP = 20
-# Half of the time that serving tasks may be harmed; reports and orders take
-# about a second of the rest.
-_HALT_S = 1.8
+# Filling tasks beside one that has been harmed for so long are halted.
+# Reports and orders take about a second more of the 4 s that are allowed.
+_SUSPECT_S = 1.6
+_SUSPECT_ODDS = 0.15
+_HALT_S = 2.4
+# Speed at which a task starts where it likely harms.
+_PRESSED_PACE = 10
 _PACE_INTERVAL_S = 1.0
 
 # A filling task without checkpoints that has got further is slowed down
@@ -253,8 +257,13 @@
             return
         if not isinstance(order, StartOrder):
             return
-        if outcome in _NOT_DONE:
-            if outcome is not OrderOutcome.FULL:
+        if outcome is OrderOutcome.DONE:
+            if held.pressed:
+                self._pace(worker, order.ref, held, _PRESSED_PACE, now)
+        elif outcome in _NOT_DONE:
+            if outcome is OrderOutcome.NOT_SENT:
+                worker.health.pause_briefly(now)
+            elif outcome is not OrderOutcome.FULL:
                 worker.health.pause(now)
             self._lose(worker, order.ref, order.run, outcome.value)
         elif outcome is OrderOutcome.UNKNOWN:
@@ -379,6 +388,7 @@
             if worker is None:
                 refused.add((ref.occurrence, ref.step))
                 complete = False
+                self._make_room(workflow, ref, usable)
                 continue
             self._start(workflow, ref, worker, pressed, now)
         if not complete and not workflow.has_placed:
@@ -387,6 +397,81 @@
             self._starving_since.pop(workflow.id, None)
         return complete
 
+    def _make_room(
+        self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
+    ) -> None:
+        """Stop less urgent runs where a step finds no room.
+
+        Runs that are stopping already count as room, so that a step evicts
+        no more than it needs.
+        """
+        missing = sum(
+            1 for other in workflow.ready(float("inf")) if other[:3] == ref[:3]
+        )
+        for worker in usable:
+            leaving = [h for h in worker.runs.values() if h.stopping]
+            missing -= self._slots(workflow, ref, worker, leaving)
+        for worker in sorted(usable, key=lambda w: -w.filling_count):
+            if missing <= 0:
+                return
+            missing -= self._evict(workflow, ref, worker, missing)
+
+    def _evict(
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        worker: HeldWorker,
+        missing: int,
+    ) -> int:
+        """Stop runs on a worker; return for how many tasks that makes room.
+
+        Runs that lose least work go first.
+        """
+        leaving = [held for held in worker.runs.values() if held.stopping]
+        before = self._slots(workflow, ref, worker, leaving)
+        evictable = sorted(
+            (
+                (not held.step.checkpointing, held.percent, other)
+                for other, held in worker.runs.items()
+                if held.priority > workflow.spec.priority
+                and not held.stopping
+                and not held.step.long_running
+                and (held.step.memory_mb or not held.step.fills)
+            ),
+        )
+        chosen: list[TaskRef] = []
+        gained = 0
+        for _, _, other in evictable:
+            if gained >= missing:
+                break
+            chosen.append(other)
+            leaving.append(worker.runs[other])
+            gained = self._slots(workflow, ref, worker, leaving) - before
+        if gained <= 0:
+            return 0
+        for other in chosen:
+            self._stop(other, worker.runs[other].run, "preempted")
+        return gained
+
+    @staticmethod
+    def _slots(
+        workflow: Workflow,
+        ref: TaskRef,
+        worker: HeldWorker,
+        leaving: list[HeldRun],
+    ) -> int:
+        step = workflow.step(ref)
+        offer = worker.offer
+        if offer.service != workflow.spec.service:
+            return 0
+        if step.label and step.label not in offer.labels:
+            return 0
+        room = worker.room_after(step, leaving)
+        if step.max_per_worker:
+            same = sum(1 for _ in worker.of_step(ref))
+            room = min(room, step.max_per_worker - same)
+        return max(0, room)
+
     def _starves(self, workflow: Workflow, now: float) -> bool:
         if workflow.has_placed:
             return False
@@ -514,13 +599,14 @@
     def _protect(self, worker: HeldWorker, now: float) -> None:
         """Move a filling image away from serving tasks that it harms.
 
-        Where that has not helped soon, all filling tasks are halted.
+        Where that has not helped soon, filling tasks are halted: first the
+        likely ones, then all.
         """
-        if any(
-            held.over_since is not None and now - held.over_since > _HALT_S
-            for held in worker.runs.values()
-        ):
-            self._halt(worker, now)
+        suspects = self._interference.suspects(
+            worker, now, _SUSPECT_S, _SUSPECT_ODDS
+        ) | self._interference.suspects(worker, now, _HALT_S, 0.0)
+        if suspects:
+            self._halt(worker, suspects, now)
             return
         culprit = self._interference.culprit(worker, now)
         if culprit is None:
@@ -536,11 +622,13 @@
             if restartable and not held.pressed:
                 self._stop(ref, held.run, "harms-a-serving-task")
             else:
-                self._pace(worker, ref, held, held.pace // 3, now)
+                self._pace(worker, ref, held, held.pace // 10, now)
 
-    def _halt(self, worker: HeldWorker, now: float) -> None:
+    def _halt(self, worker: HeldWorker, images: set[str], now: float) -> None:
         for ref, held in worker.runs.items():
-            if held.step.fills and held.pace > 0 and not held.stopping:
+            if held.step.image not in images or not held.step.fills:
+                continue
+            if held.pace > 0 and not held.stopping:
                 self._pace(worker, ref, held, 0, now)
 
     def _pace(
@@ -570,10 +658,10 @@
             if now - held.paced_at < _PACE_INTERVAL_S:
                 continue
             if not self._interference.harms(held.step.image, worker):
+                held.pressed = False
                 self._pace(worker, ref, held, 100, now)
-            elif not self._interference.harmed(worker):
-                faster = min(100, held.pace + _PACE_STEP)
-                self._pace(worker, ref, held, faster, now)
+            elif not held.pace and not self._interference.harmed(worker):
+                self._pace(worker, ref, held, _PRESSED_PACE, now)
 
     def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
         workflow = self._workflows[ref.workflow]
--- a/src/carawaystep/planner/sharing_placement.py
+++ b/src/carawaystep/planner/sharing_placement.py
@@ -17,6 +17,9 @@
 # processor it can use; with less it would only hold memory.
 _FILLING_SHARE = 0.6
 
+# Memory of each worker that filling tasks leave to more urgent work.
+_KEPT_MEMORY_SHARE = 0.15
+
 
 class SharingPlacement(TaskPlacement):
     """Groups serving tasks by image and places filling ones beside others.
@@ -60,12 +63,19 @@
         return min(
             candidates,
             key=lambda worker: (
+                worker.likely_spare_cpu < step.cpu_millis * _FILLING_SHARE,
+                not self._leaves_memory(step, worker),
                 self._interference.risk(step.image, worker),
                 -worker.likely_spare_cpu,
             ),
             default=None,
         )
 
+    @staticmethod
+    def _leaves_memory(step: StepSpec, worker: HeldWorker) -> bool:
+        kept = worker.offer.capacity.memory_mb * _KEPT_MEMORY_SHARE
+        return worker.free_memory_mb - step.memory_mb >= kept
+
     def _choose_filling(
         self, step: StepSpec, candidates: Iterable[HeldWorker]
     ) -> HeldWorker | None:
@@ -75,6 +85,7 @@
                 worker
                 for worker in candidates
                 if worker.likely_spare_cpu >= needed
+                and self._leaves_memory(step, worker)
                 and not self._interference.harms(step.image, worker)
             ),
             key=lambda worker: (
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -67,6 +67,9 @@
 _REFUSE_AFTER_S = 0.8
 _FEED_WAIT_S = 2.0
 _FLEET_GAP_S = 0.3
+_SAVE_S = 4.0
+# Pairs at least this likely to be harmful are named in the log.
+_SHOWN_ODDS = 0.3
 
 
 class LeaderTerm(LeaderContext):
@@ -90,11 +93,11 @@
         self._pulse = pulse
         lease_s = min(LEASE_S, settings.max_lease_s) * _CLOCK_DRIFT
         lost_s = GRANT_S + lease_s + _MARGIN_S
-        interference = Interference()
+        self._interference = Interference()
         self._planner = Planner(
             PlannerLimits(lost_s, LEADER_LEASE_S + lost_s),
-            SharingPlacement(interference),
-            interference,
+            SharingPlacement(self._interference),
+            self._interference,
             ports.log,
             self.now,
         )
@@ -145,6 +148,7 @@
         """Lead until another process does, or the task is cancelled."""
         try:
             revision = await self._ledger.load(self._planner)
+            self._interference.restore(await self._ledger.load_pairs())
             self._tell_restored()
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._follow_members())
@@ -156,6 +160,7 @@
                 group.create_task(self._pump())
                 group.create_task(self._until_resigned())
                 group.create_task(self._raise_errors())
+                group.create_task(self._save_pairs())
         except* TermEnded:
             self._ports.log.line("leader.deposed", self.name, term=self._term)
         finally:
@@ -234,6 +239,24 @@
             )
         self._wake.set()
 
+    async def _save_pairs(self) -> None:
+        saved: list[tuple[str, str, float]] = []
+        while True:
+            await asyncio.sleep(_SAVE_S)
+            pairs = self._interference.known()
+            if pairs != saved:
+                await self._ledger.save_pairs(pairs)
+                saved = pairs
+                self._ports.log.line(
+                    "interference.stored",
+                    self.name,
+                    harmful=" ".join(
+                        f"{filling}>{serving}:{odds:.2f}"
+                        for filling, serving, odds in pairs
+                        if odds >= _SHOWN_ODDS
+                    ),
+                )
+
     async def _until_resigned(self) -> None:
         await self._resigned.wait()
         raise TermEnded
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -47,7 +47,7 @@
         self._settings = settings
         self._ports = ports
         self._supervisor = supervisor
-        self._pulse = StorePulse(ports.log)
+        self._pulse = StorePulse(ports.log, ports.clock.now())
         self._leadership = Leadership(
             settings.name, settings.cores, ports.clock.now()
         )
--- a/src/carawaystep/scheduler/workflow_ledger.py
+++ b/src/carawaystep/scheduler/workflow_ledger.py
@@ -88,6 +88,34 @@
                 planner.restore(spec, records.get(row.key))
         return revision
 
+    async def load_pairs(self) -> list[tuple[str, str, float]]:
+        """Return what an earlier leader has learned of pairs of images.
+
+        Nothing rests on it, so that a row that cannot be read counts as
+        none.
+        """
+        result = await self._table.get(tables.CONTROL, tables.LEARNED_KEY)
+        if not isinstance(result, Ok) or result.ok_value is None:
+            return []
+        try:
+            return msgspec.convert(
+                result.ok_value.value, list[tuple[str, str, float]]
+            )
+        except msgspec.ValidationError:
+            return []
+
+    async def save_pairs(self, pairs: list[tuple[str, str, float]]) -> None:
+        """Store what was learned of pairs of images; it may be lost."""
+        value = [(f, s, round(odds, 3)) for f, s, odds in pairs]
+        result = await self._table.transact(
+            [
+                CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term),
+                PutRow(tables.CONTROL, tables.LEARNED_KEY, None, value),
+            ]
+        )
+        if not isinstance(result, Ok):
+            self._pulse.failed(result.err_value.detail, self._clock.now())
+
     async def confirm(self) -> bool:
         """Ask the store whether the term still holds.
 
