--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -482,7 +482,13 @@
         self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
     ) -> Iterable[HeldWorker]:
         step = workflow.step(ref)
+        # A task that failed is tried elsewhere, so that one bad worker does
+        # not use up its attempts.
+        failed_on = workflow.task(ref).failed_on
+        avoided = failed_on if len(failed_on) < len(usable) else set()
         for worker in usable:
+            if worker.key in avoided:
+                continue
             offer = worker.offer
             if offer.service != workflow.spec.service:
                 continue
--- a/src/carawaystep/scheduler/worker_holder.py
+++ b/src/carawaystep/scheduler/worker_holder.py
@@ -10,6 +10,7 @@
 from carawaystep.cluster.messages import Concluded
 from carawaystep.cluster.messages import Report
 from carawaystep.cluster.messages import Superseded
+from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
 # Ends that come close together travel in one report.
 _GATHER_S = 0.02
 _ORDER_TASKS = 3
+# The planner needs two reports after a stop to tell that a run never started.
+_REPORTS_AFTER_STOP = 2
 _READY_S = 0.5
 
 
@@ -53,6 +56,7 @@
         self._ready = asyncio.Event()
         self._orders: asyncio.Queue[NumberedOrder] = asyncio.Queue()
         self._answered_at = 0.0
+        self._prompt_reports = 0
 
     def acknowledge(self, number: int) -> None:
         """Note that ends up to a number are stored."""
@@ -80,12 +84,13 @@
                 continue
             now = self._context.now
             recent = now - self._answered_at < EXTEND_AFTER_ANSWER_S
-            first = not self._ready.is_set()
+            prompt = not self._ready.is_set() or self._prompt_reports > 0
+            self._prompt_reports = max(0, self._prompt_reports - 1)
             result = await self._link.hold(
                 self._term,
                 self._acknowledged,
                 recent,
-                0.0 if first or not recent else _WAIT_S,
+                0.0 if prompt or not recent else _WAIT_S,
             )
             if isinstance(result, Err):
                 await self._fail(result.err_value)
@@ -132,4 +137,7 @@
             return OrderOutcome.NOT_SENT
         if not self._context.may_act(self._term):
             return OrderOutcome.NOT_SENT
-        return await self._link.carry_out(item.order, self._term)
+        outcome = await self._link.carry_out(item.order, self._term)
+        if isinstance(item.order, StopOrder):
+            self._prompt_reports = _REPORTS_AFTER_STOP
+        return outcome
--- a/src/carawaystep/workflow/task.py
+++ b/src/carawaystep/workflow/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from carawaystep.workflow.task_state import TaskState
@@ -21,6 +22,7 @@
     :param checkpoint: latest checkpoint, empty for none
     :param failures: runs that ended as failed
     :param seen_running: whether a report has shown the present run
+    :param failed_on: workers on which a run failed under this leader
     """
 
     state: TaskState = TaskState.WAITING
@@ -29,3 +31,4 @@
     checkpoint: str = ""
     failures: int = 0
     seen_running: bool = False
+    failed_on: set[WorkerKey] = field(default_factory=set)
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -197,6 +197,8 @@
         task = self.task(ref)
         if checkpoint:
             task.checkpoint = checkpoint
+        if end is RunEnd.FAILED and task.worker is not None:
+            task.failed_on.add(task.worker)
         self._release(task)
         if end is RunEnd.FAILED and not step.long_running:
             task.failures += 1
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -221,6 +221,33 @@
         (stop,) = planner.take_urgent()
         self.assertEqual((start.ref, start.run), (stop.ref, stop.run))
 
+    def test_failed_task_is_tried_on_another_worker(self) -> None:
+        """Guards against a bad worker that uses up a task's attempts."""
+        planner = _with_workers("w1", "w2")
+        planner.admit(workflow_spec(_ONE), False)
+        (start,) = starts(planner)
+        ended = EndedRun(1, start.ref, start.run, RunEnd.FAILED, "")
+        planner.hear(report(start.worker.id, [], [ended]), 0.5)
+        self.assertNotEqual(start.worker, starts(planner, 0.5)[0].worker)
+
+    def test_urgent_work_takes_the_place_of_less_urgent(self) -> None:
+        """Guards against urgent work that waits for filling tasks to end."""
+        planner = _with_workers("w1")
+        low = StepSpec(4, cpu_millis=100, memory_mb=210, fills=True)
+        planner.admit(workflow_spec(low, id="a" * 16, priority=2), False)
+        batch = starts(planner)
+        self.assertEqual(4, len(batch))
+        rows = [running(order) for order in batch]
+        planner.hear(report("w1", rows), 0.1)
+        high = StepSpec(1, cpu_millis=100, memory_mb=300)
+        planner.admit(workflow_spec(high, id="b" * 16), False)
+        self.assertEqual([], starts(planner, 0.2))
+        stops = planner.take_urgent()
+        self.assertEqual(1, len(stops))
+        self.assertIsInstance(stops[0], StopOrder)
+        starts(planner, 0.25)
+        self.assertEqual([], planner.take_urgent())
+
     def test_a_worker_that_fails_several_workflows_is_suspended(self) -> None:
         """Guards against a bad worker that uses up attempts of good work."""
         planner = _with_workers("w1")
