--- a/tests/users_platform/test_names.py
+++ b/tests/users_platform/test_names.py
@@ -13,7 +13,8 @@
 _NAMES = re.compile(
     r"ack_cursor|rows-(tx|get|feed)|run-(start|stop)|/api/hold|listen_addrs|"
     r"machine-(move|upkeep)|mem_mb|target_duration_ms|anti_affinity|"
-    r"\"queued_count\"|path_prefix\":|checkpoint_s|max_hold_ms|CARAWAYSTEP_CONFIG"
+    r"checkpoint_s|max_hold_ms|CARAWAYSTEP_CONFIG|"
+    r"\"(queued_count|path_prefix)\""
 )
 
 
