--- a/src/carawaystep/fleet/held_worker.py
+++ b/src/carawaystep/fleet/held_worker.py
@@ -48,6 +48,7 @@
         self._accelerators = 0
         self._heard_at: float | None = None
         self._leaving = False
+        self._closed_to_filling_until = 0.0
         self.health = WorkerHealth()
 
     @property
@@ -127,6 +128,14 @@
         self._heard_at = now
         self._leaving = leaving
 
+    def close_to_filling(self, until: float) -> None:
+        """Take no more filling tasks until a time."""
+        self._closed_to_filling_until = until
+
+    def takes_filling(self, now: float) -> bool:
+        """Tell whether it may get filling tasks."""
+        return now >= self._closed_to_filling_until
+
     def usable(self, now: float) -> bool:
         """Tell whether it may get new work.
 
--- a/src/carawaystep/planner/interference.py
+++ b/src/carawaystep/planner/interference.py
@@ -175,14 +175,6 @@
             )
         }
 
-    def harmed(self, worker: HeldWorker) -> bool:
-        """Tell whether a serving task is close to its target or over it."""
-        return any(
-            held.figure > _UNHARMED * held.step.tail_target_ms
-            for held in worker.runs.values()
-            if self.at_work(held)
-        )
-
     def forget(self, worker: WorkerKey) -> None:
         """Drop what was seen on a worker that is gone."""
         self._sightings.pop(worker, None)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -46,6 +46,8 @@
 _SUSPECT_S = 1.6
 _SUSPECT_ODDS = 0.15
 _HALT_S = 2.4
+# A worker with a harmed task takes no filling tasks for so long.
+_RECOVERY_S = 1.5
 # Speed at which a task starts where it likely harms.
 _PRESSED_PACE = 10
 _PACE_INTERVAL_S = 1.0
@@ -230,7 +232,7 @@
                     held.advanced_at = now
                 held.percent = item.percent
                 held.figure = item.figure
-                self._note_tail(held, now)
+                self._note_tail(worker, held, now)
         self._settle_doubts(worker, seen)
         self._interference.observe(worker, now)
         self._protect(worker, now)
@@ -378,11 +380,11 @@
                 complete = False
                 continue
             step = workflow.step(ref)
-            candidates = self._candidates(workflow, ref, usable)
+            candidates = self._candidates(workflow, ref, usable, now)
             worker = self._placement.choose(step, candidates)
             pressed = False
             if worker is None and self._starves(workflow, now):
-                candidates = self._candidates(workflow, ref, usable)
+                candidates = self._candidates(workflow, ref, usable, now)
                 worker = self._placement.choose_despite_harm(step, candidates)
                 pressed = worker is not None
             if worker is None:
@@ -479,7 +481,11 @@
         return now - since > _PRESS_AFTER_S
 
     def _candidates(
-        self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        usable: list[HeldWorker],
+        now: float,
     ) -> Iterable[HeldWorker]:
         step = workflow.step(ref)
         # A task that failed is tried elsewhere, so that one bad worker does
@@ -496,6 +502,8 @@
                 continue
             if not worker.fits(step):
                 continue
+            if step.fills and not worker.takes_filling(now):
+                continue
             if step.max_per_worker:
                 same = sum(1 for _ in worker.of_step(ref))
                 if same >= step.max_per_worker:
@@ -596,10 +604,14 @@
             "task.unexpected", str(ref), run=run, worker=worker.key.id
         )
 
-    def _note_tail(self, held: HeldRun, now: float) -> None:
+    def _note_tail(
+        self, worker: HeldWorker, held: HeldRun, now: float
+    ) -> None:
         if not self._interference.is_harmed(held):
             held.over_since = None
-        elif held.over_since is None:
+            return
+        worker.close_to_filling(now + _RECOVERY_S)
+        if held.over_since is None:
             held.over_since = now
 
     def _protect(self, worker: HeldWorker, now: float) -> None:
@@ -658,6 +670,8 @@
 
     def _resume(self, worker: HeldWorker, now: float) -> None:
         """Let paced tasks work faster while nobody beside them is harmed."""
+        if not worker.takes_filling(now):
+            return
         for ref, held in worker.runs.items():
             if held.pace == 100 or held.stopping:
                 continue
@@ -666,7 +680,7 @@
             if not self._interference.harms(held.step.image, worker):
                 held.pressed = False
                 self._pace(worker, ref, held, 100, now)
-            elif not held.pace and not self._interference.harmed(worker):
+            elif not held.pace:
                 self._pace(worker, ref, held, _PRESSED_PACE, now)
 
     def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -313,6 +313,16 @@
         self.planner.hear(report("w1", rows), 4.0)
         self.assertEqual(1, len(starts(self.planner, 4.0)))
 
+    def test_worker_with_a_harmed_task_takes_no_filling_tasks(self) -> None:
+        """Guards against new filling tasks that prolong the harm."""
+        self._hear(1.0, 120.0)
+        self.planner.admit(workflow_spec(self._FILLING, id="c" * 16), False)
+        self.assertEqual([], starts(self.planner, 1.0))
+        self._hear(2.0, 50.0)
+        self.assertEqual([], starts(self.planner, 2.0))
+        self._hear(2.8, 50.0)
+        self.assertEqual(1, len(starts(self.planner, 2.8)))
+
     def test_lasting_harm_halts_all_filling_tasks(self) -> None:
         """Guards against harm for longer than it is allowed."""
         for now in (1.0, 1.9, 2.8, 3.1):
