Split the planner; place gangs whole; move lasting tasks off leaving workers

Change: eligibility, preemption and the guard against harm are modules of their own; gangs start all or none and stop together; long-running tasks on leaving workers are stopped once another has room.

--- /dev/null
+++ b/src/carawaystep/planner/eligibility.py
@@ -0,0 +1,68 @@
+"""Which workers may run a task, and how many tasks they have room for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from carawaystep.fleet.held_run import HeldRun
+    from carawaystep.fleet.held_worker import HeldWorker
+    from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow import Workflow
+
+
+def may_run(workflow: Workflow, ref: TaskRef, worker: HeldWorker) -> bool:
+    """Tell whether a worker's service and labels suit a task."""
+    label = workflow.step(ref).label
+    offer = worker.offer
+    return offer.service == workflow.spec.service and (
+        not label or label in offer.labels
+    )
+
+
+def eligible(
+    workflow: Workflow, ref: TaskRef, usable: list[HeldWorker], now: float
+) -> Iterator[HeldWorker]:
+    """Return the workers that may get a task and have room for it.
+
+    A task that failed is tried elsewhere, so that one bad worker does not
+    use up its attempts.
+
+    :param usable: workers that may get new work
+    :param now: present time, seconds of a steady clock
+    """
+    step = workflow.step(ref)
+    failed_on = workflow.task(ref).failed_on
+    avoided = failed_on if len(failed_on) < len(usable) else set()
+    for worker in usable:
+        if worker.key in avoided or not may_run(workflow, ref, worker):
+            continue
+        if not worker.fits(step):
+            continue
+        if step.fills and not worker.takes_filling(now):
+            continue
+        if step.max_per_worker:
+            same = sum(1 for _ in worker.of_step(ref))
+            if same >= step.max_per_worker:
+                continue
+        yield worker
+
+
+def slots(
+    workflow: Workflow,
+    ref: TaskRef,
+    worker: HeldWorker,
+    leaving: Iterable[HeldRun],
+) -> int:
+    """Return how many tasks of a step fit once some runs have left."""
+    if not may_run(workflow, ref, worker):
+        return 0
+    step = workflow.step(ref)
+    room = worker.room_after(step, leaving)
+    if step.max_per_worker:
+        same = sum(1 for _ in worker.of_step(ref))
+        room = min(room, step.max_per_worker - same)
+    return max(0, room)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -11,6 +11,10 @@
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.planner.changes import Changes
+from carawaystep.planner.eligibility import eligible
+from carawaystep.planner.harm_guard import HarmGuard
+from carawaystep.planner.harm_guard import PRESSED_PACE
+from carawaystep.planner.preemption import victims
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task_state import TaskState
 from carawaystep.workflow.workflow import Workflow
@@ -50,11 +54,6 @@
 _RECOVERY_S = 1.5
 # Speed at which a task starts where it likely harms.
 _PRESSED_PACE = 10
-_PACE_INTERVAL_S = 1.0
-
-# A filling task without checkpoints that has got further is slowed down
-# rather than started again elsewhere.
-_RESTART_PERCENT = 40.0
 
 _NOT_DONE = frozenset(
     {
@@ -97,6 +96,7 @@
         self._limits = limits
         self._placement = placement
         self._interference = interference
+        self._guard = HarmGuard(interference)
         self._log = log
         self._began_at = now
         self._workflows: dict[str, Workflow] = {}
@@ -232,11 +232,13 @@
                     held.advanced_at = now
                 held.percent = item.percent
                 held.figure = item.figure
-                self._note_tail(worker, held, now)
         self._settle_doubts(worker, seen)
-        self._interference.observe(worker, now)
-        self._protect(worker, now)
-        self._resume(worker, now)
+        for relief in self._guard.watch(worker, now):
+            held = worker.runs[relief.ref]
+            if relief.pace is None:
+                self._stop(relief.ref, held.run, "harms-a-serving-task")
+            else:
+                self._pace(worker, relief.ref, held, relief.pace, now)
         if first:
             # Older tokens are refused from now on: what is not listed was
             # never started.
@@ -261,7 +263,7 @@
             return
         if outcome is OrderOutcome.DONE:
             if held.pressed:
-                self._pace(worker, order.ref, held, _PRESSED_PACE, now)
+                self._pace(worker, order.ref, held, PRESSED_PACE, now)
         elif outcome in _NOT_DONE:
             if outcome is OrderOutcome.NOT_SENT:
                 worker.health.pause_briefly(now)
@@ -301,6 +303,21 @@
             for ref, held in list(worker.runs.items()):
                 self._lose(worker, ref, held.run, "lease-passed")
 
+    def evacuate(self, now: float) -> None:
+        """Move long-running tasks away from workers that are leaving."""
+        usable = [w for w in self._workers.values() if w.usable(now)]
+        for worker in self._workers.values():
+            if not worker.leaving:
+                continue
+            for ref, held in list(worker.runs.items()):
+                workflow = self._workflows.get(ref.workflow)
+                if workflow is None or held.stopping:
+                    continue
+                if held.step.long_running and any(
+                    eligible(workflow, ref, usable, now)
+                ):
+                    self._stop(ref, held.run, "worker-leaving")
+
     def plan(self, now: float, wall_now: float) -> None:
         """Place tasks that are ready, the most urgent workflows first.
 
@@ -380,17 +397,24 @@
                 complete = False
                 continue
             step = workflow.step(ref)
-            candidates = self._candidates(workflow, ref, usable, now)
+            if step.gang:
+                if not workflow.present_run(ref, workflow.task(ref).run):
+                    placed = self._start_gang(workflow, ref, usable, now)
+                    complete = complete and placed
+                continue
+            candidates = eligible(workflow, ref, usable, now)
             worker = self._placement.choose(step, candidates)
             pressed = False
             if worker is None and self._starves(workflow, now):
-                candidates = self._candidates(workflow, ref, usable, now)
+                candidates = eligible(workflow, ref, usable, now)
                 worker = self._placement.choose_despite_harm(step, candidates)
                 pressed = worker is not None
             if worker is None:
                 refused.add((ref.occurrence, ref.step))
                 complete = False
-                self._make_room(workflow, ref, usable)
+                for victim, other in victims(workflow, ref, usable):
+                    run = victim.runs[other].run
+                    self._stop(other, run, "preempted")
                 continue
             self._start(workflow, ref, worker, pressed, now)
         if not complete and not workflow.has_placed:
@@ -399,80 +423,39 @@
             self._starving_since.pop(workflow.id, None)
         return complete
 
-    def _make_room(
-        self, workflow: Workflow, ref: TaskRef, usable: list[HeldWorker]
-    ) -> None:
-        """Stop less urgent runs where a step finds no room.
-
-        Runs that are stopping already count as room, so that a step evicts
-        no more than it needs.
-        """
-        missing = sum(
-            1 for other in workflow.ready(float("inf")) if other[:3] == ref[:3]
-        )
-        for worker in usable:
-            leaving = [h for h in worker.runs.values() if h.stopping]
-            missing -= self._slots(workflow, ref, worker, leaving)
-        for worker in sorted(usable, key=lambda w: -w.filling_count):
-            if missing <= 0:
-                return
-            missing -= self._evict(workflow, ref, worker, missing)
-
-    def _evict(
+    def _start_gang(
         self,
         workflow: Workflow,
         ref: TaskRef,
-        worker: HeldWorker,
-        missing: int,
-    ) -> int:
-        """Stop runs on a worker; return for how many tasks that makes room.
-
-        Runs that lose least work go first.
-        """
-        leaving = [held for held in worker.runs.values() if held.stopping]
-        before = self._slots(workflow, ref, worker, leaving)
-        evictable = sorted(
-            (
-                (not held.step.checkpointing, held.percent, other)
-                for other, held in worker.runs.items()
-                if held.priority > workflow.spec.priority
-                and not held.stopping
-                and not held.step.long_running
-                and (held.step.memory_mb or not held.step.fills)
-            ),
-        )
-        chosen: list[TaskRef] = []
-        gained = 0
-        for _, _, other in evictable:
-            if gained >= missing:
-                break
-            chosen.append(other)
-            leaving.append(worker.runs[other])
-            gained = self._slots(workflow, ref, worker, leaving) - before
-        if gained <= 0:
-            return 0
-        for other in chosen:
-            self._stop(other, worker.runs[other].run, "preempted")
-        return gained
-
-    @staticmethod
-    def _slots(
-        workflow: Workflow,
-        ref: TaskRef,
-        worker: HeldWorker,
-        leaving: list[HeldRun],
-    ) -> int:
+        usable: list[HeldWorker],
+        now: float,
+    ) -> bool:
+        """Place all members of a gang, or none when one finds no room."""
         step = workflow.step(ref)
-        offer = worker.offer
-        if offer.service != workflow.spec.service:
-            return 0
-        if step.label and step.label not in offer.labels:
-            return 0
-        room = worker.room_after(step, leaving)
-        if step.max_per_worker:
-            same = sum(1 for _ in worker.of_step(ref))
-            room = min(room, step.max_per_worker - same)
-        return max(0, room)
+        chosen: list[tuple[TaskRef, HeldWorker]] = []
+        for member in workflow.members(ref):
+            worker = self._placement.choose(
+                step, eligible(workflow, member, usable, now)
+            )
+            if worker is None:
+                break
+            worker.add(member, HeldRun(0, step, workflow.spec.priority, now))
+            chosen.append((member, worker))
+        for member, worker in chosen:
+            worker.remove(member, 0)
+        if len(chosen) < step.count:
+            return False
+        for member, worker in chosen:
+            self._start(workflow, member, worker, False, now)
+        return True
+
+    def _stop_gang(self, workflow: Workflow, ref: TaskRef) -> None:
+        """Stop the others when one member of a gang has ended."""
+        if workflow.step(ref).gang:
+            for member in workflow.members(ref):
+                run = workflow.task(member).run
+                if workflow.present_run(member, run):
+                    self._stop(member, run, "gang-broken")
 
     def _starves(self, workflow: Workflow, now: float) -> bool:
         if workflow.has_placed:
@@ -480,36 +463,6 @@
         since = self._starving_since.get(workflow.id, now)
         return now - since > _PRESS_AFTER_S
 
-    def _candidates(
-        self,
-        workflow: Workflow,
-        ref: TaskRef,
-        usable: list[HeldWorker],
-        now: float,
-    ) -> Iterable[HeldWorker]:
-        step = workflow.step(ref)
-        # A task that failed is tried elsewhere, so that one bad worker does
-        # not use up its attempts.
-        failed_on = workflow.task(ref).failed_on
-        avoided = failed_on if len(failed_on) < len(usable) else set()
-        for worker in usable:
-            if worker.key in avoided:
-                continue
-            offer = worker.offer
-            if offer.service != workflow.spec.service:
-                continue
-            if step.label and step.label not in offer.labels:
-                continue
-            if not worker.fits(step):
-                continue
-            if step.fills and not worker.takes_filling(now):
-                continue
-            if step.max_per_worker:
-                same = sum(1 for _ in worker.of_step(ref))
-                if same >= step.max_per_worker:
-                    continue
-            yield worker
-
     def _start(
         self,
         workflow: Workflow,
@@ -531,7 +484,7 @@
                 pressed=pressed,
             ),
         )
-        checkpoint = workflow.task(ref).checkpoint
+        checkpoint = workflow.checkpoint(ref)
         self._next.orders.append(
             StartOrder(worker.key, ref, run, workflow.spec.payload, checkpoint)
         )
@@ -574,6 +527,7 @@
         for member in members:
             if workflow.task(member).state is TaskState.DONE:
                 self._release_everywhere(member, run)
+        self._stop_gang(workflow, ref)
         self._touch(workflow)
         self._log.line(
             "task.ended", str(ref), run=run, worker=worker.key.id, end=end
@@ -604,51 +558,6 @@
             "task.unexpected", str(ref), run=run, worker=worker.key.id
         )
 
-    def _note_tail(
-        self, worker: HeldWorker, held: HeldRun, now: float
-    ) -> None:
-        if not self._interference.is_harmed(held):
-            held.over_since = None
-            return
-        worker.close_to_filling(now + _RECOVERY_S)
-        if held.over_since is None:
-            held.over_since = now
-
-    def _protect(self, worker: HeldWorker, now: float) -> None:
-        """Move a filling image away from serving tasks that it harms.
-
-        Where that has not helped soon, filling tasks are halted: first the
-        likely ones, then all.
-        """
-        suspects = self._interference.suspects(
-            worker, now, _SUSPECT_S, _SUSPECT_ODDS
-        ) | self._interference.suspects(worker, now, _HALT_S, 0.0)
-        if suspects:
-            self._halt(worker, suspects, now)
-            return
-        culprit = self._interference.culprit(worker, now)
-        if culprit is None:
-            return
-        for ref, held in list(worker.runs.items()):
-            if held.step.image != culprit or not held.step.fills:
-                continue
-            if held.stopping or held.pace == 0:
-                continue
-            restartable = (
-                held.step.checkpointing or held.percent < _RESTART_PERCENT
-            )
-            if restartable and not held.pressed:
-                self._stop(ref, held.run, "harms-a-serving-task")
-            else:
-                self._pace(worker, ref, held, held.pace // 10, now)
-
-    def _halt(self, worker: HeldWorker, images: set[str], now: float) -> None:
-        for ref, held in worker.runs.items():
-            if held.step.image not in images or not held.step.fills:
-                continue
-            if held.pace > 0 and not held.stopping:
-                self._pace(worker, ref, held, 0, now)
-
     def _pace(
         self,
         worker: HeldWorker,
@@ -668,21 +577,6 @@
             percent=percent,
         )
 
-    def _resume(self, worker: HeldWorker, now: float) -> None:
-        """Let paced tasks work faster while nobody beside them is harmed."""
-        if not worker.takes_filling(now):
-            return
-        for ref, held in worker.runs.items():
-            if held.pace == 100 or held.stopping:
-                continue
-            if now - held.paced_at < _PACE_INTERVAL_S:
-                continue
-            if not self._interference.harms(held.step.image, worker):
-                held.pressed = False
-                self._pace(worker, ref, held, 100, now)
-            elif not held.pace:
-                self._pace(worker, ref, held, _PRESSED_PACE, now)
-
     def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
         workflow = self._workflows[ref.workflow]
         key = workflow.task(ref).worker
@@ -736,6 +630,7 @@
         workflow = self._workflows.get(ref.workflow)
         if workflow is None or not workflow.lose_run(ref, run):
             return
+        self._stop_gang(workflow, ref)
         self._touch(workflow)
         self._log.line(
             "task.lost",
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -331,6 +331,7 @@
                         Concluded(self._term, number, OrderOutcome.UNKNOWN)
                     )
             self._planner.expire(now)
+            self._planner.evacuate(now)
             if now - self._stopped_at > _STOP_AGAIN_S:
                 self._stopped_at = now
                 self._planner.retry_stops()
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -148,6 +148,16 @@
             and task.run == run
         )
 
+    def checkpoint(self, ref: TaskRef) -> str:
+        """Return the checkpoint to resume from, empty for none.
+
+        That of any member is valid for its gang, and all carry the same.
+        """
+        if not self.step(ref).gang:
+            return self.task(ref).checkpoint
+        tasks = self._tasks[ref.occurrence, ref.step]
+        return next((t.checkpoint for t in tasks if t.checkpoint), "")
+
     def place(self, ref: TaskRef, worker: WorkerKey) -> int:
         """Give a task's next run to a worker.
 
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -261,6 +261,52 @@
         self.assertEqual([], starts(planner, 0.5))
 
 
+class GangTest(TestCase):
+    """Tasks that work only together."""
+
+    _GANG = StepSpec(3, cpu_millis=3000, memory_mb=10, gang=True)
+
+    def test_gang_starts_all_at_once_or_not_at_all(self) -> None:
+        """Guards against members that wait alone for the others."""
+        planner = _with_workers("w1", "w2")
+        planner.admit(workflow_spec(self._GANG), False)
+        self.assertEqual([], starts(planner))
+        planner.offer([offer(name) for name in ("w1", "w2", "w3")])
+        planner.hear(report("w3"), 0.1)
+        orders = starts(planner, 0.1)
+        self.assertEqual([1, 1, 1], [order.run for order in orders])
+
+    def test_lost_member_stops_the_others(self) -> None:
+        """Guards against members that wait for one that never comes."""
+        planner = _with_workers("w1", "w2", "w3")
+        planner.admit(workflow_spec(self._GANG), False)
+        orders = starts(planner)
+        planner.conclude(orders[0], OrderOutcome.FULL, 0.1)
+        stops = planner.take_urgent()
+        self.assertEqual(
+            {order.ref for order in orders[1:]}, {s.ref for s in stops}
+        )
+
+
+class EvacuationTest(TestCase):
+    """Workers that leave."""
+
+    def test_long_running_task_moves_before_its_worker_leaves(self) -> None:
+        """Guards against a lasting task that ends with its worker."""
+        step = StepSpec(1, cpu_millis=10, memory_mb=1, long_running=True)
+        planner = _with_workers("w1")
+        planner.admit(workflow_spec(step), False)
+        (start,) = starts(planner)
+        planner.offer([offer("w1", draining=True)])
+        planner.evacuate(0.1)
+        self.assertEqual([], planner.take_urgent())
+        planner.offer([offer("w1", draining=True), offer("w2")])
+        planner.hear(report("w2"), 0.2)
+        planner.evacuate(0.2)
+        (stop,) = planner.take_urgent()
+        self.assertEqual(start.ref, stop.ref)
+
+
 class SharingTest(TestCase):
     """Filling tasks beside serving ones."""
 
