--- a/tools/check_model.py
+++ b/tools/check_model.py
@@ -5,12 +5,15 @@
 import json
 from pathlib import Path
 import re
+import shutil
 import subprocess
 import sys
 from tempfile import TemporaryDirectory
 
 _SPEC = Path(__file__).resolve().parent.parent / "spec"
 _DEPTH = "1000000"
+_PROGRAMS = ("spin", "gcc")
+_EXIT_MISSING = 69
 
 # Each mechanism that is switched off must lead to a violation.
 _VARIANTS = {
@@ -48,8 +51,17 @@
 def main() -> int:
     """Check all models and variants, one JSON line each.
 
-    :returns: 0 when every whole model holds and every variant is caught
+    :returns: 0 when every whole model holds and every variant is caught,
+        69 when a program that it needs is not installed
     """
+    missing = [name for name in _PROGRAMS if shutil.which(name) is None]
+    if missing:
+        print(
+            f"{', '.join(missing)} not found; install the Debian packages"
+            " spin and gcc",
+            file=sys.stderr,
+        )
+        return _EXIT_MISSING
     holds = True
     for name, mechanisms in _VARIANTS.items():
         for switched_off in (None, *mechanisms):
