Place reserved tasks in the tightest place

Ruled out: keeping room free of lasting tasks, which the users' rule on them forbids while there is capacity. Change: the worker with the least free processor that fits is taken.

--- a/src/carawaystep/planner/sharing_placement.py
+++ b/src/carawaystep/planner/sharing_placement.py
@@ -47,12 +47,10 @@
                 key=lambda worker: self._serving_rank(step, worker),
                 default=None,
             )
+        # The tightest place keeps large ones for large tasks.
         return max(
             candidates,
-            key=lambda worker: (
-                self._near(step, worker),
-                worker.likely_spare_cpu,
-            ),
+            key=lambda worker: (self._near(step, worker), -worker.free_cpu),
             default=None,
         )
 
@@ -98,15 +96,14 @@
 
     def _serving_rank(
         self, step: StepSpec, worker: HeldWorker
-    ) -> tuple[bool, int, int, int]:
+    ) -> tuple[bool, int, int]:
         images = worker.serving_images
         same = images.get(step.image, 0)
         others = sum(images.values()) - same
         return (
             self._near(step, worker),
             min(same, 1) - others,
-            -worker.filling_count,
-            worker.free_cpu,
+            -worker.free_cpu,
         )
 
     @staticmethod
