--- /dev/null
+++ b/tests/scheduler/test_workflow_ledger.py
@@ -0,0 +1,109 @@
+"""Tests of commits whose answers are lost or refused."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from testtools import ExpectedException
+from testtools import TestCase
+
+from carawaystep.planner.changes import Changes
+from carawaystep.scheduler import tables
+from carawaystep.scheduler.store_pulse import StorePulse
+from carawaystep.scheduler.workflow_ledger import TermEnded
+from carawaystep.scheduler.workflow_ledger import WorkflowLedger
+from carawaystep.store.operation import CheckRow
+from carawaystep.store.operation import PutRow
+from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableUnknown
+from carawaystep.workflow.workflow_record import WorkflowRecord
+from tests.planner.planners import SilentLog
+from tests.workflow.workflows import workflow_spec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from carawaystep.store.operation import Operation
+
+_SPEC = workflow_spec()
+_OK = Ok(TableCommit(40, ()))
+
+
+class _Clock:
+    def now(self) -> float:
+        return 10.0
+
+
+class _Table:
+    """Answers in turn, and keeps what was asked."""
+
+    def __init__(self, *answers: object) -> None:
+        self._answers = list(answers)
+        self.asked: list[Sequence[Operation]] = []
+
+    async def transact(self, operations: Sequence[Operation]) -> object:
+        self.asked.append(operations)
+        return self._answers.pop(0)
+
+
+def _conflict(table: str, key: str, version: int) -> object:
+    return Err(TableConflict("conflict", {(table, key): version}))
+
+
+class WorkflowLedgerTest(TestCase):
+    """Commits of one term."""
+
+    def _commit(self, *answers: object) -> list[Sequence[Operation]]:
+        table = _Table(*answers)
+        ledger = WorkflowLedger(
+            table,  # type: ignore[arg-type]
+            _Clock(),  # type: ignore[arg-type]
+            StorePulse(SilentLog(), 0.0),
+            7,
+        )
+        changes = Changes(
+            accepted=[_SPEC], progress={_SPEC.id: WorkflowRecord([])}
+        )
+        asyncio.run(ledger.commit(changes))
+        return table.asked
+
+    def test_every_commit_checks_the_term(self) -> None:
+        """Guards against a write of a leader that was replaced."""
+        (operations,) = self._commit(_OK)
+        self.assertEqual(
+            CheckRow(tables.CONTROL, tables.LEADER_KEY, 7), operations[0]
+        )
+
+    def test_replaced_leader_stops(self) -> None:
+        """Guards against a leader that goes on after its row has changed."""
+        with ExpectedException(TermEnded):
+            self._commit(_conflict(tables.CONTROL, tables.LEADER_KEY, 9))
+
+    def test_commit_that_was_applied_without_an_answer_is_recognised(
+        self,
+    ) -> None:
+        """Guards against a leader that repeats a stored write for ever."""
+        asked = self._commit(
+            Err(TableUnknown("no answer")),
+            _conflict(tables.PROGRESS, _SPEC.id, 35),
+            _OK,
+        )
+        puts = [
+            operation
+            for operation in asked[-1]
+            if isinstance(operation, PutRow)
+            and operation.table == tables.PROGRESS
+        ]
+        self.assertEqual([35], [operation.expected for operation in puts])
+
+    def test_submission_that_a_member_has_stored_is_not_inserted(
+        self,
+    ) -> None:
+        """Guards against a conflict that no repetition resolves."""
+        asked = self._commit(_conflict(tables.SUBMISSIONS, _SPEC.id, 30), _OK)
+        names = {operation.table for operation in asked[-1]}
+        self.assertEqual({tables.CONTROL, tables.PROGRESS}, names)
