Keep transactions within the entries that the store takes

A batch of 30 workflows that end together has 121 entries when conditions and changes count apart, and a store that refuses it would be asked for ever. Result: the new test fails with 30 and passes with 24.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -89,7 +89,9 @@
         self._settings = settings
         self._ports = ports
         self._term = term
-        self._ledger = WorkflowLedger(ports.table, ports.clock, pulse, term)
+        self._ledger = WorkflowLedger(
+            ports.table, ports.clock, pulse, ports.log, term
+        )
         self._pulse = pulse
         lease_s = min(LEASE_S, settings.max_lease_s) * _CLOCK_DRIFT
         lost_s = GRANT_S + lease_s + _MARGIN_S
--- a/src/carawaystep/scheduler/workflow_ledger.py
+++ b/src/carawaystep/scheduler/workflow_ledger.py
@@ -24,6 +24,7 @@
 
     from carawaystep.entry.clock import Clock
     from carawaystep.planner.changes import Changes
+    from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.planner import Planner
     from carawaystep.scheduler.store_pulse import StorePulse
     from carawaystep.store.operation import Operation
@@ -31,9 +32,10 @@
     from carawaystep.store.table_failure import TableFailure
     from carawaystep.store.table_service import TableService
 
-# The service takes 100 entries in a transaction; a settled workflow needs
-# three, and one is the check of the leader's row.
-_WORKFLOWS_PER_COMMIT = 30
+# The service takes 100 entries in a transaction, and counts a condition on a
+# row and a change of it as two. A workflow has at most four, and one is the
+# check of the leader's row.
+_WORKFLOWS_PER_COMMIT = 24
 _RETRY_S = 0.1
 
 
@@ -50,12 +52,19 @@
     """
 
     def __init__(
-        self, table: TableService, clock: Clock, pulse: StorePulse, term: int
+        self,
+        table: TableService,
+        clock: Clock,
+        pulse: StorePulse,
+        log: DecisionLog,
+        term: int,
     ) -> None:
         """Create the ledger of a term that has read nothing.
 
+        :param log: takes a line for each commit that failed
         :param term: version of the leader's row
         """
+        self._log = log
         self._table = table
         self._clock = clock
         self._pulse = pulse
@@ -166,6 +175,12 @@
                 self._adopt(failure, inserts)
                 continue
             self._pulse.failed(failure.detail, now)
+            self._log.line(
+                "commit.failed",
+                str(self._term),
+                workflows=len(names),
+                detail=failure.detail,
+            )
             await asyncio.sleep(_RETRY_S)
 
     def _operations(
--- a/tests/scheduler/test_workflow_ledger.py
+++ b/tests/scheduler/test_workflow_ledger.py
@@ -21,6 +21,7 @@
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableUnknown
 from carawaystep.workflow.workflow_record import WorkflowRecord
+from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import SilentLog
 from tests.workflow.workflows import workflow_spec
 
@@ -58,17 +59,24 @@
     """Commits of one term."""
 
     def _commit(self, *answers: object) -> list[Sequence[Operation]]:
+        changes = Changes(
+            accepted=[_SPEC], progress={_SPEC.id: WorkflowRecord([])}
+        )
+        return self._commit_all([changes], *answers)
+
+    def _commit_all(
+        self, batches: list[Changes], *answers: object
+    ) -> list[Sequence[Operation]]:
         table = _Table(*answers)
         ledger = WorkflowLedger(
             table,  # type: ignore[arg-type]
             _Clock(),  # type: ignore[arg-type]
             StorePulse(SilentLog(), 0.0),
+            SilentLog(),
             7,
         )
-        changes = Changes(
-            accepted=[_SPEC], progress={_SPEC.id: WorkflowRecord([])}
-        )
-        asyncio.run(ledger.commit(changes))
+        for changes in batches:
+            asyncio.run(ledger.commit(changes))
         return table.asked
 
     def test_every_commit_checks_the_term(self) -> None:
@@ -78,6 +86,30 @@
             CheckRow(tables.CONTROL, tables.LEADER_KEY, 7), operations[0]
         )
 
+    def test_transaction_stays_within_the_entries_that_are_taken(
+        self,
+    ) -> None:
+        """Guards against a batch of ends that the store always refuses."""
+        names = [f"{number:016x}" for number in range(90)]
+        progress = {name: WorkflowRecord([]) for name in names}
+        ended = dict.fromkeys(names, WorkflowState.CANCELLED)
+        asked = self._commit_all(
+            [
+                Changes(progress=progress),
+                Changes(progress=progress, ended=ended),
+            ],
+            *[_OK] * 20,
+        )
+        entries = [
+            sum(
+                (operation.expected is not None)
+                + (not isinstance(operation, CheckRow))
+                for operation in operations
+            )
+            for operations in asked
+        ]
+        self.assertLessEqual(max(entries), 100)
+
     def test_replaced_leader_stops(self) -> None:
         """Guards against a leader that goes on after its row has changed."""
         with ExpectedException(TermEnded):
