--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -21,6 +21,8 @@
 
 # A leader that was elected just now needs this long to reach the members.
 _SETTLE_S = 0.8
+# Calls to the store between its election and its first sign of life.
+_CALLS_TO_SETTLE = 5
 
 
 class Candidate:
@@ -45,11 +47,15 @@
         self._pulse = pulse
         self._version = -1
         self._seen_at = 0.0
+        self._read_s = 0.0
+        self._last_term = 0
 
     async def observe(self) -> Row | None:
         """Read the row and note since when it has been as it is."""
+        began_at = self._ports.clock.now()
         read = await self._ports.table.get(tables.CONTROL, tables.LEADER_KEY)
         now = self._ports.clock.now()
+        self._read_s = now - began_at
         if isinstance(read, Err):
             self._pulse.failed(read.err_value.detail, now)
             self._version = -1
@@ -69,26 +75,48 @@
             store did not answer
         """
         row = await self.observe()
-        if self._version < 0 or self._may_still_come(row):
+        if self._version < 0:
+            return None
+        if (
+            row is not None
+            and self._present(row) == self._record
+            and self._version > self._last_term
+        ):
+            # The answer to the last attempt was lost after it was applied. A
+            # term that this process has led is not led again, because orders
+            # of it may still be on their way.
+            return self._elected(self._version)
+        if self._may_still_come(row):
             return None
         value = msgspec.to_builtins(self._record)
         written = await self._ports.table.transact(
             [PutRow(tables.CONTROL, tables.LEADER_KEY, self._version, value)]
         )
         if isinstance(written, Ok):
-            term = written.ok_value.revision
-            self._ports.log.line(
-                "leader.elected",
-                self._record.name,
-                term=term,
-                earlier=self._version,
-            )
-            return term
+            return self._elected(written.ok_value.revision)
         if not isinstance(written.err_value, TableConflict):
             now = self._ports.clock.now()
             self._pulse.failed(written.err_value.detail, now)
         return None
 
+    def _elected(self, term: int) -> int:
+        self._last_term = term
+        self._ports.log.line(
+            "leader.elected",
+            self._record.name,
+            term=term,
+            earlier=self._leadership.term,
+        )
+        return term
+
+    @staticmethod
+    def _present(row: Row) -> LeaderRecord | None:
+        """Return who leads by the row, None when it cannot be read."""
+        try:
+            return msgspec.convert(row.value, LeaderRecord)
+        except msgspec.ValidationError:
+            return None
+
     def _may_still_come(self, row: Row | None) -> bool:
         """Tell whether the row names a leader that is about to show itself.
 
@@ -104,10 +132,8 @@
                 not self._leadership.should_challenge(now)
                 or self._pulse.steady_s(now) < _SETTLE_S
             )
-        try:
-            present = msgspec.convert(row.value, LeaderRecord)
-        except msgspec.ValidationError:
-            return False
-        if present.name == self._record.name:
+        present = self._present(row)
+        if present is None or present.name == self._record.name:
             return False
-        return now - self._seen_at < _SETTLE_S
+        settle_s = _SETTLE_S + _CALLS_TO_SETTLE * self._read_s
+        return now - self._seen_at < settle_s
--- a/src/carawaystep/scheduler/workflow_ledger.py
+++ b/src/carawaystep/scheduler/workflow_ledger.py
@@ -15,6 +15,7 @@
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableRefused
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -181,7 +182,8 @@
                 workflows=len(names),
                 detail=failure.detail,
             )
-            await asyncio.sleep(_RETRY_S)
+            if isinstance(failure, TableRefused):
+                await asyncio.sleep(_RETRY_S)
 
     def _operations(
         self,
--- a/tests/scheduler/test_candidate.py
+++ b/tests/scheduler/test_candidate.py
@@ -33,13 +33,14 @@
     def __init__(self) -> None:
         self.row: Row | None = None
         self.on_read: Callable[[], None] = lambda: None
+        self.commit = 50
 
     async def get(self, table: str, key: str) -> Ok[Row | None]:
         self.on_read()
         return Ok(self.row)
 
     async def transact(self, operations: object) -> Ok[TableCommit]:
-        return Ok(TableCommit(50, (50,)))
+        return Ok(TableCommit(self.commit, (self.commit,)))
 
 
 class _Ports:
@@ -90,6 +91,34 @@
         self._lead("edge-1", 20)
         self.assertEqual(50, self._challenge())
 
+    def test_own_attempt_without_an_answer_is_recognised(self) -> None:
+        """Guards against a second election after a lost answer."""
+        value = {"name": "edge-1", "incarnation": "new"}
+        self.ports.table.row = Row("leader", value, 30, 30)
+        self.assertEqual(30, self._challenge())
+
+    def test_term_that_was_led_is_not_led_again(self) -> None:
+        """Guards against a second planner under one fencing token."""
+        self.assertEqual(50, self._challenge())
+        value = {"name": "edge-1", "incarnation": "new"}
+        self.ports.table.row = Row("leader", value, 50, 50)
+        self.ports.table.commit = 60
+        self.assertEqual(60, self._challenge())
+
+    def test_new_leader_is_given_more_time_by_a_slow_store(self) -> None:
+        """Guards against deposing a leader that waits for slow answers."""
+        self._lead("edge-2", 20)
+
+        def slow() -> None:
+            self.ports.clock.at += 0.3
+
+        self.ports.table.on_read = slow
+        self.assertIsNone(self._challenge())
+        self.ports.clock.at += 1.0
+        self.assertIsNone(self._challenge())
+        self.ports.clock.at += 1.0
+        self.assertEqual(50, self._challenge())
+
     def test_leader_that_is_heard_during_the_read_is_kept(self) -> None:
         """Guards against deposing a leader whose first sign came late."""
         self._lead("edge-2", 20)
