Explain a request from collected logs; serve histograms of durations

Cause: on-call engineers have only logs and metrics, and collected the lines of one request by hand; latencies were in lines only. Change: carawaystep explain ID LOG...; histograms of the seconds of submissions and of runs on the metrics address.

--- a/src/carawaystep/adapters/logs/json_decision_log.py
+++ b/src/carawaystep/adapters/logs/json_decision_log.py
@@ -17,6 +17,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
+
+    _Observer = Callable[[str, Mapping[str, str | int | float]], None]
 
 _QUEUED_LINES = 4000
 # Lines of one kind in a second; the number left out follows in a line.
@@ -64,12 +67,12 @@
         absl_logging.set_verbosity(absl_logging.INFO)
         self._second = 0
         self._counts: dict[str, int] = {}
-        self._on_line: Callable[[str], None] | None = None
+        self._on_line: _Observer | None = None
 
-    def observe(self, on_line: Callable[[str], None]) -> None:
-        """Call a function with the event of each line, also of left out ones.
+    def observe(self, on_line: _Observer) -> None:
+        """Call a function for each line, also for those left out.
 
-        :param on_line: such as the increment of a counter
+        :param on_line: takes event and inputs, such as to count
         """
         self._on_line = on_line
 
@@ -78,7 +81,7 @@
     ) -> None:
         """Record a decision without waiting."""
         if self._on_line is not None:
-            self._on_line(event)
+            self._on_line(event, inputs)
         now = time.time()
         if int(now) != self._second:
             self._close_second(now)
--- a/src/carawaystep/adapters/metrics/process_metrics.py
+++ b/src/carawaystep/adapters/metrics/process_metrics.py
@@ -63,6 +63,7 @@
         )
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
+        self._histograms: dict[str, Histogram] = {}
 
     def request_finished(
         self,
@@ -104,6 +105,23 @@
             self._counters[name] = counter
         counter.add({}, n)
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Note a duration in a histogram without labels.
+
+        :param name: snake case, without prefix and ``_seconds``
+        :param seconds: the duration
+        """
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                f"{_PREFIX}_{name}_seconds",
+                f"Seconds of {name.replace('_', ' ')}",
+                registry=self._registry,
+                buckets=_LATENCY_BUCKETS_S,
+            )
+            self._histograms[name] = histogram
+        histogram.observe({}, seconds)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge without labels.
 
--- a/src/carawaystep/console/application.py
+++ b/src/carawaystep/console/application.py
@@ -10,11 +10,12 @@
 
 from carawaystep.console.commands.document_command import DocumentCommand
 from carawaystep.console.commands.entry_command import EntryCommand
+from carawaystep.console.commands.explain import Explain
 from carawaystep.console.commands.settings_command import SettingsCommand
 from carawaystep.console.commands.standin_command import StandinCommand
 
 _Commands = cappa.Subcommands[
-    EntryCommand | StandinCommand | SettingsCommand | DocumentCommand
+    EntryCommand | StandinCommand | SettingsCommand | DocumentCommand | Explain
 ]
 
 
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -510,7 +510,8 @@
         now: float,
     ) -> None:
         ref, run, end = ended.ref, ended.run, ended.end
-        worker.remove(ref, run)
+        held = worker.remove(ref, run)
+        seconds = 0.0 if held is None else now - held.placed_at
         workflow = self._workflows.get(ref.workflow)
         if workflow is None:
             return
@@ -530,7 +531,12 @@
         self._stop_gang(workflow, ref)
         self._touch(workflow)
         self._log.line(
-            "task.ended", str(ref), run=run, worker=worker.key.id, end=end
+            "task.ended",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            end=end,
+            seconds=seconds,
         )
         if workflow.ended:
             for other, task in list(workflow.placed()):
--- a/tests/adapters/logs/test_json_decision_log.py
+++ b/tests/adapters/logs/test_json_decision_log.py
@@ -38,6 +38,17 @@
             line,
         )
 
+    def test_observer_hears_every_line(self) -> None:
+        """Guards against counters that miss what the log leaves out."""
+        heard: list[str] = []
+        with redirect_stdout(StringIO()):
+            log = JsonDecisionLog("edge-1")
+            log.observe(lambda event, inputs: heard.append(event))
+            for number in range(1000):
+                log.line("task.placed", f"t{number}")
+            log.close()
+        self.assertEqual(1000, len(heard))
+
     def test_flood_is_cut_and_counted(self) -> None:
         """Guards against a volume that grows with the load."""
         lines = self._written(3000)
--- /dev/null
+++ b/tests/console/test_explain.py
@@ -0,0 +1,65 @@
+"""Tests of the command that explains a request."""
+
+from __future__ import annotations
+
+from contextlib import redirect_stderr
+from contextlib import redirect_stdout
+from io import StringIO
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from carawaystep.console.application import run
+
+
+def _line(at: float, event: str, subject: str, **inputs: object) -> str:
+    fields = {"t": at, "node": "edge-1", "event": event, "id": subject}
+    return json.dumps({**fields, **inputs})
+
+
+class ExplainTest(TestCase):
+    """Time lines over several logs."""
+
+    def _run(self, *lines: str, request: str = "5c0e") -> tuple[int, str]:
+        with TemporaryDirectory() as folder:
+            logs = []
+            for number, line in enumerate(lines):
+                path = Path(folder) / f"{number}.log"
+                path.write_text(f"{line}\n")
+                logs.append(str(path))
+            output = StringIO()
+            with redirect_stdout(output), redirect_stderr(output):
+                code = run(["explain", request, *logs])
+        return code, output.getvalue()
+
+    def test_lines_of_all_processes_are_in_order(self) -> None:
+        """Guards against causes that stand after their effects."""
+        code, told = self._run(
+            _line(12.0, "task.ended", "5c0e.0.0.1", end="failed"),
+            "  11.0 edge-2 " + _line(11.0, "store.lost", "store"),
+            _line(10.0, "workflow.admitted", "5c0e"),
+            _line(9.0, "store.lost", "store"),
+            _line(11.5, "task.placed", "77aa.0.0.1"),
+            "no decision",
+        )
+        self.assertEqual(0, code)
+        events = [line.split()[2] for line in told.splitlines()]
+        self.assertEqual(
+            ["workflow.admitted", "store.lost", "task.ended"], events
+        )
+        self.assertIn("end=failed", told)
+
+    def test_unknown_request_is_said(self) -> None:
+        """Guards against an empty answer that looks like no trouble."""
+        code, told = self._run(_line(1.0, "task.ended", "77aa.0.0.1"))
+        self.assertEqual(1, code)
+        self.assertIn("no decision about 5c0e", told)
+
+    def test_missing_log_is_named(self) -> None:
+        """Guards against a traceback for a wrong path."""
+        output = StringIO()
+        with redirect_stderr(output):
+            self.assertEqual(2, run(["explain", "5c0e", "/absent.log"]))
+        self.assertIn("/absent.log", output.getvalue())
