--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -26,7 +26,7 @@
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.member_record import MemberRecord
-from carawaystep.membership.rendezvous import weight
+from carawaystep.leadership.worker_shares import share_workers
 from carawaystep.planner.interference import Interference
 from carawaystep.planner.planner import Planner
 from carawaystep.planner.planner_limits import PlannerLimits
@@ -355,15 +355,13 @@
         }
         if not available:
             return
+        offers = {
+            key: worker.offer for key, worker in self._planner.workers.items()
+        }
+        owners = share_workers(offers.values(), available, self.name)
         shares: dict[str, list[AssignedWorker]] = {n: [] for n in available}
-        load = dict.fromkeys(available, 0.0)
-        owners: dict[WorkerKey, str] = {}
-        for key in sorted(self._planner.workers):
-            offer = self._planner.workers[key].offer
-            name = self._choose_member(key, offer, available, load)
-            owners[key] = name
-            load[name] += 1.0 / available[name].cores
-            shares[name].append(AssignedWorker(key, offer.address))
+        for key, name in owners.items():
+            shares[name].append(AssignedWorker(key, offers[key].address))
         for key, name in owners.items():
             if self._owners.get(key) != name:
                 self._planner.reassigned(key)
@@ -371,26 +369,6 @@
         for name, workers in shares.items():
             await self._sessions[name].assign(workers)
 
-    def _choose_member(
-        self,
-        key: WorkerKey,
-        offer: WorkerOffer,
-        available: dict[str, MemberRecord],
-        load: dict[str, float],
-    ) -> str:
-        zone = offer.availability_zone
-        near = [
-            name
-            for name, record in available.items()
-            if record.availability_zone == zone
-        ]
-        names = near or list(available)
-        # The leader's own machine plans, so it calls fewer workers.
-        extra = {name: 2.0 if name == self.name else 0.0 for name in names}
-        return min(
-            names, key=lambda n: (load[n] + extra[n], weight(key.id, n))
-        )
-
     async def _follow_members(self) -> None:
         feed = Feed(self._ports, self._pulse, tables.MEMBERS, _FEED_WAIT_S)
         while True:
