Remove state that nothing reads, and name the loss of a run once

Cause: a read of the whole change found a field of runs, a property of the store's pulse and a flag of queues that were written and never read, an argument that was not used, two copies of the line for a lost run, and a comment that said that unexpected runs keep their room, which they do not. Change: these are removed or joined. Behaviour is the same.

--- a/src/carawaystep/fleet/held_run.py
+++ b/src/carawaystep/fleet/held_run.py
@@ -24,7 +24,6 @@
     :param pressed: whether it was placed beside tasks that it likely harms,
         because nothing else of its workflow runs
     :param percent: reported progress
-    :param advanced_at: when the progress last rose, seconds
     :param figure: reported tail latency or processor use
     :param pace: share of full speed it was last ordered to, percent
     :param paced_at: when that was, seconds
@@ -41,7 +40,6 @@
     absences: int | None = None
     pressed: bool = False
     percent: float = 0.0
-    advanced_at: float = 0.0
     figure: float = 0.0
     pace: int = 100
     paced_at: float = 0.0
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -225,11 +225,9 @@
             self._next.acknowledged[report.worker] = report.ended[-1].number
         seen = {(item.ref, item.run) for item in report.running}
         for item in report.running:
-            self._see(worker, item.ref, item.run, item.checkpoint, now)
+            self._see(worker, item.ref, item.run, item.checkpoint)
             held = worker.runs.get(item.ref)
             if held is not None and held.run == item.run:
-                if item.percent > held.percent:
-                    held.advanced_at = now
                 held.percent = item.percent
                 held.figure = item.figure
         self._settle_doubts(worker, seen)
@@ -305,7 +303,7 @@
 
     def evacuate(self, now: float) -> None:
         """Move long-running tasks away from workers that are leaving."""
-        usable = [w for w in self._workers.values() if w.usable(now)]
+        usable = self._usable(now)
         for worker in self._workers.values():
             if not worker.leaving:
                 continue
@@ -324,7 +322,7 @@
         :param now: present time, seconds of a steady clock
         :param wall_now: present wall-clock time in seconds
         """
-        usable = [w for w in self._workers.values() if w.usable(now)]
+        usable = self._usable(now)
         hungry = [
             self._workflows[name]
             for name in self._hungry
@@ -374,6 +372,9 @@
         self._dirty.clear()
         return changes
 
+    def _usable(self, now: float) -> list[HeldWorker]:
+        return [w for w in self._workers.values() if w.usable(now)]
+
     def _urgency(
         self, workflow: Workflow, wall_now: float
     ) -> tuple[int, bool, float]:
@@ -480,7 +481,6 @@
                 step,
                 workflow.spec.priority,
                 now,
-                advanced_at=now,
                 pressed=pressed,
             ),
         )
@@ -548,7 +548,6 @@
         ref: TaskRef,
         run: int,
         checkpoint: str,
-        now: float,
     ) -> None:
         held = worker.runs.get(ref)
         workflow = self._workflows.get(ref.workflow)
@@ -557,8 +556,7 @@
             if workflow.ended and not held.stopping:
                 self._stop(ref, run, "workflow-ended")
             return
-        # Runs that this planner has given up; they keep their room until
-        # their end is listed.
+        # A late order has started a run that this planner has given up.
         self._urgent.append(StopOrder(worker.key, ref, run))
         self._log.line(
             "task.unexpected", str(ref), run=run, worker=worker.key.id
@@ -637,13 +635,19 @@
         if workflow is None or not workflow.lose_run(ref, run):
             return
         self._stop_gang(workflow, ref)
+        self._note_lost(workflow, ref, run, worker.key, reason)
+
+    def _note_lost(
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        run: int,
+        key: WorkerKey,
+        reason: str,
+    ) -> None:
         self._touch(workflow)
         self._log.line(
-            "task.lost",
-            str(ref),
-            run=run,
-            worker=worker.key.id,
-            reason=reason,
+            "task.lost", str(ref), run=run, worker=key.id, reason=reason
         )
 
     def _release_everywhere(self, ref: TaskRef, run: int) -> None:
@@ -686,14 +690,7 @@
                 if task.worker == key:
                     run = task.run
                     workflow.lose_run(ref, run)
-                    self._touch(workflow)
-                    self._log.line(
-                        "task.lost",
-                        str(ref),
-                        run=run,
-                        worker=key.id,
-                        reason="worker-gone",
-                    )
+                    self._note_lost(workflow, ref, run, key, "worker-gone")
 
     def _touch(self, workflow: Workflow) -> None:
         self._dirty.add(workflow.id)
--- a/src/carawaystep/routing/queue_route.py
+++ b/src/carawaystep/routing/queue_route.py
@@ -17,8 +17,6 @@
     :param max_attempts: failures of a task that fail the workflow
     :param stretch: factor of the longest chain that is still on time
     :param objective_s: seconds beside the chain that are still on time
-    :param advised: whether a placement service says which workers may run
-        its steps
     """
 
     name: str
@@ -29,4 +27,3 @@
     max_attempts: int
     stretch: float
     objective_s: float
-    advised: bool = False
--- a/src/carawaystep/scheduler/store_pulse.py
+++ b/src/carawaystep/scheduler/store_pulse.py
@@ -22,11 +22,6 @@
         self._lost = False
         self._steady_since: float | None = None
 
-    @property
-    def answered_at(self) -> float | None:
-        """Return when the store last answered, None for never."""
-        return self._answered_at
-
     @property
     def lost(self) -> bool:
         """Tell whether the store counts as lost."""
