Ask the placement service for tickets; split the planner by what its parts own

Ruled out: asking from the leader alone.

Change: permits are an aggregate of the planner, questions are spread over the members, and a rejected ticket is asked for again without a pause of the worker. The book of workflows, the feeder of ready tasks and the desk of orders are classes of their own.

Before: tests/planner/test_permits.py and the tickets of test_system.py fail (nothing starts). After: tests of planner, workflow, scheduler and users' platform pass.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -14,6 +14,7 @@
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.fleet.worker_report import WorkerReport
+from carawaystep.planner.advice_request import AdviceRequest
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
 
@@ -92,6 +93,13 @@
     term: int
 
 
+class Consult(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Ask the placement service a question on behalf of the leader."""
+
+    term: int
+    request: AdviceRequest
+
+
 class CallReply(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Answer to a call of a member.
 
@@ -147,6 +155,18 @@
     outcome: OrderOutcome
 
 
+class Consulted(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """What the placement service answered.
+
+    :param tickets: by id of the workers that may run the step, None when
+        the service did not answer
+    """
+
+    term: int
+    request: AdviceRequest
+    tickets: dict[str, str] | None
+
+
 class Submit(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """A caller submitted a workflow."""
 
@@ -168,6 +188,17 @@
     workflow: str
 
 
-FromLeader = Lead | Assign | Orders | Acknowledge | Told | Farewell | CallReply
-FromMember = Alive | Report | Superseded | Concluded | Submit | Cancel | Ask
+FromLeader = (
+    Lead
+    | Assign
+    | Orders
+    | Acknowledge
+    | Told
+    | Farewell
+    | Consult
+    | CallReply
+)
+FromMember = (
+    Alive | Report | Superseded | Concluded | Consulted | Submit | Cancel | Ask
+)
 Message = FromLeader | FromMember
--- /dev/null
+++ b/src/carawaystep/planner/order_desk.py
@@ -0,0 +1,82 @@
+"""Orders of the planner and the log lines that go with them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.fleet.order import PaceOrder
+from carawaystep.fleet.order import StopOrder
+
+if TYPE_CHECKING:
+    from carawaystep.fleet.held_run import HeldRun
+    from carawaystep.fleet.held_worker import HeldWorker
+    from carawaystep.fleet.order import Order
+    from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.workflow.task_ref import TaskRef
+
+
+class OrderDesk:
+    """Orders that need nothing stored first."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        """Create a desk without orders.
+
+        :param log: takes a line for each order
+        """
+        self._log = log
+        self._orders: list[Order] = []
+
+    def take(self) -> list[Order]:
+        """Return the orders given since the last call."""
+        orders, self._orders = self._orders, []
+        return orders
+
+    def stop(
+        self, worker: HeldWorker, ref: TaskRef, run: int, reason: str
+    ) -> None:
+        """Have a run stopped unless that is under way."""
+        held = worker.runs.get(ref)
+        if held is None or held.run != run or held.stopping:
+            return
+        held.stopping = True
+        self._orders.append(StopOrder(worker.key, ref, run))
+        self._log.line(
+            "task.stopping",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            reason=reason,
+        )
+
+    def stop_unexpected(
+        self, worker: HeldWorker, ref: TaskRef, run: int
+    ) -> None:
+        """Have a run stopped that no planner of this term has placed."""
+        self._orders.append(StopOrder(worker.key, ref, run))
+        self._log.line(
+            "task.unexpected", str(ref), run=run, worker=worker.key.id
+        )
+
+    def repeat_stop(self, worker: HeldWorker, ref: TaskRef, run: int) -> None:
+        """Order again what should have stopped."""
+        self._orders.append(StopOrder(worker.key, ref, run))
+
+    def pace(
+        self,
+        worker: HeldWorker,
+        ref: TaskRef,
+        held: HeldRun,
+        percent: int,
+        now: float,
+    ) -> None:
+        """Have a run work at a share of full speed."""
+        held.pace = percent
+        held.paced_at = now
+        self._orders.append(PaceOrder(worker.key, ref, held.run, percent))
+        self._log.line(
+            "task.paced",
+            str(ref),
+            run=held.run,
+            worker=worker.key.id,
+            percent=percent,
+        )
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -6,7 +6,6 @@
 
 from carawaystep.fleet.held_run import HeldRun
 from carawaystep.fleet.held_worker import HeldWorker
-from carawaystep.fleet.order import PaceOrder
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
@@ -14,10 +13,12 @@
 from carawaystep.planner.eligibility import eligible
 from carawaystep.planner.harm_guard import HarmGuard
 from carawaystep.planner.harm_guard import PRESSED_PACE
-from carawaystep.planner.preemption import victims
+from carawaystep.planner.order_desk import OrderDesk
+from carawaystep.planner.permits import Permits
+from carawaystep.planner.task_feeder import TaskFeeder
+from carawaystep.planner.workflow_book import WorkflowBook
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task_state import TaskState
-from carawaystep.workflow.workflow import Workflow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,11 +29,13 @@
     from carawaystep.fleet.worker_offer import WorkerOffer
     from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.fleet.worker_report import WorkerReport
+    from carawaystep.planner.advice_request import AdviceRequest
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.interference import Interference
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.task_placement import TaskPlacement
     from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow import Workflow
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from carawaystep.workflow.workflow_state import WorkflowState
@@ -41,26 +44,13 @@
 # not start.
 _ABSENCES = 2
 
-# A workflow of which nothing has run for so long is placed even where it
-# likely harms; it is slowed down there as far as needed.
-_PRESS_AFTER_S = 1.5
-_PACE_STEP = 20
-# Filling tasks beside one that has been harmed for so long are halted.
-# Reports and orders take about a second more of the 4 s that are allowed.
-_SUSPECT_S = 1.6
-_SUSPECT_ODDS = 0.15
-_HALT_S = 2.4
-# A worker with a harmed task takes no filling tasks for so long.
-_RECOVERY_S = 1.5
-# Speed at which a task starts where it likely harms.
-_PRESSED_PACE = 10
-
 _NOT_DONE = frozenset(
     {
         OrderOutcome.FULL,
         OrderOutcome.SUPERSEDED,
         OrderOutcome.FENCED,
         OrderOutcome.EXPIRED,
+        OrderOutcome.NO_PERMIT,
         OrderOutcome.REFUSED,
         OrderOutcome.UNHEALTHY,
         OrderOutcome.OTHER_LIFETIME,
@@ -94,21 +84,20 @@
         :param now: present time, seconds of a steady clock
         """
         self._limits = limits
-        self._placement = placement
         self._interference = interference
         self._guard = HarmGuard(interference)
         self._log = log
         self._began_at = now
-        self._workflows: dict[str, Workflow] = {}
-        self._finals: dict[str, WorkflowState] = {}
+        self._book = WorkflowBook()
+        self._desk = OrderDesk(log)
+        self._permits = Permits(log)
+        self._feeder = TaskFeeder(
+            self._book, placement, self._permits, self._desk, log
+        )
         self._workers: dict[WorkerKey, HeldWorker] = {}
         # Workers of stored runs that no list or report has shown yet.
         self._missing: dict[WorkerKey, float] = {}
-        self._hungry: set[str] = set()
-        self._starving_since: dict[str, float] = {}
-        self._dirty: set[str] = set()
         self._next = Changes()
-        self._urgent: list[Order] = []
 
     @property
     def workers(self) -> Mapping[WorkerKey, HeldWorker]:
@@ -118,48 +107,37 @@
     @property
     def workflows(self) -> Mapping[str, Workflow]:
         """Return the workflows that are not settled."""
-        return self._workflows
+        return self._book.workflows
 
     @property
     def finals(self) -> Mapping[str, WorkflowState]:
         """Return the final states of settled workflows."""
-        return self._finals
+        return self._book.finals
 
     def restore(
         self, spec: WorkflowSpec, record: WorkflowRecord | None
     ) -> None:
         """Take over a stored workflow at the start of the term."""
-        workflow = Workflow(spec)
+        workflow = self._book.add(spec)
         if record is not None:
             workflow.restore(record)
-        self._workflows[spec.id] = workflow
-        self._hungry.add(spec.id)
         for _, task in workflow.placed():
             if task.worker is not None:
                 self._missing.setdefault(task.worker, self._began_at)
         if workflow.settled:
-            self._touch(workflow)
+            self._book.touch(workflow)
 
     def restore_final(self, workflow_id: str, state: WorkflowState) -> None:
         """Take over the stored final state of a workflow."""
-        self._finals[workflow_id] = state
+        self._book.add_final(workflow_id, state)
 
     def state(self, workflow_id: str) -> WorkflowState | None:
         """Return a workflow's state, None when it is not known."""
-        final = self._finals.get(workflow_id)
-        if final is not None:
-            return final
-        workflow = self._workflows.get(workflow_id)
-        return None if workflow is None else workflow.state
+        return self._book.state(workflow_id)
 
     def queued(self) -> dict[str, int]:
         """Return the workflows that have not started, by queue."""
-        counts: dict[str, int] = {}
-        for workflow in self._workflows.values():
-            if not workflow.started and not workflow.ended:
-                queue = workflow.spec.queue
-                counts[queue] = counts.get(queue, 0) + 1
-        return counts
+        return self._book.queued()
 
     def admit(self, spec: WorkflowSpec, stored: bool) -> bool:
         """Accept a workflow.
@@ -170,9 +148,7 @@
         """
         if self.state(spec.id) is not None:
             return False
-        workflow = Workflow(spec)
-        self._workflows[spec.id] = workflow
-        self._hungry.add(spec.id)
+        workflow = self._book.add(spec)
         if not stored:
             self._next.accepted.append(spec)
         self._next.states[spec.id] = workflow.state
@@ -184,15 +160,14 @@
 
         :returns: False when it is not known
         """
-        if workflow_id in self._finals:
+        if workflow_id in self._book.finals:
             return True
-        workflow = self._workflows.get(workflow_id)
+        workflow = self._book.get(workflow_id)
         if workflow is None:
             return False
         if workflow.cancel():
-            self._touch(workflow)
-            for ref, task in workflow.placed():
-                self._stop(ref, task.run, "cancelled")
+            self._book.touch(workflow)
+            self._stop_all(workflow, "cancelled")
         return True
 
     def offer(self, offers: Iterable[WorkerOffer]) -> None:
@@ -234,9 +209,11 @@
         for relief in self._guard.watch(worker, now):
             held = worker.runs[relief.ref]
             if relief.pace is None:
-                self._stop(relief.ref, held.run, "harms-a-serving-task")
+                self._desk.stop(
+                    worker, relief.ref, held.run, "harms-a-serving-task"
+                )
             else:
-                self._pace(worker, relief.ref, held, relief.pace, now)
+                self._desk.pace(worker, relief.ref, held, relief.pace, now)
         if first:
             # Older tokens are refused from now on: what is not listed was
             # never started.
@@ -261,17 +238,19 @@
             return
         if outcome is OrderOutcome.DONE:
             if held.pressed:
-                self._pace(worker, order.ref, held, PRESSED_PACE, now)
+                self._desk.pace(worker, order.ref, held, PRESSED_PACE, now)
         elif outcome in _NOT_DONE:
             if outcome is OrderOutcome.NOT_SENT:
                 worker.health.pause_briefly(now)
+            elif outcome is OrderOutcome.NO_PERMIT:
+                self._permits.reject(order.ref, order.worker)
             elif outcome is not OrderOutcome.FULL:
                 worker.health.pause(now)
             self._lose(worker, order.ref, order.run, outcome.value)
         elif outcome is OrderOutcome.UNKNOWN:
             worker.health.pause(now)
             held.in_doubt = True
-            self._stop(order.ref, order.run, "start-unanswered")
+            self._desk.stop(worker, order.ref, order.run, "start-unanswered")
 
     def reassigned(self, key: WorkerKey) -> None:
         """Note that another member calls a worker from now on.
@@ -308,13 +287,13 @@
             if not worker.leaving:
                 continue
             for ref, held in list(worker.runs.items()):
-                workflow = self._workflows.get(ref.workflow)
+                workflow = self._book.get(ref.workflow)
                 if workflow is None or held.stopping:
                     continue
                 if held.step.long_running and any(
                     eligible(workflow, ref, usable, now)
                 ):
-                    self._stop(ref, held.run, "worker-leaving")
+                    self._desk.stop(worker, ref, held.run, "worker-leaving")
 
     def plan(self, now: float, wall_now: float) -> None:
         """Place tasks that are ready, the most urgent workflows first.
@@ -322,22 +301,11 @@
         :param now: present time, seconds of a steady clock
         :param wall_now: present wall-clock time in seconds
         """
-        usable = self._usable(now)
-        hungry = [
-            self._workflows[name]
-            for name in self._hungry
-            if name in self._workflows
-        ]
-        hungry.sort(key=lambda workflow: self._urgency(workflow, wall_now))
-        fed: set[str] = set()
-        for workflow in hungry:
-            if self._feed(workflow, usable, now, wall_now):
-                fed.add(workflow.id)
-        self._hungry -= fed
+        self._feeder.feed(self._usable(now), now, wall_now)
 
     def wants(self, order: Order) -> bool:
         """Tell whether a start is still to be sent once it is stored."""
-        workflow = self._workflows.get(order.ref.workflow)
+        workflow = self._book.get(order.ref.workflow)
         if workflow is None or workflow.ended:
             return False
         return workflow.present_run(order.ref, order.run)
@@ -349,159 +317,46 @@
                 continue
             for ref, held in worker.runs.items():
                 if held.stopping:
-                    self._urgent.append(StopOrder(worker.key, ref, held.run))
+                    self._desk.repeat_stop(worker, ref, held.run)
 
     def take_urgent(self) -> list[Order]:
         """Return orders that need nothing stored first."""
-        urgent, self._urgent = self._urgent, []
-        return urgent
+        return self._desk.take()
+
+    def take_advice_requests(self) -> list[AdviceRequest]:
+        """Return questions to the placement service."""
+        return self._permits.take_requests()
+
+    def advise(
+        self,
+        request: AdviceRequest,
+        tickets: Mapping[str, str] | None,
+        now: float,
+    ) -> None:
+        """Take an answer of the placement service.
+
+        :param tickets: by id of the workers that may run the step; None
+            when the service did not answer
+        """
+        self._permits.answer(request, tickets, now)
 
     def take_changes(self) -> Changes:
         """Return what has changed since the last call."""
         changes, self._next = self._next, Changes()
-        for name in self._dirty:
-            workflow = self._workflows[name]
-            changes.progress[name] = workflow.record()
-            changes.states[name] = workflow.state
-            if workflow.settled:
-                changes.ended[name] = workflow.state
-                self._finals[name] = workflow.state
-                del self._workflows[name]
-                self._hungry.discard(name)
-                self._starving_since.pop(name, None)
-        self._dirty.clear()
+        changes.orders.extend(self._feeder.take_starts())
+        self._book.move_changes(changes)
+        for name in changes.ended:
+            self._permits.forget(name)
         return changes
 
     def _usable(self, now: float) -> list[HeldWorker]:
         return [w for w in self._workers.values() if w.usable(now)]
 
-    def _urgency(
-        self, workflow: Workflow, wall_now: float
-    ) -> tuple[int, bool, float]:
-        spec = workflow.spec
-        due = spec.accepted_at_s + spec.objective_s
-        due += spec.stretch * spec.chain_s()
-        return (spec.priority, due < wall_now, due)
-
-    def _feed(
-        self,
-        workflow: Workflow,
-        usable: list[HeldWorker],
-        now: float,
-        wall_now: float,
-    ) -> bool:
-        """Place a workflow's ready tasks; tell whether none is left over."""
-        complete = not workflow.spec.scheduled
-        refused: set[tuple[int, int]] = set()
-        for ref in list(workflow.ready(wall_now)):
-            if (ref.occurrence, ref.step) in refused:
-                complete = False
-                continue
-            step = workflow.step(ref)
-            if step.gang:
-                if not workflow.present_run(ref, workflow.task(ref).run):
-                    placed = self._start_gang(workflow, ref, usable, now)
-                    complete = complete and placed
-                continue
-            candidates = eligible(workflow, ref, usable, now)
-            worker = self._placement.choose(step, candidates)
-            pressed = False
-            if worker is None and self._starves(workflow, now):
-                candidates = eligible(workflow, ref, usable, now)
-                worker = self._placement.choose_despite_harm(step, candidates)
-                pressed = worker is not None
-            if worker is None:
-                refused.add((ref.occurrence, ref.step))
-                complete = False
-                for victim, other in victims(workflow, ref, usable):
-                    run = victim.runs[other].run
-                    self._stop(other, run, "preempted")
-                continue
-            self._start(workflow, ref, worker, pressed, now)
-        if not complete and not workflow.has_placed:
-            self._starving_since.setdefault(workflow.id, now)
-        else:
-            self._starving_since.pop(workflow.id, None)
-        return complete
-
-    def _start_gang(
-        self,
-        workflow: Workflow,
-        ref: TaskRef,
-        usable: list[HeldWorker],
-        now: float,
-    ) -> bool:
-        """Place all members of a gang, or none when one finds no room."""
-        step = workflow.step(ref)
-        chosen: list[tuple[TaskRef, HeldWorker]] = []
-        for member in workflow.members(ref):
-            worker = self._placement.choose(
-                step, eligible(workflow, member, usable, now)
-            )
-            if worker is None:
-                break
-            worker.add(member, HeldRun(0, step, workflow.spec.priority, now))
-            chosen.append((member, worker))
-        for member, worker in chosen:
-            worker.remove(member, 0)
-        if len(chosen) < step.count:
-            return False
-        for member, worker in chosen:
-            self._start(workflow, member, worker, False, now)
-        return True
-
     def _stop_gang(self, workflow: Workflow, ref: TaskRef) -> None:
         """Stop the others when one member of a gang has ended."""
         if workflow.step(ref).gang:
             for member in workflow.members(ref):
-                run = workflow.task(member).run
-                if workflow.present_run(member, run):
-                    self._stop(member, run, "gang-broken")
-
-    def _starves(self, workflow: Workflow, now: float) -> bool:
-        if workflow.has_placed:
-            return False
-        since = self._starving_since.get(workflow.id, now)
-        return now - since > _PRESS_AFTER_S
-
-    def _start(
-        self,
-        workflow: Workflow,
-        ref: TaskRef,
-        worker: HeldWorker,
-        pressed: bool,
-        now: float,
-    ) -> None:
-        run = workflow.place(ref, worker.key)
-        step = workflow.step(ref)
-        worker.add(
-            ref,
-            HeldRun(
-                run,
-                step,
-                workflow.spec.priority,
-                now,
-                pressed=pressed,
-            ),
-        )
-        checkpoint = workflow.checkpoint(ref)
-        self._next.orders.append(
-            StartOrder(worker.key, ref, run, workflow.spec.payload, checkpoint)
-        )
-        self._touch(workflow)
-        self._log.line(
-            "task.placed",
-            str(ref),
-            run=run,
-            worker=worker.key.id,
-            report_age_s=now - (worker.heard_at or now),
-            queue=workflow.spec.queue,
-            cpu=step.cpu_millis,
-            fills=step.fills,
-            spare=int(worker.likely_spare_cpu),
-            estimated_s=step.estimated_s,
-            image=step.image,
-        )
+                self._stop(workflow, member, "gang-broken")
 
     def _end(
         self,
@@ -512,7 +367,7 @@
         ref, run, end = ended.ref, ended.run, ended.end
         held = worker.remove(ref, run)
         seconds = 0.0 if held is None else now - held.placed_at
-        workflow = self._workflows.get(ref.workflow)
+        workflow = self._book.get(ref.workflow)
         if workflow is None:
             return
         if not workflow.present_run(ref, run):
@@ -529,7 +384,7 @@
             if workflow.task(member).state is TaskState.DONE:
                 self._release_everywhere(member, run)
         self._stop_gang(workflow, ref)
-        self._touch(workflow)
+        self._book.touch(workflow)
         self._log.line(
             "task.ended",
             str(ref),
@@ -539,8 +394,7 @@
             seconds=seconds,
         )
         if workflow.ended:
-            for other, task in list(workflow.placed()):
-                self._stop(other, task.run, "workflow-ended")
+            self._stop_all(workflow, "workflow-ended")
 
     def _see(
         self,
@@ -550,55 +404,27 @@
         checkpoint: str,
     ) -> None:
         held = worker.runs.get(ref)
-        workflow = self._workflows.get(ref.workflow)
+        workflow = self._book.get(ref.workflow)
         if held is not None and held.run == run and workflow is not None:
             workflow.see_running(ref, run, checkpoint)
-            if workflow.ended and not held.stopping:
-                self._stop(ref, run, "workflow-ended")
+            if workflow.ended:
+                self._desk.stop(worker, ref, run, "workflow-ended")
             return
         # A late order has started a run that this planner has given up.
-        self._urgent.append(StopOrder(worker.key, ref, run))
-        self._log.line(
-            "task.unexpected", str(ref), run=run, worker=worker.key.id
-        )
+        self._desk.stop_unexpected(worker, ref, run)
 
-    def _pace(
-        self,
-        worker: HeldWorker,
-        ref: TaskRef,
-        held: HeldRun,
-        percent: int,
-        now: float,
-    ) -> None:
-        held.pace = percent
-        held.paced_at = now
-        self._urgent.append(PaceOrder(worker.key, ref, held.run, percent))
-        self._log.line(
-            "task.paced",
-            str(ref),
-            run=held.run,
-            worker=worker.key.id,
-            percent=percent,
+    def _stop(self, workflow: Workflow, ref: TaskRef, reason: str) -> None:
+        """Have a task's present run stopped, if it has one."""
+        task = workflow.task(ref)
+        worker = (
+            None if task.worker is None else self._workers.get(task.worker)
         )
+        if worker is not None:
+            self._desk.stop(worker, ref, task.run, reason)
 
-    def _stop(self, ref: TaskRef, run: int, reason: str) -> None:
-        workflow = self._workflows[ref.workflow]
-        key = workflow.task(ref).worker
-        worker = None if key is None else self._workers.get(key)
-        held = None if worker is None else worker.runs.get(ref)
-        if worker is None or held is None or held.run != run:
-            return
-        if held.stopping:
-            return
-        held.stopping = True
-        self._urgent.append(StopOrder(worker.key, ref, run))
-        self._log.line(
-            "task.stopping",
-            str(ref),
-            run=run,
-            worker=worker.key.id,
-            reason=reason,
-        )
+    def _stop_all(self, workflow: Workflow, reason: str) -> None:
+        for ref, _ in list(workflow.placed()):
+            self._stop(workflow, ref, reason)
 
     def _conclude_stop(self, held: HeldRun, outcome: OrderOutcome) -> None:
         """Note that a stop was confirmed.
@@ -631,7 +457,7 @@
         self, worker: HeldWorker, ref: TaskRef, run: int, reason: str
     ) -> None:
         worker.remove(ref, run)
-        workflow = self._workflows.get(ref.workflow)
+        workflow = self._book.get(ref.workflow)
         if workflow is None or not workflow.lose_run(ref, run):
             return
         self._stop_gang(workflow, ref)
@@ -645,7 +471,7 @@
         key: WorkerKey,
         reason: str,
     ) -> None:
-        self._touch(workflow)
+        self._book.touch(workflow)
         self._log.line(
             "task.lost", str(ref), run=run, worker=key.id, reason=reason
         )
@@ -658,7 +484,7 @@
         worker = HeldWorker(offer)
         self._workers[offer.key] = worker
         self._missing.pop(offer.key, None)
-        for workflow in self._workflows.values():
+        for workflow in self._book:
             for ref, task in workflow.placed():
                 if task.worker == offer.key:
                     step = workflow.step(ref)
@@ -685,13 +511,9 @@
                 self._requeue_missing(earlier)
 
     def _requeue_missing(self, key: WorkerKey) -> None:
-        for workflow in self._workflows.values():
+        for workflow in self._book:
             for ref, task in list(workflow.placed()):
                 if task.worker == key:
                     run = task.run
                     workflow.lose_run(ref, run)
                     self._note_lost(workflow, ref, run, key, "worker-gone")
-
-    def _touch(self, workflow: Workflow) -> None:
-        self._dirty.add(workflow.id)
-        self._hungry.add(workflow.id)
--- a/src/carawaystep/routing/queue_route.py
+++ b/src/carawaystep/routing/queue_route.py
@@ -17,6 +17,8 @@
     :param max_attempts: failures of a task that fail the workflow
     :param stretch: factor of the longest chain that is still on time
     :param objective_s: seconds beside the chain that are still on time
+    :param permit_s: seconds for which a ticket of the placement service is
+        valid, 0 when starts need none
     """
 
     name: str
@@ -27,3 +29,4 @@
     max_attempts: int
     stretch: float
     objective_s: float
+    permit_s: float = 0.0
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -14,6 +14,7 @@
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import Concluded
+from carawaystep.cluster.messages import Consulted
 from carawaystep.cluster.messages import Farewell
 from carawaystep.cluster.messages import NumberedOrder
 from carawaystep.cluster.messages import Orders
@@ -32,6 +33,7 @@
 from carawaystep.planner.planner_limits import PlannerLimits
 from carawaystep.planner.sharing_placement import SharingPlacement
 from carawaystep.scheduler import tables
+from carawaystep.scheduler.consultations import Consultations
 from carawaystep.scheduler.feed import Feed
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import LEASE_S
@@ -107,6 +109,7 @@
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
         self._owners: dict[WorkerKey, str] = {}
         self._offers: dict[str, WorkerOffer] = {}
+        self._consultations = Consultations(term)
         self._numbers = count(1)
         self._sent: dict[int, tuple[Order, float]] = {}
         self._told: dict[str, WorkflowState] = {}
@@ -194,6 +197,13 @@
             await session.send(
                 CallReply(message.call, state is not None, state)
             )
+        elif isinstance(message, Consulted):
+            self._consultations.answered(session.record.name)
+            if message.term == self._term:
+                self._planner.advise(
+                    message.request, message.tickets, self.now
+                )
+                self._wake.set()
         elif isinstance(message, Superseded) and message.fenced:
             self.doubt_term()
 
@@ -273,6 +283,9 @@
             self._wake.clear()
             self._planner.plan(self.now, self._ports.clock.wall_now())
             await self._dispatch(self._planner.take_urgent())
+            await self._consultations.send(
+                self._planner.take_advice_requests(), self._sessions, self.now
+            )
             changes = self._planner.take_changes()
             if changes.empty:
                 continue
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -13,12 +13,14 @@
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import Concluded
+from carawaystep.cluster.messages import Consult
 from carawaystep.cluster.messages import Farewell
 from carawaystep.cluster.messages import Lead
 from carawaystep.cluster.messages import Orders
 from carawaystep.cluster.messages import Submit
 from carawaystep.cluster.messages import Told
 from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.scheduler.consultant import Consultant
 from carawaystep.scheduler.member_context import MemberContext
 from carawaystep.scheduler.told_states import ToldStates
 from carawaystep.scheduler.worker_holder import WorkerHolder
@@ -55,6 +57,7 @@
         self._calls: dict[int, asyncio.Future[CallReply]] = {}
         self._numbers = count(1)
         self._draining = False
+        self._consultant = Consultant(ports.advisor, self, ports.log)
         self.told = ToldStates()
 
     @property
@@ -82,9 +85,9 @@
     async def run(self) -> None:
         """Take messages of leaders until the task is cancelled."""
         try:
-            while True:
-                leader, message = await self._ports.leaders.receive()
-                await self._take(leader, message)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._consultant.run())
+                group.create_task(self._receive())
         finally:
             self._drop_holders()
 
@@ -108,6 +111,11 @@
         message = Ask(next(self._numbers), workflow_id)
         return await self._call(message, timeout_s)
 
+    async def _receive(self) -> None:
+        while True:
+            leader, message = await self._ports.leaders.receive()
+            await self._take(leader, message)
+
     async def _call(
         self, message: Submit | Cancel | Ask, timeout_s: float
     ) -> CallReply | None:
@@ -147,6 +155,8 @@
                 self.told.apply_queued(message.queued, self.now)
         elif isinstance(message, Assign):
             self._assign(message)
+        elif isinstance(message, Consult):
+            await self._consultant.take(message)
         elif isinstance(message, Farewell):
             self._leadership.resign(message.term)
 
--- a/src/carawaystep/scheduler/ports.py
+++ b/src/carawaystep/scheduler/ports.py
@@ -10,6 +10,7 @@
     from carawaystep.cluster.channel import Channel
     from carawaystep.cluster.leader_port import LeaderPort
     from carawaystep.entry.clock import Clock
+    from carawaystep.fleet.placement_advisor import PlacementAdvisor
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_link import WorkerLink
     from carawaystep.fleet.worker_list import WorkerList
@@ -51,6 +52,11 @@
     def log(self) -> DecisionLog:
         """Return the log of decisions."""
 
+    @property
+    @abstractmethod
+    def advisor(self) -> PlacementAdvisor:
+        """Return the placement service."""
+
     @abstractmethod
     def worker(
         self, key: WorkerKey, address: str, lease_s: float
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -25,6 +25,8 @@
     :param occurrences: how often the steps run
     :param first_due_s: wall-clock time of occurrence 0, 0 for at once
     :param interval_s: seconds between occurrences
+    :param permit_s: seconds for which a ticket of the placement service is
+        valid, 0 when the queue needs none
     """
 
     id: str
@@ -40,12 +42,18 @@
     occurrences: int = 1
     first_due_s: float = 0.0
     interval_s: float = 0.0
+    permit_s: float = 0.0
 
     @property
     def scheduled(self) -> bool:
         """Tell whether occurrences have times of their own."""
         return self.first_due_s > 0
 
+    @property
+    def needs_permits(self) -> bool:
+        """Tell whether a start needs a ticket of the placement service."""
+        return self.permit_s > 0
+
     @property
     def long_running(self) -> bool:
         """Tell whether it runs until it is cancelled."""
@@ -64,3 +72,14 @@
             begin = max((ends[number] for number in step.after), default=0.0)
             ends.append(begin + step.estimated_s)
         return max(ends, default=0.0)
+
+    def urgency(self, wall_now: float) -> tuple[int, bool, float]:
+        """Return a key that sorts the most urgent workflow first.
+
+        Work that is already late yields to work that may still be on time.
+
+        :param wall_now: present wall-clock time in seconds
+        """
+        due = self.accepted_at_s + self.objective_s
+        due += self.stretch * self.chain_s()
+        return self.priority, due < wall_now, due
--- /dev/null
+++ b/tests/planner/test_permits.py
@@ -0,0 +1,84 @@
+"""Tickets of the placement service."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.workflow.step_spec import StepSpec
+from tests.planner.planners import new_planner
+from tests.planner.planners import offer
+from tests.planner.planners import report
+from tests.workflow.workflows import workflow_spec
+
+_VALID_S = 3.0
+
+
+class PermitsTest(TestCase):
+    """Queues whose starts need tickets."""
+
+    def setUp(self) -> None:
+        """Admit one task with tickets and two usable workers."""
+        super().setUp()
+        self.planner = new_planner()
+        self.planner.offer([offer("w1"), offer("w2")])
+        for name in ("w1", "w2"):
+            self.planner.hear(report(name), 0.0)
+        spec = workflow_spec(StepSpec(1, cpu_millis=10), permit_s=_VALID_S)
+        self.planner.admit(spec, stored=True)
+
+    def _starts(self, now: float) -> list[StartOrder]:
+        self.planner.plan(now, now)
+        orders = self.planner.take_changes().orders
+        return [order for order in orders if isinstance(order, StartOrder)]
+
+    def _advise(self, tickets: dict[str, str] | None, now: float) -> None:
+        (request,) = self.planner.take_advice_requests()
+        self.planner.advise(request, tickets, now)
+
+    def test_task_waits_for_its_ticket(self) -> None:
+        """Guards against starts that a worker rejects for want of one."""
+        self.assertEqual([], self._starts(0.1))
+        self._advise({"w2": "t"}, 0.2)
+        (start,) = self._starts(0.2)
+        self.assertEqual(("w2", "t"), (start.worker.id, start.ticket))
+
+    def test_open_question_is_not_repeated_at_once(self) -> None:
+        """Guards against a flood of questions while one is open."""
+        for now in (0.1, 0.2, 0.3):
+            self._starts(now)
+        self.assertEqual(1, len(self.planner.take_advice_requests()))
+
+    def test_question_without_answer_is_repeated(self) -> None:
+        """Guards against a step that waits for a lost answer for ever."""
+        self._starts(0.1)
+        self._advise(None, 0.2)
+        self.assertEqual([], self.planner.take_advice_requests())
+        self._starts(0.5)
+        self.assertEqual(1, len(self.planner.take_advice_requests()))
+
+    def test_expired_ticket_is_not_used(self) -> None:
+        """Guards against a start with a ticket that will be rejected."""
+        self._starts(0.1)
+        self._advise({"w1": "t"}, 0.1)
+        self.planner.hear(report("w1"), _VALID_S)
+        self.assertEqual([], self._starts(_VALID_S))
+
+    def test_worker_that_is_not_allowed_is_not_asked_about_again(self) -> None:
+        """Guards against questions that cost time and tell nothing."""
+        self._starts(0.1)
+        self._advise({}, 0.2)
+        self._starts(1.0)
+        self.assertEqual([], self.planner.take_advice_requests())
+
+    def test_rejected_ticket_is_replaced(self) -> None:
+        """Guards against a worker that is paused for want of a ticket."""
+        self._starts(0.1)
+        self._advise({"w1": "t"}, 0.2)
+        (start,) = self._starts(0.2)
+        self.planner.conclude(start, OrderOutcome.NO_PERMIT, 0.3)
+        self.assertEqual([], self._starts(0.3))
+        self._advise({"w1": "u"}, 0.4)
+        (again,) = self._starts(0.4)
+        self.assertEqual("u", again.ticket)
--- a/tests/planner/test_random_runs.py
+++ b/tests/planner/test_random_runs.py
@@ -59,7 +59,7 @@
         self, spec: WorkflowSpec, record: WorkflowRecord | None
     ) -> None:
         super().restore(spec, record)
-        workflow = self._workflows[spec.id]
+        workflow = self.workflows[spec.id]
         for ref, task in list(workflow.placed()):
             workflow.lose_run(ref, task.run)
 
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -18,6 +18,8 @@
 from carawaystep_platform.settings import PlatformSettings
 from tests.fakes.fake_counters import FakeCounters
 from tests.planner.planners import SilentLog
+from tests.users_platform.placement_standin import PlacementStandin
+from tests.users_platform.placement_standin import VALIDITY_S
 from tests.users_platform.store_standin import StoreStandin
 from tests.users_platform.worker_standin import WorkerStandin
 
@@ -38,7 +40,24 @@
             "service": "desk",
             "max_attempts": 3,
             "stretch": 1.5,
-        }
+        },
+        {
+            "name": "r-2",
+            "host": "desk.example",
+            "path_prefix": "/advised/",
+            "type": "non_idempotent",
+            "timeout_ms": 3000,
+            "target_duration_ms": 250,
+            "priority": 0,
+            "service": "desk",
+            "max_attempts": 3,
+            "stretch": 1.5,
+            "recommendation": {
+                "decision_ms": 20,
+                "period_ms": 5,
+                "validity_ms": VALIDITY_S * 1000,
+            },
+        },
     ],
     "services": [],
     "limits": {"max_body_bytes": 262144, "header_timeout_ms": 3000},
@@ -61,7 +80,9 @@
 class Node:
     """One process of the deployment, without its process."""
 
-    def __init__(self, name: str, store_address: str) -> None:
+    def __init__(
+        self, name: str, store_address: str, advice_address: str
+    ) -> None:
         """Compose a node; call it within a running loop."""
         self.name = name
         self.log = SilentLog()
@@ -74,6 +95,7 @@
             "",
             "",
             store_address,
+            advice_address,
         )
         self.ports = PlatformPorts(settings, self.log)
         self.supervisor = Supervisor(FakeCounters())
@@ -118,17 +140,24 @@
         self.store = StoreStandin()
         port = free_port()
         self._address = f"127.0.0.1:{port}"
-        self._servers = [UvicornServer(self.store.app(), "127.0.0.1", port)]
+        self.placement = PlacementStandin()
+        advice_port = free_port()
+        self._servers = [
+            UvicornServer(self.store.app(), "127.0.0.1", port),
+            UvicornServer(self.placement.app(), "127.0.0.1", advice_port),
+        ]
         self.workers = [
             WorkerStandin(f"i-{number}", run_s) for number in range(workers)
         ]
         self.nodes = [
-            Node(f"edge-{number}", self._address) for number in range(nodes)
+            Node(f"edge-{number}", self._address, f"127.0.0.1:{advice_port}")
+            for number in range(nodes)
         ]
 
     async def start(self) -> None:
         """Start everything and write manifest and workers."""
-        await self._servers[0].start()
+        for server in self._servers:
+            await server.start()
         await self.store.put("op", "config", encoded(MANIFEST))
         for worker in self.workers:
             port = free_port()
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -185,3 +185,23 @@
         self.assertEqual(
             3, sum(len(worker.started) for worker in deployment.workers)
         )
+
+    def test_queue_with_tickets_is_served_by_allowed_workers(self) -> None:
+        """Guards against starts without a ticket or on other workers."""
+        path = f"/advised/{_ID}"
+
+        async def scenario(deployment: Deployment) -> None:
+            placement = deployment.placement
+            placement.allowed = {"i-1"}
+            placement.refuse_next = 1
+            for worker in deployment.workers:
+                worker.placement = placement
+            answer = await deployment.nodes[0].call("POST", path, _BODY)
+            self.assertEqual(200, answer.status)
+            await _until(deployment.nodes[1], "completed", path)
+
+        deployment = self._play(scenario, workers=3)
+        self._assert_each_ran_once(deployment)
+        self.assertEqual(
+            [0, 4, 0], [len(worker.started) for worker in deployment.workers]
+        )
--- a/tests/users_platform/worker_standin.py
+++ b/tests/users_platform/worker_standin.py
@@ -15,12 +15,15 @@
 if TYPE_CHECKING:
     from starlette.requests import Request
 
+    from tests.users_platform.placement_standin import PlacementStandin
+
 
 class WorkerStandin:
     """Runs tasks that end after a while; refuses lower tokens.
 
     :ivar started: (task, run) of everything it has begun
     :ivar hang_starts: whether starts are carried out and not answered
+    :ivar placement: service whose tickets starts need, None for none
     """
 
     def __init__(self, name: str, run_s: float, born: int = 7) -> None:
@@ -35,6 +38,7 @@
         self.started: list[tuple[str, int]] = []
         self.at_once_most = 0
         self.hang_starts = False
+        self.placement: PlacementStandin | None = None
         self._run_s = run_s
         self._token = 0
         self._running: dict[str, tuple[int, float]] = {}
@@ -80,6 +84,11 @@
             return self._answer(409, reason="old")
         if body["deadline_ms"] < time.monotonic() * 1000:
             return self._answer(409, reason="late")
+        step = task.rpartition(".")[0]
+        if self.placement is not None and not self.placement.accepts(
+            body.get("ticket", ""), self.name, step
+        ):
+            return self._answer(409, reason="ticket")
         self._highest[task] = run
         self._running[task] = (run, time.monotonic() + self._run_s)
         self.started.append((task, run))
