Play every fault of the store and bad input on the whole path

Cause: the stand-ins of the users' platform refused, lost answers, forgot history and hung starts, and nothing else; each node saw the same store.

Change: each node has its own address of the store, whose calls can be refused, turned away with 429, left silent, cut off within the answer, carried out without an answer or late, for one node or all. Workers restart under their id, carry starts out late, fail everything or refuse. Malformed, slow and oversized bodies, foreign rows and missing settings are played on a real node.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -35,14 +35,10 @@
 
 
 class AssignedWorker(msgspec.Struct, array_like=True, frozen=True):
-    """A worker that a member calls on behalf of the leader.
-
-    :param report_s: longest time between two reports of an idle worker
-    """
+    """A worker that a member calls on behalf of the leader."""
 
     key: WorkerKey
     address: str
-    report_s: float
 
 
 class Assign(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -27,7 +27,6 @@
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.member_record import MemberRecord
-from carawaystep.leadership.report_interval import report_interval_s
 from carawaystep.leadership.worker_shares import share_workers
 from carawaystep.planner.interference import Interference
 from carawaystep.planner.planner import Planner
@@ -374,11 +373,8 @@
         }
         owners = share_workers(offers.values(), available, self.name)
         shares: dict[str, list[AssignedWorker]] = {n: [] for n in available}
-        report_s = report_interval_s(len(offers), self._settings.cores)
         for key, name in owners.items():
-            shares[name].append(
-                AssignedWorker(key, offers[key].address, report_s)
-            )
+            shares[name].append(AssignedWorker(key, offers[key].address))
         for key, name in owners.items():
             if self._owners.get(key) != name:
                 self._planner.reassigned(key)
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -207,7 +207,6 @@
         lease_s = min(LEASE_S, self._settings.max_lease_s)
         for key, worker in wanted.items():
             if key in self._holders:
-                self._holders[key].update(worker)
                 continue
             link = self._ports.worker(key, worker.address, lease_s)
             holder = WorkerHolder(worker, link, self)
--- a/src/carawaystep/scheduler/worker_holder.py
+++ b/src/carawaystep/scheduler/worker_holder.py
@@ -20,6 +20,8 @@
     from carawaystep.fleet.worker_link import WorkerLink
     from carawaystep.scheduler.member_context import MemberContext
 
+# How long a worker may wait for an end; reports of progress come as often.
+_WAIT_S = 0.7
 # A lease is extended only for so long after the worker's last answer, so
 # that the leader can tell when the runs on a silent worker have ended.
 EXTEND_AFTER_ANSWER_S = 1.0
@@ -56,13 +58,6 @@
         self._answered_at = 0.0
         self._prompt_reports = 0
 
-    def update(self, worker: AssignedWorker) -> None:
-        """Take a change of how the worker is to be called.
-
-        :param worker: the same lifetime at the same address
-        """
-        self._worker = worker
-
     def acknowledge(self, number: int) -> None:
         """Note that ends up to a number are stored."""
         self._acknowledged = max(self._acknowledged, number)
@@ -95,7 +90,7 @@
                 self._term,
                 self._acknowledged,
                 recent,
-                0.0 if prompt or not recent else self._worker.report_s,
+                0.0 if prompt or not recent else _WAIT_S,
             )
             if isinstance(result, Err):
                 await self._fail(result.err_value)
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -24,6 +24,8 @@
 from tests.users_platform.worker_standin import WorkerStandin
 
 if TYPE_CHECKING:
+    from starlette.applications import Starlette
+
     from carawaystep.adapters.http_client.http_answer import HttpAnswer
 
 MANIFEST = {
@@ -126,6 +128,8 @@
     ) -> HttpAnswer:
         """Call the front end as a requester does."""
         data = None if body is None else json.dumps(body).encode()
+        if isinstance(body, str):
+            data = body.encode()
         result = await self.client.request(
             method, path, 5.0, {"Host": "desk.example"}, data
         )
@@ -137,23 +141,29 @@
 
     def __init__(self, nodes: int, workers: int, run_s: float) -> None:
         """Compose the deployment; call it within a running loop."""
+        self._servers: list[UvicornServer] = []
         self.store = StoreStandin()
-        port = free_port()
-        self._address = f"127.0.0.1:{port}"
         self.placement = PlacementStandin()
-        advice_port = free_port()
-        self._servers = [
-            UvicornServer(self.store.app(), "127.0.0.1", port),
-            UvicornServer(self.placement.app(), "127.0.0.1", advice_port),
-        ]
+        advice_address = self._serve(self.placement.app())
         self.workers = [
             WorkerStandin(f"i-{number}", run_s) for number in range(workers)
         ]
         self.nodes = [
-            Node(f"edge-{number}", self._address, f"127.0.0.1:{advice_port}")
+            self._new_node(f"edge-{number}", advice_address)
             for number in range(nodes)
         ]
 
+    def _new_node(self, name: str, advice_address: str) -> Node:
+        """Return a node with an address of the store for itself."""
+        store_address = self._serve(self.store.app(name))
+        return Node(name, store_address, advice_address)
+
+    def _serve(self, app: Starlette) -> str:
+        """Return the address of a server that starts with the deployment."""
+        port = free_port()
+        self._servers.append(UvicornServer(app, "127.0.0.1", port))
+        return f"127.0.0.1:{port}"
+
     async def start(self) -> None:
         """Start everything and write manifest and workers."""
         for server in self._servers:
@@ -164,23 +174,28 @@
             server = UvicornServer(worker.app(), "127.0.0.1", port)
             await server.start()
             self._servers.append(server)
-            row = {
-                "service": "desk",
-                "address": f"127.0.0.1:{port}",
-                "zone": "zone",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold_remaining_ms": 0,
-                "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0},
-                "labels": ["a", "r1"],
-                "seq": 1,
-                "born": worker.born,
-            }
-            await self.store.put("servers", worker.name, encoded(row))
+            worker.address = f"127.0.0.1:{port}"
+            await self.list_worker(worker)
         for node in self.nodes:
             await node.start()
 
+    async def list_worker(self, worker: WorkerStandin) -> None:
+        """Write the row of a worker, as it does itself."""
+        row = {
+            "service": "desk",
+            "address": worker.address,
+            "zone": "zone",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "seq": 1,
+            "born": worker.born,
+        }
+        await self.store.put("servers", worker.name, encoded(row))
+
     async def stop(self) -> None:
         """Stop everything."""
         for node in self.nodes:
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -11,16 +11,29 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from tests.users_platform.store_fault import StoreFault
+
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from starlette.requests import Request
 
+    _Call = Callable[[Request], Awaitable[Response]]
+
 Place = tuple[str, str, str]
 
+_STATUSES = {StoreFault.REFUSE: 503, StoreFault.BUSY: 429}
+_LATE_S = 1.0
+# Longer than any limit of the callers.
+_SILENCE_S = 30.0
+
 
 class StoreStandin:
     """Rows with versions from one counter, and faults.
 
-    :ivar refuse: whether calls get 503
+    :ivar fault: what happens to the calls of all nodes
+    :ivar faults: what happens to the calls of one node, by its name
     :ivar lose_next: how many transactions are applied and not answered
     """
 
@@ -28,22 +41,50 @@
         """Create an empty store."""
         self.rows: dict[Place, tuple[str | None, int]] = {}
         self.version = 0
-        self.refuse = False
+        self.fault = StoreFault.NONE
+        self.faults: dict[str, StoreFault] = {}
         self.lose_next = 0
         self.kept_since = 0
         self.calls = 0
         self._changed = asyncio.Condition()
 
-    def app(self) -> Starlette:
-        """Return the application."""
+    def app(self, node: str) -> Starlette:
+        """Return the application that one node calls."""
+
+        def route(path: str, call: _Call, method: str) -> Route:
+            async def serve(request: Request) -> Response:
+                return await self._faulty(node, call, request)
+
+            return Route(path, serve, methods=[method])
+
         return Starlette(
             routes=[
-                Route("/api/rows-tx", self._transact, methods=["POST"]),
-                Route("/api/rows-get", self._get),
-                Route("/api/rows-feed", self._feed),
+                route("/api/rows-tx", self._transact, "POST"),
+                route("/api/rows-get", self._get, "GET"),
+                route("/api/rows-feed", self._feed, "GET"),
             ]
         )
 
+    async def _faulty(
+        self, node: str, call: _Call, request: Request
+    ) -> Response:
+        fault = self.faults.get(node, self.fault)
+        status = _STATUSES.get(fault)
+        if status is not None:
+            return Response(status_code=status)
+        if fault is StoreFault.RESET:
+            # uvicorn closes a connection whose answer is too short.
+            return Response(headers={"content-length": "9"})
+        if fault is StoreFault.LATE:
+            await request.body()
+            await asyncio.sleep(_LATE_S)
+        if fault is not StoreFault.SILENT:
+            answer = await call(request)
+            if fault is StoreFault.NONE:
+                return answer
+        await asyncio.sleep(_SILENCE_S)
+        return Response(status_code=503)
+
     async def put(self, table: str, key: str, value: str) -> None:
         """Write a row as the operator or a worker does."""
         async with self._changed:
@@ -69,8 +110,6 @@
 
     async def _transact(self, request: Request) -> Response:
         self.calls += 1
-        if self.refuse:
-            return Response(status_code=503)
         body = await request.json()
         async with self._changed:
             conflicts = [
@@ -90,12 +129,10 @@
             self._changed.notify_all()
         if self.lose_next:
             self.lose_next -= 1
-            await asyncio.sleep(30)
+            await asyncio.sleep(_SILENCE_S)
         return self._answer(200)
 
     async def _get(self, request: Request) -> Response:
-        if self.refuse:
-            return Response(status_code=503)
         query = request.query_params
         limit = int(query.get("limit", "500"))
         places = sorted(
@@ -110,8 +147,6 @@
         return self._answer(200, rows=rows, has_more=len(places) > limit)
 
     async def _feed(self, request: Request) -> Response:
-        if self.refuse:
-            return Response(status_code=503)
         query = request.query_params
         after = int(query["after"])
         if after < self.kept_since:
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -9,67 +9,20 @@
 
 from testtools import TestCase
 
-from tests.users_platform.deployment import Deployment
+from tests.users_platform.scenario import BODY
+from tests.users_platform.scenario import ID
+from tests.users_platform.scenario import PATH
+from tests.users_platform.scenario import play
+from tests.users_platform.scenario import until
+from tests.users_platform.store_fault import StoreFault
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
-
-    from tests.users_platform.deployment import Node
-
-_ID = "5c0e7a21d94b36f8"
-_PATH = f"/bookings/{_ID}"
-_STEPS = [
-    {"count": 3, "cpu": 500, "mem_mb": 10, "estimated_ms": 100},
-    {"count": 1, "cpu": 500, "mem_mb": 10, "after": [0]},
-]
-_BODY = {"spec": "text", "steps": _STEPS}
-
-
-async def _until(
-    node: Node, state: str, path: str = _PATH, limit_s: float = 15.0
-) -> None:
-    async with asyncio.timeout(limit_s):
-        while True:
-            answer = await node.call("GET", path)
-            if answer.status == 200:
-                found = json.loads(answer.body)["state"]
-                if found == state:
-                    return
-            await asyncio.sleep(0.05)
-
-
-async def _ready(deployment: Deployment) -> None:
-    async with asyncio.timeout(10):
-        while True:
-            if any(node.leads for node in deployment.nodes):
-                break
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(0.7)
+    from tests.users_platform.deployment import Deployment
 
 
 class SystemTest(TestCase):
     """Submissions from acceptance to their end."""
 
-    def _play(
-        self,
-        scenario: Callable[[Deployment], Awaitable[None]],
-        nodes: int = 2,
-        workers: int = 2,
-        run_s: float = 0.1,
-    ) -> Deployment:
-        async def run() -> Deployment:
-            deployment = Deployment(nodes, workers, run_s)
-            await deployment.start()
-            try:
-                await _ready(deployment)
-                await scenario(deployment)
-            finally:
-                await deployment.stop()
-            return deployment
-
-        return asyncio.run(run())
-
     def _assert_each_ran_once(self, deployment: Deployment) -> None:
         runs = Counter(
             task for worker in deployment.workers for task, _ in worker.started
@@ -82,15 +35,15 @@
 
         async def scenario(deployment: Deployment) -> None:
             first, second = deployment.nodes
-            answer = await first.call("POST", _PATH, _BODY)
+            answer = await first.call("POST", PATH, BODY)
             self.assertEqual(200, answer.status)
-            await _until(second, "completed")
-            again = await second.call("POST", _PATH, _BODY)
+            await until(second, "completed")
+            again = await second.call("POST", PATH, BODY)
             self.assertEqual(200, again.status)
             counts = await first.call("GET", "/bookings/")
             self.assertEqual({"queued_count": 0}, json.loads(counts.body))
 
-        self._assert_each_ran_once(self._play(scenario))
+        self._assert_each_ran_once(play(scenario))
 
     def test_unknown_places_have_their_own_answers(self) -> None:
         """Guards against 410 for a queue and 404 for a submission."""
@@ -99,40 +52,40 @@
             node = deployment.nodes[0]
             statuses = [
                 (await node.call("GET", path)).status
-                for path in ("/other/", "/bookings/xyz", _PATH)
+                for path in ("/other/", "/bookings/xyz", PATH)
             ]
             self.assertEqual([404, 404, 410], statuses)
-            bad = await node.call("POST", _PATH, {"spec": 3})
+            bad = await node.call("POST", PATH, {"spec": 3})
             self.assertEqual(400, bad.status)
 
-        self._play(scenario)
+        play(scenario)
 
     def test_answer_lost_by_the_store_starts_nothing_twice(self) -> None:
         """Guards against a commit that is applied twice after a time-out."""
 
         async def scenario(deployment: Deployment) -> None:
             deployment.store.lose_next = 2
-            answer = await deployment.nodes[0].call("POST", _PATH, _BODY)
+            answer = await deployment.nodes[0].call("POST", PATH, BODY)
             if answer.status != 200:
                 self.assertEqual(504, answer.status)
-                answer = await deployment.nodes[1].call("POST", _PATH, _BODY)
-            await _until(deployment.nodes[1], "completed")
+                answer = await deployment.nodes[1].call("POST", PATH, BODY)
+            await until(deployment.nodes[1], "completed")
 
-        self._assert_each_ran_once(self._play(scenario))
+        self._assert_each_ran_once(play(scenario))
 
     def test_refused_submission_never_runs(self) -> None:
         """Guards against 503 for a submission that was stored."""
 
         async def scenario(deployment: Deployment) -> None:
-            deployment.store.refuse = True
+            deployment.store.fault = StoreFault.REFUSE
             await asyncio.sleep(1.5)
-            answer = await deployment.nodes[0].call("POST", _PATH, _BODY)
+            answer = await deployment.nodes[0].call("POST", PATH, BODY)
             self.assertEqual(503, answer.status)
             self.assertEqual("1", answer.headers["retry-after"])
-            deployment.store.refuse = False
+            deployment.store.fault = StoreFault.NONE
             await asyncio.sleep(2.0)
 
-        deployment = self._play(scenario)
+        deployment = play(scenario)
         self.assertEqual(
             [], [w.started for w in deployment.workers if w.started]
         )
@@ -144,14 +97,14 @@
             leader, other = sorted(
                 deployment.nodes, key=lambda node: not node.leads
             )
-            answer = await other.call("POST", _PATH, _BODY)
+            answer = await other.call("POST", PATH, BODY)
             self.assertEqual(200, answer.status)
             await asyncio.sleep(0.3)
             await leader.stop()
             deployment.nodes.remove(leader)
-            await _until(other, "completed")
+            await until(other, "completed")
 
-        self._assert_each_ran_once(self._play(scenario, run_s=2.0))
+        self._assert_each_ran_once(play(scenario, run_s=2.0))
 
     def test_unanswered_starts_run_once_at_a_time(self) -> None:
         """Guards against a second run beside one whose answer was lost."""
@@ -160,12 +113,12 @@
             (worker,) = deployment.workers
             worker.hang_starts = True
             body = {"spec": "", "steps": [{"count": 1, "cpu": 500}]}
-            await deployment.nodes[0].call("POST", _PATH, body)
+            await deployment.nodes[0].call("POST", PATH, body)
             await asyncio.sleep(2.0)
             worker.hang_starts = False
-            await _until(deployment.nodes[0], "completed")
+            await until(deployment.nodes[0], "completed")
 
-        deployment = self._play(scenario, workers=1, run_s=1.0)
+        deployment = play(scenario, workers=1, run_s=1.0)
         self.assertEqual(1, deployment.workers[0].at_once_most)
 
     def test_cancelled_submission_stops(self) -> None:
@@ -173,22 +126,22 @@
 
         async def scenario(deployment: Deployment) -> None:
             node = deployment.nodes[0]
-            await node.call("POST", _PATH, _BODY)
+            await node.call("POST", PATH, BODY)
             await asyncio.sleep(0.3)
-            answer = await node.call("DELETE", _PATH)
+            answer = await node.call("DELETE", PATH)
             self.assertEqual(200, answer.status)
-            await _until(node, "cancelled")
+            await until(node, "cancelled")
             gone = await node.call("DELETE", "/bookings/" + "0" * 16)
             self.assertEqual(410, gone.status)
 
-        deployment = self._play(scenario, run_s=30.0)
+        deployment = play(scenario, run_s=30.0)
         self.assertEqual(
             3, sum(len(worker.started) for worker in deployment.workers)
         )
 
     def test_queue_with_tickets_is_served_by_allowed_workers(self) -> None:
         """Guards against starts without a ticket or on other workers."""
-        path = f"/advised/{_ID}"
+        path = f"/advised/{ID}"
 
         async def scenario(deployment: Deployment) -> None:
             placement = deployment.placement
@@ -196,11 +149,11 @@
             placement.refuse_next = 1
             for worker in deployment.workers:
                 worker.placement = placement
-            answer = await deployment.nodes[0].call("POST", path, _BODY)
+            answer = await deployment.nodes[0].call("POST", path, BODY)
             self.assertEqual(200, answer.status)
-            await _until(deployment.nodes[1], "completed", path)
+            await until(deployment.nodes[1], "completed", path)
 
-        deployment = self._play(scenario, workers=3)
+        deployment = play(scenario, workers=3)
         self._assert_each_ran_once(deployment)
         self.assertEqual(
             [0, 4, 0], [len(worker.started) for worker in deployment.workers]
--- a/tests/users_platform/worker_standin.py
+++ b/tests/users_platform/worker_standin.py
@@ -17,12 +17,22 @@
 
     from tests.users_platform.placement_standin import PlacementStandin
 
+_LATE_S = 1.0
+# Longer than any limit of the callers.
+_SILENCE_S = 30.0
+
 
 class WorkerStandin:
     """Runs tasks that end after a while; refuses lower tokens.
 
     :ivar started: (task, run) of everything it has begun
+    :ivar done: (task, run) of everything that ended as done
+    :ivar address: IP address and port that its row names
     :ivar hang_starts: whether starts are carried out and not answered
+    :ivar late_starts: whether starts are carried out a second later and not
+        answered
+    :ivar fail_all: whether every task fails
+    :ivar unhealthy: whether starts get 503
     :ivar placement: service whose tickets starts need, None for none
     """
 
@@ -36,8 +46,13 @@
         self.name = name
         self.born = born
         self.started: list[tuple[str, int]] = []
+        self.done: list[tuple[str, int]] = []
         self.at_once_most = 0
+        self.address = ""
         self.hang_starts = False
+        self.late_starts = False
+        self.fail_all = False
+        self.unhealthy = False
         self.placement: PlacementStandin | None = None
         self._run_s = run_s
         self._token = 0
@@ -75,7 +90,21 @@
         self._finish_due()
         return body
 
+    def restart(self) -> None:
+        """Begin a new lifetime under the same id, which knows nothing."""
+        self.born += 1
+        self._token = 0
+        self._number = 0
+        self._running.clear()
+        self._ended.clear()
+        self._highest.clear()
+
     async def _start(self, request: Request) -> Response:
+        if self.unhealthy:
+            return Response(status_code=503)
+        if self.late_starts:
+            await request.body()
+            await asyncio.sleep(_LATE_S)
         body = await self._body(request)
         if isinstance(body, Response):
             return body
@@ -93,8 +122,8 @@
         self._running[task] = (run, time.monotonic() + self._run_s)
         self.started.append((task, run))
         self.at_once_most = max(self.at_once_most, len(self._running))
-        if self.hang_starts:
-            await asyncio.sleep(30)
+        if self.hang_starts or self.late_starts:
+            await asyncio.sleep(_SILENCE_S)
         return self._answer()
 
     async def _stop(self, request: Request) -> Response:
@@ -130,9 +159,11 @@
         now = time.monotonic()
         for task, (_, ends_at) in list(self._running.items()):
             if now >= ends_at:
-                self._end(task, "done")
+                self._end(task, "failed" if self.fail_all else "done")
 
     def _end(self, task: str, how: str) -> None:
         run, _ = self._running.pop(task)
+        if how == "done":
+            self.done.append((task, run))
         self._number += 1
         self._ended.append([self._number, task, run, how, ""])
