Look for the workers of a step once; state processor costs by operation

Each report searched all workers for earlier lifetimes of its sender.

Change: the workers that suit a step and have room are found once for all its tasks, and the policy shortens the list; lifetimes are searched only when a newer one may have come. python -m tools.platform_costs prints what a look, a start, a commit, a submission, a placement and an end cost.

--- a/src/carawaystep/planner/eligibility.py
+++ b/src/carawaystep/planner/eligibility.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
     from carawaystep.fleet.held_run import HeldRun
     from carawaystep.fleet.held_worker import HeldWorker
@@ -23,26 +24,47 @@
     )
 
 
+def with_room(
+    workflow: Workflow, ref: TaskRef, usable: Iterable[HeldWorker], now: float
+) -> list[HeldWorker]:
+    """Return the workers that suit a step and have room for a task of it.
+
+    While tasks are only placed, no other worker joins them, so that they
+    are looked for once for all tasks of a step.
+
+    :param ref: any task of the step
+    :param usable: workers that may get new work
+    :param now: present time, seconds of a steady clock
+    """
+    step = workflow.step(ref)
+    return [
+        worker
+        for worker in usable
+        if worker.fits(step)
+        and may_run(workflow, ref, worker)
+        and (not step.fills or worker.takes_filling(now))
+    ]
+
+
 def eligible(
-    workflow: Workflow, ref: TaskRef, usable: list[HeldWorker], now: float
+    workflow: Workflow,
+    ref: TaskRef,
+    candidates: Iterable[HeldWorker],
+    usable: Sequence[HeldWorker],
 ) -> Iterator[HeldWorker]:
-    """Return the workers that may get a task and have room for it.
+    """Return the workers that may get one more task now.
 
     A task that failed is tried elsewhere, so that one bad worker does not
     use up its attempts.
 
-    :param usable: workers that may get new work
-    :param now: present time, seconds of a steady clock
+    :param candidates: workers that had room for a task of the step
+    :param usable: all workers that may get new work
     """
     step = workflow.step(ref)
     failed_on = workflow.task(ref).failed_on
     avoided = failed_on if len(failed_on) < len(usable) else set()
-    for worker in usable:
-        if worker.key in avoided or not may_run(workflow, ref, worker):
-            continue
-        if not worker.fits(step):
-            continue
-        if step.fills and not worker.takes_filling(now):
+    for worker in candidates:
+        if not worker.fits(step) or worker.key in avoided:
             continue
         if step.max_per_worker:
             same = sum(1 for _ in worker.of_step(ref))
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -11,6 +11,7 @@
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.planner.changes import Changes
 from carawaystep.planner.eligibility import eligible
+from carawaystep.planner.eligibility import with_room
 from carawaystep.planner.harm_guard import HarmGuard
 from carawaystep.planner.harm_guard import PRESSED_PACE
 from carawaystep.planner.order_desk import OrderDesk
@@ -97,6 +98,8 @@
             self._book, placement, self._permits, self._desk, log
         )
         self._workers: dict[WorkerKey, HeldWorker] = {}
+        # Lifetimes of which no earlier one is left, by id of the worker.
+        self._newest: dict[str, WorkerKey] = {}
         # Workers of stored runs that no list or report has shown yet.
         self._missing: dict[WorkerKey, float] = {}
         self._next = Changes()
@@ -290,8 +293,9 @@
                 workflow = self._book.get(ref.workflow)
                 if workflow is None or held.stopping:
                     continue
+                fitting = with_room(workflow, ref, usable, now)
                 if held.step.long_running and any(
-                    eligible(workflow, ref, usable, now)
+                    eligible(workflow, ref, fitting, usable)
                 ):
                     self._desk.stop(worker, ref, held.run, "worker-leaving")
 
@@ -492,6 +496,7 @@
     def _meet(self, offer: WorkerOffer) -> None:
         worker = HeldWorker(offer)
         self._workers[offer.key] = worker
+        self._newest.pop(offer.key.id, None)
         self._missing.pop(offer.key, None)
         for workflow in self._book:
             for ref, task in workflow.placed():
@@ -509,6 +514,9 @@
 
     def _forget_earlier(self, key: WorkerKey) -> None:
         """Requeue what was on an earlier lifetime of a worker."""
+        if self._newest.get(key.id) == key:
+            return
+        self._newest[key.id] = key
         for earlier in list(self._workers):
             if earlier.id == key.id and earlier.born_ms < key.born_ms:
                 worker = self._workers.pop(earlier)
--- a/src/carawaystep/planner/sharing_placement.py
+++ b/src/carawaystep/planner/sharing_placement.py
@@ -35,6 +35,22 @@
         """
         self._interference = interference
 
+    def shortlist(
+        self, step: StepSpec, candidates: Iterable[HeldWorker], now: float
+    ) -> list[HeldWorker]:
+        """Return the candidates that tasks of a step can be given now."""
+        if not step.fills:
+            return list(candidates)
+        needed = step.cpu_millis * _FILLING_SHARE
+        return [
+            worker
+            for worker in candidates
+            if worker.likely_spare_cpu >= needed
+            and self._leaves_memory(step, worker)
+            and not self._interference.harms(step.image, worker)
+            and not self._interference.confounds(step.image, worker, now)
+        ]
+
     def choose(
         self, step: StepSpec, candidates: Iterable[HeldWorker], now: float
     ) -> HeldWorker | None:
@@ -77,16 +93,8 @@
     def _choose_filling(
         self, step: StepSpec, candidates: Iterable[HeldWorker], now: float
     ) -> HeldWorker | None:
-        needed = step.cpu_millis * _FILLING_SHARE
         return min(
-            (
-                worker
-                for worker in candidates
-                if worker.likely_spare_cpu >= needed
-                and self._leaves_memory(step, worker)
-                and not self._interference.harms(step.image, worker)
-                and not self._interference.confounds(step.image, worker, now)
-            ),
+            self.shortlist(step, candidates, now),
             key=lambda worker: (
                 not self._near(step, worker),
                 self._interference.risk(step.image, worker),
--- a/src/carawaystep/planner/task_feeder.py
+++ b/src/carawaystep/planner/task_feeder.py
@@ -7,6 +7,7 @@
 from carawaystep.fleet.held_run import HeldRun
 from carawaystep.fleet.order import StartOrder
 from carawaystep.planner.eligibility import eligible
+from carawaystep.planner.eligibility import with_room
 from carawaystep.planner.harm_guard import PRESSED_PACE
 from carawaystep.planner.preemption import victims
 
@@ -92,6 +93,7 @@
     ) -> bool:
         """Place a workflow's ready tasks; tell whether none is left over."""
         refused: set[tuple[int, int]] = set()
+        shortlists: dict[tuple[int, int], list[HeldWorker]] = {}
         for ref in list(workflow.ready(wall_now)):
             slot = (ref.occurrence, ref.step)
             if slot in refused:
@@ -99,7 +101,15 @@
             if workflow.step(ref).gang:
                 fed = self._feed_gang(workflow, ref, usable, now)
             else:
-                fed = self._feed_task(workflow, ref, usable, now)
+                if slot not in shortlists:
+                    shortlists[slot] = self._placement.shortlist(
+                        workflow.step(ref),
+                        with_room(workflow, ref, usable, now),
+                        now,
+                    )
+                fed = self._feed_task(
+                    workflow, ref, shortlists[slot], usable, now
+                )
             if not fed:
                 refused.add(slot)
         return not refused
@@ -108,17 +118,19 @@
         self,
         workflow: Workflow,
         ref: TaskRef,
+        shortlist: list[HeldWorker],
         usable: list[HeldWorker],
         now: float,
     ) -> bool:
         step = workflow.step(ref)
         worker = self._placement.choose(
-            step, self._candidates(workflow, ref, usable, now), now
+            step, self._candidates(workflow, ref, shortlist, usable, now), now
         )
         pressed = False
         if worker is None and self._starves(workflow, now):
+            others = with_room(workflow, ref, usable, now)
             worker = self._placement.choose_despite_harm(
-                step, self._candidates(workflow, ref, usable, now)
+                step, self._candidates(workflow, ref, others, usable, now)
             )
             pressed = worker is not None
         if worker is not None:
@@ -175,9 +187,12 @@
         """Return workers for as many members as find room together."""
         step = workflow.step(ref)
         chosen: list[tuple[TaskRef, HeldWorker]] = []
+        fitting = with_room(workflow, ref, usable, now)
         for member in workflow.members(ref):
             worker = self._placement.choose(
-                step, self._candidates(workflow, member, usable, now), now
+                step,
+                self._candidates(workflow, member, fitting, usable, now),
+                now,
             )
             if worker is None:
                 break
@@ -191,11 +206,12 @@
         self,
         workflow: Workflow,
         ref: TaskRef,
+        fitting: list[HeldWorker],
         usable: list[HeldWorker],
         now: float,
     ) -> Iterator[HeldWorker]:
-        """Return the workers that may get a task and have room for it."""
-        candidates = eligible(workflow, ref, usable, now)
+        """Return the workers that may get one more task now."""
+        candidates = eligible(workflow, ref, fitting, usable)
         if not workflow.spec.needs_permits:
             return candidates
         return self._permits.filter(workflow, ref, candidates, now)
--- a/src/carawaystep/planner/task_placement.py
+++ b/src/carawaystep/planner/task_placement.py
@@ -16,6 +16,20 @@
 class TaskPlacement(ABC):
     """Policy that ranks workers which may run a task."""
 
+    @abstractmethod
+    def shortlist(
+        self, step: StepSpec, candidates: Iterable[HeldWorker], now: float
+    ) -> list[HeldWorker]:
+        """Return the candidates that tasks of a step can be given now.
+
+        A choice among them is made for each task, while placements only
+        take room away.
+
+        :param step: step of the tasks
+        :param candidates: usable workers with room that the step allows
+        :param now: present time, seconds of a steady clock
+        """
+
     @abstractmethod
     def choose(
         self, step: StepSpec, candidates: Iterable[HeldWorker], now: float
--- /dev/null
+++ b/tools/platform_costs/__main__.py
@@ -0,0 +1,155 @@
+"""Prints microseconds of processor time: ``python -m tools.platform_costs``.
+
+The other ends of connections run in a process of their own and are not
+counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from time import process_time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from carawaystep.fleet.amount import Amount
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.fleet.worker_offer import WorkerOffer
+from carawaystep.fleet.worker_report import EndedRun
+from carawaystep.fleet.worker_report import WorkerReport
+from carawaystep.planner.decision_log import DecisionLog
+from carawaystep.planner.interference import Interference
+from carawaystep.planner.planner import Planner
+from carawaystep.planner.planner_limits import PlannerLimits
+from carawaystep.planner.sharing_placement import SharingPlacement
+from carawaystep.routing.queue_route import QueueRoute
+from carawaystep.scheduler import tables
+from carawaystep.store.operation import PutRow
+from carawaystep.workflow.run_end import RunEnd
+from carawaystep.workflow.task_ref import TaskRef
+from carawaystep_platform.store_client import StoreClient
+from carawaystep_platform.submissions import SubmissionReader
+from carawaystep_platform.worker_client import WorkerClient
+from tools.platform_costs.stub_services import stub_services
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+_CALLS = 2000
+_WORKERS = 24
+_TASKS = 6
+_KEY = WorkerKey("i-0", 7)
+_ROUTE = QueueRoute("r", "h", "/q/", "desk", 0, 3, 1.5, 0.25)
+_BODY = json.dumps(
+    {
+        "spec": "x" * 500,
+        "steps": [{"count": _TASKS, "cpu": 100, "estimated_ms": 800}],
+    }
+).encode()
+
+
+class _NoLog(DecisionLog):
+    """Drops every line; what lines cost is measured in the daemon."""
+
+    def line(
+        self, event: str, subject: str, **inputs: str | int | float
+    ) -> None:
+        """Drop a line."""
+
+
+async def _call_us(call: Callable[[], Awaitable[object]]) -> float:
+    for _ in range(_CALLS // 10):
+        await call()
+    began_at = process_time()
+    for _ in range(_CALLS):
+        await call()
+    return (process_time() - began_at) / _CALLS * 1e6
+
+
+async def _calls() -> dict[str, float]:
+    with stub_services() as address:
+        worker = WorkerClient(_KEY, address, 6.0)
+        store = StoreClient(address)
+        ref = TaskRef("5c0e7a21d94b36f8", 0, 1, 3)
+        order = StartOrder(_KEY, ref, 2, "x" * 500)
+        row = PutRow(tables.PROGRESS, ref.workflow, 1, {"tasks": []})
+        try:
+            return {
+                "look": await _call_us(
+                    lambda: worker.hold(3, 0, True, wait_s=0.0)
+                ),
+                "start": await _call_us(lambda: worker.carry_out(order, 3)),
+                "commit": await _call_us(lambda: store.transact([row])),
+            }
+        finally:
+            await worker.close()
+            await store.close()
+
+
+def _offer(number: int) -> WorkerOffer:
+    return WorkerOffer(
+        WorkerKey(f"i-{number}", 7),
+        "desk",
+        "127.0.0.1:1",
+        "zone",
+        "rack",
+        frozenset(),
+        Amount(10**9, 10**9, 0),
+        draining=False,
+    )
+
+
+def _decisions() -> dict[str, float]:
+    """Return costs of decoding, planning and ends without any call."""
+    reader = SubmissionReader()
+    interference = Interference()
+    planner = Planner(
+        PlannerLimits(8.0, 18.0),
+        SharingPlacement(interference),
+        interference,
+        _NoLog(),
+        0.0,
+    )
+    planner.offer([_offer(number) for number in range(_WORKERS)])
+    for worker in list(planner.workers):
+        planner.hear(WorkerReport(worker, [], []), 0.0)
+    began_at = process_time()
+    specs = [
+        reader.read(f"{number:016x}", _ROUTE, _BODY, 0.0).unwrap()
+        for number in range(_CALLS)
+    ]
+    decoded_at = process_time()
+    placed_s = ended_s = 0.0
+    number = 0
+    for spec in specs:
+        admitted_at = process_time()
+        planner.admit(spec, stored=False)
+        planner.plan(0.5, 0.5)
+        changes = planner.take_changes()
+        msgspec.json.encode(changes.progress)
+        placed_at = process_time()
+        for order in changes.orders:
+            number += 1
+            ended = EndedRun(number, order.ref, order.run, RunEnd.DONE, "")
+            planner.hear(WorkerReport(order.worker, [], [ended]), 0.6)
+            msgspec.json.encode(planner.take_changes().progress)
+        placed_s += placed_at - admitted_at
+        ended_s += process_time() - placed_at
+    return {
+        "decode": (decoded_at - began_at) / _CALLS * 1e6,
+        "place": placed_s / number * 1e6,
+        "end": ended_s / number * 1e6,
+    }
+
+
+def main() -> None:
+    """Measure and print one JSON line, microseconds by operation."""
+    figures = {**asyncio.run(_calls()), **_decisions()}
+    print(json.dumps({name: round(us) for name, us in figures.items()}))
+
+
+if __name__ == "__main__":
+    main()
