Keep the measurement of the users' platform with its tests

Ruled out: an exception in the test; only the adapter and its tests may know these names.

Change: it is now python -m tests.users_platform.costs.

--- a/tools/platform_costs/__main__.py
+++ b/tests/users_platform/costs/__main__.py
@@ -1,4 +1,4 @@
-"""Prints microseconds of processor time: ``python -m tools.platform_costs``.
+"""Prints microseconds of processor time: ``python -m tests.users_platform.costs``.
 
 The other ends of connections run in a process of their own and are not
 counted.
@@ -32,7 +32,7 @@
 from carawaystep_platform.store_client import StoreClient
 from carawaystep_platform.submissions import SubmissionReader
 from carawaystep_platform.worker_client import WorkerClient
-from tools.platform_costs.stub_services import stub_services
+from tests.users_platform.costs.stub_services import stub_services
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
