--- a/tests/users_platform/costs/__main__.py
+++ b/tests/users_platform/costs/__main__.py
@@ -1,6 +1,6 @@
-"""Prints microseconds of processor time: ``python -m tests.users_platform.costs``.
+"""Prints processor time by operation, microseconds.
 
-The other ends of connections run in a process of their own and are not
+Run it as ``python -m tests.users_platform.costs``. The other ends of connections run in a process of their own and are not
 counted.
 """
 
