--- a/tests/users_platform/costs/__main__.py
+++ b/tests/users_platform/costs/__main__.py
@@ -1,7 +1,7 @@
 """Prints processor time by operation, microseconds.
 
-Run it as ``python -m tests.users_platform.costs``. The other ends of connections run in a process of their own and are not
-counted.
+Run it as ``python -m tests.users_platform.costs``. The other ends of
+connections run in a process of their own and are not counted.
 """
 
 from __future__ import annotations
