--- a/src/carawaystep/planner/order_desk.py
+++ b/src/carawaystep/planner/order_desk.py
@@ -8,7 +8,6 @@
 from carawaystep.fleet.order import StopOrder
 
 if TYPE_CHECKING:
-    from carawaystep.fleet.held_run import HeldRun
     from carawaystep.fleet.held_worker import HeldWorker
     from carawaystep.fleet.order import Order
     from carawaystep.planner.decision_log import DecisionLog
@@ -65,17 +64,17 @@
         self,
         worker: HeldWorker,
         ref: TaskRef,
-        held: HeldRun,
         percent: int,
         now: float,
     ) -> None:
         """Have a run work at a share of full speed."""
+        run = worker.runs[ref].run
         worker.pace(ref, percent, now)
-        self._orders.append(PaceOrder(worker.key, ref, held.run, percent))
+        self._orders.append(PaceOrder(worker.key, ref, run, percent))
         self._log.line(
             "task.paced",
             str(ref),
-            run=held.run,
+            run=run,
             worker=worker.key.id,
             percent=percent,
         )
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -216,7 +216,7 @@
                     worker, relief.ref, held.run, "harms-a-serving-task"
                 )
             else:
-                self._desk.pace(worker, relief.ref, held, relief.pace, now)
+                self._desk.pace(worker, relief.ref, relief.pace, now)
         if first:
             # Older tokens are refused from now on: what is not listed was
             # never started.
@@ -241,7 +241,7 @@
             return
         if outcome is OrderOutcome.DONE:
             if held.pressed:
-                self._desk.pace(worker, order.ref, held, PRESSED_PACE, now)
+                self._desk.pace(worker, order.ref, PRESSED_PACE, now)
         elif outcome in _NOT_DONE:
             if outcome is OrderOutcome.NOT_SENT:
                 worker.health.pause_briefly(now)
@@ -293,10 +293,10 @@
                 workflow = self._book.get(ref.workflow)
                 if workflow is None or held.stopping:
                     continue
+                if not held.step.long_running:
+                    continue
                 fitting = with_room(workflow, ref, usable, now)
-                if held.step.long_running and any(
-                    eligible(workflow, ref, fitting, usable)
-                ):
+                if any(eligible(workflow, ref, fitting, usable)):
                     self._desk.stop(worker, ref, held.run, "worker-leaving")
 
     def plan(self, now: float, wall_now: float) -> None:
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -28,39 +28,31 @@
 
     from carawaystep.adapters.http_client.http_answer import HttpAnswer
 
+_BOOKINGS = {
+    "name": "r-1",
+    "host": "desk.example",
+    "path_prefix": "/bookings/",
+    "type": "non_idempotent",
+    "timeout_ms": 3000,
+    "target_duration_ms": 250,
+    "priority": 0,
+    "service": "desk",
+    "max_attempts": 3,
+    "stretch": 1.5,
+}
+_ADVISED = {
+    **_BOOKINGS,
+    "name": "r-2",
+    "path_prefix": "/advised/",
+    "recommendation": {
+        "decision_ms": 20,
+        "period_ms": 5,
+        "validity_ms": VALIDITY_S * 1000,
+    },
+}
 MANIFEST = {
     "version": 3,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": "desk.example",
-            "path_prefix": "/bookings/",
-            "type": "non_idempotent",
-            "timeout_ms": 3000,
-            "target_duration_ms": 250,
-            "priority": 0,
-            "service": "desk",
-            "max_attempts": 3,
-            "stretch": 1.5,
-        },
-        {
-            "name": "r-2",
-            "host": "desk.example",
-            "path_prefix": "/advised/",
-            "type": "non_idempotent",
-            "timeout_ms": 3000,
-            "target_duration_ms": 250,
-            "priority": 0,
-            "service": "desk",
-            "max_attempts": 3,
-            "stretch": 1.5,
-            "recommendation": {
-                "decision_ms": 20,
-                "period_ms": 5,
-                "validity_ms": VALIDITY_S * 1000,
-            },
-        },
-    ],
+    "routes": [_BOOKINGS, _ADVISED],
     "services": [],
     "limits": {"max_body_bytes": 262144, "header_timeout_ms": 3000},
 }
--- a/tests/users_platform/scenario.py
+++ b/tests/users_platform/scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 import json
 from typing import TYPE_CHECKING
 
@@ -72,6 +73,13 @@
             await asyncio.sleep(0.05)
 
 
+def starts_by_task(deployment: Deployment) -> Counter[str]:
+    """Return how often each task was begun, on whatever worker."""
+    return Counter(
+        task for worker in deployment.workers for task, _ in worker.started
+    )
+
+
 async def _ready(deployment: Deployment) -> None:
     await wait_for(lambda: any(node.leads for node in deployment.nodes))
     await asyncio.sleep(0.7)
--- a/tests/users_platform/test_faults.py
+++ b/tests/users_platform/test_faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 import json
 import socket
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
 from tests.users_platform.scenario import BODY
 from tests.users_platform.scenario import PATH
 from tests.users_platform.scenario import play
+from tests.users_platform.scenario import starts_by_task
 from tests.users_platform.scenario import until
 from tests.users_platform.scenario import wait_for
 from tests.users_platform.store_fault import StoreFault
@@ -35,9 +35,7 @@
     """Submissions while the store misbehaves for a while."""
 
     def _assert_each_ran_once(self, deployment: Deployment) -> None:
-        runs = Counter(
-            task for worker in deployment.workers for task, _ in worker.started
-        )
+        runs = starts_by_task(deployment)
         self.assertEqual({1}, set(runs.values()))
         self.assertEqual(_TASKS, len(runs))
 
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 import json
 from typing import TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from tests.users_platform.scenario import ID
 from tests.users_platform.scenario import PATH
 from tests.users_platform.scenario import play
+from tests.users_platform.scenario import starts_by_task
 from tests.users_platform.scenario import until
 from tests.users_platform.store_fault import StoreFault
 
@@ -24,9 +24,7 @@
     """Submissions from acceptance to their end."""
 
     def _assert_each_ran_once(self, deployment: Deployment) -> None:
-        runs = Counter(
-            task for worker in deployment.workers for task, _ in worker.started
-        )
+        runs = starts_by_task(deployment)
         self.assertEqual({1}, set(runs.values()))
         self.assertEqual(4, len(runs))
 
