--- a/src/carawaystep/console/commands/document_apply.py
+++ b/src/carawaystep/console/commands/document_apply.py
@@ -20,6 +20,10 @@
 from carawaystep.console.exit_code import ExitCode
 from carawaystep.console.operator_command import OperatorCommand
 from carawaystep.console.operator_command import report_error
+from carawaystep.console.options import DocumentPathsArgument  # noqa: TC001
+from carawaystep.console.options import JsonOption  # noqa: TC001
+from carawaystep.console.options import TokenFileOption  # noqa: TC001
+from carawaystep.console.options import UrlOption  # noqa: TC001
 from carawaystep.console.problem_output import print_problems
 from carawaystep.console.version_file import VersionFile
 
@@ -47,24 +51,9 @@
 class DocumentApply(OperatorCommand):
     """Writes documents if the versions they are based on are current."""
 
-    paths: Annotated[
-        list[str],
-        cappa.Arg(
-            num_args=-1,
-            required=True,
-            value_name="PATH",
-            help="Files, or directories of .yaml files.",
-        ),
-    ]
-    url: Annotated[
-        str, cappa.Arg(long=True, value_name="URL", help="URL of an entry.")
-    ]
-    token_file: Annotated[
-        str,
-        cappa.Arg(
-            long=True, value_name="FILE", help="File that contains a token."
-        ),
-    ]
+    paths: DocumentPathsArgument
+    url: UrlOption
+    token_file: TokenFileOption
     wait: Annotated[
         float | None,
         cappa.Arg(
@@ -82,9 +71,7 @@
             "with a single file.",
         ),
     ] = None
-    json: Annotated[
-        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
-    ] = False
+    json: JsonOption = False
 
     async def _run(self, client: OperatorClient) -> int:
         if self.wait is not None and not 0 <= self.wait <= 3600:
--- a/src/carawaystep/console/commands/document_check.py
+++ b/src/carawaystep/console/commands/document_check.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Annotated
 
 import cappa
 from result import Err
@@ -11,6 +10,8 @@
 from carawaystep.console.document_files import load_local_documents
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.options import DocumentPathsArgument  # noqa: TC001
+from carawaystep.console.options import JsonOption  # noqa: TC001
 from carawaystep.console.problem_output import print_problems
 from carawaystep.console.problem_output import print_problems_as_json
 
@@ -26,18 +27,8 @@
 class DocumentCheck:
     """Reports all problems of document files."""
 
-    paths: Annotated[
-        list[str],
-        cappa.Arg(
-            num_args=-1,
-            required=True,
-            value_name="PATH",
-            help="Files, or directories of .yaml files.",
-        ),
-    ]
-    json: Annotated[
-        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
-    ] = False
+    paths: DocumentPathsArgument
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command and return its exit code."""
--- a/src/carawaystep/console/commands/document_diff.py
+++ b/src/carawaystep/console/commands/document_diff.py
@@ -17,6 +17,9 @@
 from carawaystep.console.exit_code import ExitCode
 from carawaystep.console.operator_command import OperatorCommand
 from carawaystep.console.operator_command import report_error
+from carawaystep.console.options import JsonOption  # noqa: TC001
+from carawaystep.console.options import TokenFileOption  # noqa: TC001
+from carawaystep.console.options import UrlOption  # noqa: TC001
 from carawaystep.console.problem_output import print_problems
 
 if TYPE_CHECKING:
@@ -46,18 +49,9 @@
             value_name="PATH", help="File, or directory of .yaml files."
         ),
     ]
-    url: Annotated[
-        str, cappa.Arg(long=True, value_name="URL", help="URL of an entry.")
-    ]
-    token_file: Annotated[
-        str,
-        cappa.Arg(
-            long=True, value_name="FILE", help="File that contains a token."
-        ),
-    ]
-    json: Annotated[
-        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
-    ] = False
+    url: UrlOption
+    token_file: TokenFileOption
+    json: JsonOption = False
 
     async def _run(self, client: OperatorClient) -> int:
         loaded = load_local_documents([self.path])
--- a/src/carawaystep/console/commands/document_show.py
+++ b/src/carawaystep/console/commands/document_show.py
@@ -17,6 +17,9 @@
 from carawaystep.console.exit_code import ExitCode
 from carawaystep.console.operator_command import OperatorCommand
 from carawaystep.console.operator_command import report_error
+from carawaystep.console.options import JsonOption  # noqa: TC001
+from carawaystep.console.options import TokenFileOption  # noqa: TC001
+from carawaystep.console.options import UrlOption  # noqa: TC001
 from carawaystep.console.version_file import VersionFile
 from carawaystep.console.version_file import write_file_atomically
 
@@ -38,15 +41,8 @@
     service: Annotated[
         str, cappa.Arg(value_name="SERVICE", help="Name of the service.")
     ]
-    url: Annotated[
-        str, cappa.Arg(long=True, value_name="URL", help="URL of an entry.")
-    ]
-    token_file: Annotated[
-        str,
-        cappa.Arg(
-            long=True, value_name="FILE", help="File that contains a token."
-        ),
-    ]
+    url: UrlOption
+    token_file: TokenFileOption
     save: Annotated[
         str | None,
         cappa.Arg(
@@ -55,9 +51,7 @@
             help="Replace FILE and record its version for apply.",
         ),
     ] = None
-    json: Annotated[
-        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
-    ] = False
+    json: JsonOption = False
 
     async def _run(self, client: OperatorClient) -> int:
         if not re.fullmatch("[a-z0-9-]{1,63}", self.service):
--- a/src/carawaystep/console/commands/entry_command.py
+++ b/src/carawaystep/console/commands/entry_command.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from importlib import import_module
-from typing import Annotated
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from carawaystep.console.daemon_command import DaemonCommand
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.options import SettingsFileOption  # noqa: TC001
 from carawaystep.settings.entry_settings import EntrySettings
 
 if TYPE_CHECKING:
@@ -32,9 +32,7 @@
 class EntryCommand(DaemonCommand):
     """Runs the entry daemon until it stops."""
 
-    settings: Annotated[
-        str, cappa.Arg(long=True, value_name="FILE", help="Settings file.")
-    ]
+    settings: SettingsFileOption
 
     @property
     def settings_model(self) -> type[BaseModel]:
--- a/src/carawaystep/console/commands/settings_check.py
+++ b/src/carawaystep/console/commands/settings_check.py
@@ -13,6 +13,7 @@
 
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.options import JsonOption  # noqa: TC001
 from carawaystep.console.problem_output import print_problems
 from carawaystep.console.problem_output import print_problems_as_json
 from carawaystep.settings.entry_settings import EntrySettings
@@ -50,9 +51,7 @@
         Literal["entry", "standin-platform", "standin-worker"],
         cappa.Arg(long=True, help="Process that reads the file."),
     ]
-    json: Annotated[
-        bool, cappa.Arg(long=True, help="Write JSON to stdout.")
-    ] = False
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command and return its exit code."""
--- a/src/carawaystep/console/commands/standin_worker.py
+++ b/src/carawaystep/console/commands/standin_worker.py
@@ -5,7 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 from importlib import import_module
-from typing import Annotated
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 from carawaystep.console.daemon_command import serve_until_signal
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.options import SettingsFileOption  # noqa: TC001
 from carawaystep.settings.standin_worker_settings import (
     StandinWorkerProcessSettings,
 )
@@ -34,9 +34,7 @@
 class StandinWorker(DaemonCommand):
     """Runs the stand-in workers until SIGTERM or SIGINT."""
 
-    settings: Annotated[
-        str, cappa.Arg(long=True, value_name="FILE", help="Settings file.")
-    ]
+    settings: SettingsFileOption
 
     @property
     def settings_model(self) -> type[BaseModel]:
