Declare the options of demo and launch once

Cause: tools/demo.py and tools/launch_command.py declared the same three options.

Change: tools/launch_options.py has them.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -25,6 +25,9 @@
 from tools.http_caller import HttpCaller
 from tools.interruptible import run_interruptible
 from tools.job_driver import JobDriver
+from tools.launch_options import EntryCountOption  # noqa: TC001
+from tools.launch_options import ExampleArgument  # noqa: TC001
+from tools.launch_options import RunDirectoryOption  # noqa: TC001
 from tools.launcher import Launcher
 from tools.ledger_audit import LedgerAudit
 from tools.ledger_reader import read_ledgers
@@ -56,9 +59,7 @@
 class Demo:
     """Run an example under load and kill one of its entries."""
 
-    example: Annotated[
-        str, cappa.Arg(help="name of a directory below examples/")
-    ] = "papadakis"
+    example: ExampleArgument = "papadakis"
     seconds: Annotated[
         float,
         cappa.Arg(
@@ -66,24 +67,8 @@
             help="seconds for which requests are sent",
         ),
     ] = 20.0
-    entries: Annotated[
-        int | None,
-        cappa.Arg(
-            long=True,
-            help="number of entry processes, one on each entry VM by default",
-        ),
-    ] = None
-    directory: Annotated[
-        Path | None,
-        cappa.Arg(
-            long=True,
-            help=(
-                "directory for settings, tokens and output, kept after "
-                "the run; by default a temporary directory that is "
-                "removed"
-            ),
-        ),
-    ] = None
+    entries: EntryCountOption = None
+    directory: RunDirectoryOption = None
 
     @property
     def _example_path(self) -> Path:
--- a/tools/launch_command.py
+++ b/tools/launch_command.py
@@ -5,7 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 import json
-from pathlib import Path  # noqa: TC003 (cappa reads the annotation)
 import sys
 from typing import Annotated
 
@@ -14,6 +13,9 @@
 
 from tools.deployment import load_deployment
 from tools.interruptible import run_interruptible
+from tools.launch_options import EntryCountOption  # noqa: TC001
+from tools.launch_options import ExampleArgument  # noqa: TC001
+from tools.launch_options import RunDirectoryOption  # noqa: TC001
 from tools.launcher import Launcher
 from tools.managed_process import REPOSITORY_ROOT
 from tools.run_directory import copy_documents
@@ -24,16 +26,8 @@
 class Launch:
     """Run an example deployment on loopback."""
 
-    example: Annotated[
-        str, cappa.Arg(help="name of a directory below examples/")
-    ]
-    entries: Annotated[
-        int | None,
-        cappa.Arg(
-            long=True,
-            help="number of entry processes, one on each entry VM by default",
-        ),
-    ] = None
+    example: ExampleArgument
+    entries: EntryCountOption = None
     seconds: Annotated[
         float | None,
         cappa.Arg(
@@ -41,17 +35,7 @@
             help="seconds until it stops; by default at SIGTERM or SIGINT",
         ),
     ] = None
-    directory: Annotated[
-        Path | None,
-        cappa.Arg(
-            long=True,
-            help=(
-                "directory for settings, tokens and output, kept after "
-                "the run; by default a temporary directory that is "
-                "removed"
-            ),
-        ),
-    ] = None
+    directory: RunDirectoryOption = None
 
     async def run(self) -> int:
         """Run the deployment until the time is over or a signal arrives.
