Do not abandon a response of the store while it arrives

A larger row, or a page of up to 1 MB of a new leader's tables on a slower link, could not be read at all.

Cause: the timeout of a read covered the whole response, whatever its size. The abandoned bytes were transferred in vain and the call repeated.

Change: HttpClient.request takes a BodyTimeout; a response that has begun goes on while parts of it arrive within 0.8 s, for at most 8 s. A store that does not begin to respond is noticed as before.

--- a/src/carawaystep/adapters/http_client/http_client.py
+++ b/src/carawaystep/adapters/http_client/http_client.py
@@ -12,12 +12,14 @@
 from carawaystep.adapters.http_client.http_failure import HttpOutcomeUnknown
 from carawaystep.adapters.http_client.http_request import HttpRequest
 from carawaystep.adapters.http_client.pooled_connection import PooledConnection
+from carawaystep.adapters.http_client.response_deadline import ResponseDeadline
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from result import Result
 
+    from carawaystep.adapters.http_client.body_timeout import BodyTimeout
     from carawaystep.adapters.http_client.http_failure import HttpFailure
     from carawaystep.adapters.http_client.http_response import HttpResponse
 
@@ -70,6 +72,7 @@
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
         body: bytes | None = None,
+        body_timeout: BodyTimeout | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Send a request once and return its complete response.
 
@@ -79,6 +82,8 @@
             wait for a free connection
         :param headers: headers in addition to those that the client sets
         :param body: body, None for a request without one
+        :param body_timeout: limits of a response that has begun, in place of
+            ``timeout_s``; None if ``timeout_s`` covers the body too
         :returns: the response, :class:`HttpNotSent` or
             :class:`HttpOutcomeUnknown`
         """
@@ -94,7 +99,9 @@
                 )
             )
         try:
-            return await self._send(request, deadline_at)
+            return await self._send(
+                request, ResponseDeadline(deadline_at, body_timeout)
+            )
         finally:
             self._end_call()
 
@@ -118,15 +125,22 @@
         self._call_may_begin.set()
 
     async def _send(
-        self, request: HttpRequest, deadline_at: float
+        self, request: HttpRequest, deadline: ResponseDeadline
     ) -> Result[HttpResponse, HttpFailure]:
         if self._closed:
             return Err(HttpNotSent(f"{request}: the client is closed"))
         connection = await self._acquire_connection()
         response: HttpResponse | None = None
         try:
-            async with asyncio.timeout_at(deadline_at):
-                response = await connection.send(request)
+            async with asyncio.timeout_at(deadline.at) as timeout:
+
+                def record_progress() -> None:
+                    now = asyncio.get_running_loop().time()
+                    deadline.record_progress(now)
+                    if deadline.at != timeout.when():
+                        timeout.reschedule(deadline.at)
+
+                response = await connection.send(request, record_progress)
         # aiosonic also raises exceptions of other libraries (ValueError,
         # IncompleteReadError, zlib.error); any of them is a failed call.
         except Exception as error:
--- a/src/carawaystep/adapters/http_client/pooled_connection.py
+++ b/src/carawaystep/adapters/http_client/pooled_connection.py
@@ -18,6 +18,11 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from aiosonic.client import HttpResponse as ReceivedResponse
+
     from carawaystep.adapters.http_client.http_request import HttpRequest
 
 # Larger than the largest body that an entry accepts from callers (16 MiB), and
@@ -67,9 +72,13 @@
             return False
         return await self._connection.has_no_pending_input()
 
-    async def send(self, request: HttpRequest) -> HttpResponse:
+    async def send(
+        self, request: HttpRequest, on_progress: Callable[[], None]
+    ) -> HttpResponse:
         """Send a request once and read its complete response.
 
+        :param on_progress: called when the headers and whenever a part of
+            the body has arrived
         :raises Exception: of any type; the connection must then be closed
         """
         if self._connection is not None:
@@ -85,7 +94,10 @@
         headers = self._validate_headers(
             response.status_code, response.raw_headers
         )
-        content = await response.content()
+        on_progress()
+        content = b""
+        if response.status_code not in _NO_BODY_STATUSES:
+            content = await self._read_body(response, headers, on_progress)
         content_length = headers.get("content-length")
         if content_length is not None and len(content) != int(content_length):
             raise MalformedResponse("body length differs from Content-Length")
@@ -101,6 +113,20 @@
         self._connection = HttpConnection(pool)
         return self._connection
 
+    @staticmethod
+    async def _read_body(
+        response: ReceivedResponse,
+        headers: Mapping[str, str],
+        on_progress: Callable[[], None],
+    ) -> bytes:
+        if int(headers.get("content-length", "1")) == 0:
+            return b""
+        parts = []
+        async for part in response.read_chunks():
+            parts.append(part)
+            on_progress()
+        return b"".join(parts)
+
     @staticmethod
     def _validate_headers(
         status: int, raw_headers: list[tuple[str, str]]
--- a/tests/adapters/http_client/test_http_client.py
+++ b/tests/adapters/http_client/test_http_client.py
@@ -13,6 +13,7 @@
 from testtools import TestCase
 
 from carawaystep.adapters.http_client import http_client
+from carawaystep.adapters.http_client.body_timeout import BodyTimeout
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from carawaystep.adapters.http_client.http_failure import HttpOutcomeUnknown
@@ -195,6 +196,48 @@
             self.assertEqual([1], connections, name)
             self.assertEqual(0, open_count, name)
 
+    def _read_slowly(
+        self, script: list[Step], body_timeout: BodyTimeout | None
+    ) -> object:
+        """Make one call with a timeout of 0.2 s and return its result."""
+
+        async def run() -> object:
+            async with ScriptedServer(script) as server:
+                client = HttpClient(server.url, 1)
+                result = await client.request(
+                    "GET", "/x", 0.2, body_timeout=body_timeout
+                )
+                await client.close()
+                return _result_kind(result)
+
+        return asyncio.run(run())
+
+    def test_body_that_arrives_slowly_is_not_abandoned(self) -> None:
+        """Guards against repeated transfers of a large body."""
+        data = response(b"abcdef")
+        parts: list[Step] = [data[:-6]]
+        for index in range(6):
+            parts += [0.1, data[len(data) - 6 + index :][:1]]
+        limits = BodyTimeout(pause_s=0.2, total_s=2.0)
+        self.assertEqual(b"abcdef", self._read_slowly(parts, limits))
+        self.assertEqual(HttpOutcomeUnknown, self._read_slowly(parts, None))
+
+    def test_body_that_stops_arriving_is_abandoned(self) -> None:
+        """Guards against calls that wait for a body without a limit."""
+        data = response(b"abcdef")
+        late_end: list[Step] = [data[:-3], 0.5, data[-3:]]
+        late_response: list[Step] = [0.4, data]
+        pause = BodyTimeout(pause_s=0.25, total_s=2.0)
+        total = BodyTimeout(pause_s=2.0, total_s=0.25)
+        for script, limits in (
+            (late_end, pause),
+            (late_end, total),
+            (late_response, BodyTimeout(pause_s=2.0, total_s=2.0)),
+        ):
+            self.assertEqual(
+                HttpOutcomeUnknown, self._read_slowly(script, limits)
+            )
+
     def test_redirects_are_not_followed(self) -> None:
         """Guards against a second request that the server can trigger."""
         for status in (302, 307):
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from collections import defaultdict
 from typing import Any
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse
 from starlette.responses import Response
+from starlette.responses import StreamingResponse
 from starlette.routing import Route
 
 from tests.users_platform.store_fault import StoreFault
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
 
@@ -27,6 +31,8 @@
 _CALL_DELAY_S = 1.0
 # Longer than every timeout of the callers.
 _WITHHELD_ANSWER_S = 30.0
+# Duration of the transfer of one part of a response on a limited link.
+_LINK_PART_S = 0.02
 
 
 class StoreStandin:
@@ -42,6 +48,9 @@
     :ivar oldest_feed_version: feed calls from an older version get status
         410
     :ivar transaction_count: number of transactions received
+    :ivar link_rates: bytes per second of the responses to one node, by its
+        name; the responses to other nodes are not limited
+    :ivar bytes_sent: bytes of the bodies sent over each limited link
     """
 
     def __init__(self) -> None:
@@ -53,6 +62,11 @@
         self.answers_to_lose = 0
         self.oldest_feed_version = 0
         self.transaction_count = 0
+        self.link_rates: dict[str, float] = {}
+        self.bytes_sent: Counter[str] = Counter()
+        self._links: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        # Each version of each row: the change feed lists all of them.
+        self._history: list[tuple[int, RowId, str | None]] = []
         self._rows_changed = asyncio.Condition()
 
     def app(self, node: str) -> Starlette:
@@ -63,7 +77,12 @@
 
         def route(path: str, handler: _Handler, method: str) -> Route:
             async def serve(request: Request) -> Response:
-                return await self._handle_with_fault(node, handler, request)
+                response = await self._handle_with_fault(
+                    node, handler, request
+                )
+                if node in self.link_rates:
+                    return self._limit_rate(node, response)
+                return response
 
             return Route(path, serve, methods=[method])
 
@@ -96,6 +115,25 @@
         await asyncio.sleep(_WITHHELD_ANSWER_S)
         return Response(status_code=503)
 
+    def _limit_rate(self, node: str, response: Response) -> Response:
+        """Send a response over the link of a node, which has a fixed rate.
+
+        The responses to the same node share the link.
+        """
+        body = bytes(response.body)
+        part_size = max(1, int(self.link_rates[node] * _LINK_PART_S))
+
+        async def send_parts() -> AsyncIterator[bytes]:
+            for begin in range(0, len(body), part_size):
+                part = body[begin : begin + part_size]
+                async with self._links[node]:
+                    await asyncio.sleep(len(part) / self.link_rates[node])
+                self.bytes_sent[node] += len(part)
+                yield part
+
+        headers = dict(response.headers)
+        return StreamingResponse(send_parts(), response.status_code, headers)
+
     async def put(self, table: str, key: str, value: str) -> None:
         """Write a row without a condition, as the operator or a worker.
 
@@ -103,7 +141,7 @@
         """
         async with self._rows_changed:
             self.version += 1
-            self.rows[table, "", key] = (value, self.version)
+            self._write((table, "", key), value)
             self._rows_changed.notify_all()
 
     def drop_history(self) -> None:
@@ -114,8 +152,18 @@
         content = {"schema_version": self.version, "now_ms": 1, **body}
         return JSONResponse(content, status)
 
-    def _row_body(self, row_id: RowId) -> dict[str, Any]:
+    def _write(self, row_id: RowId, value: str | None) -> None:
+        self.rows[row_id] = (value, self.version)
+        self._history.append((self.version, row_id, value))
+
+    def _current_row_body(self, row_id: RowId) -> dict[str, Any]:
         value, version = self.rows.get(row_id, (None, 0))
+        return self._row_body(row_id, value, version)
+
+    @staticmethod
+    def _row_body(
+        row_id: RowId, value: str | None, version: int
+    ) -> dict[str, Any]:
         table, part, key = row_id
         row = {"table": table, "part": part, "key": key}
         if value is None:
@@ -127,22 +175,23 @@
         body = await request.json()
         async with self._rows_changed:
             conflicts = [
-                self._row_body(self._row_id(row))
+                self._current_row_body(self._row_id(row))
                 for row in body["expected"]
                 if self._current_version(self._row_id(row))
                 != row["schema_version"]
             ]
             if conflicts:
                 rows = [
-                    self._row_body(self._row_id(r)) for r in body["expected"]
+                    self._current_row_body(self._row_id(r))
+                    for r in body["expected"]
                 ]
                 return self._json_response(412, rows=rows)
             self.version += 1
             for row in body["writes"]:
-                self.rows[self._row_id(row)] = (row["value"], self.version)
+                self._write(self._row_id(row), row["value"])
             for row in body["remove"]:
                 if self._current_version(self._row_id(row)):
-                    self.rows[self._row_id(row)] = (None, self.version)
+                    self._write(self._row_id(row), None)
             self._rows_changed.notify_all()
         if self.answers_to_lose:
             self.answers_to_lose -= 1
@@ -160,7 +209,7 @@
             and row_id[2] >= query.get("from", "")
             and ("target" not in query or row_id[2] < query["target"])
         )
-        rows = [self._row_body(row_id) for row_id in row_ids[:limit]]
+        rows = [self._current_row_body(row_id) for row_id in row_ids[:limit]]
         return self._json_response(
             200, rows=rows, has_more=len(row_ids) > limit
         )
@@ -185,12 +234,11 @@
         )
 
     def _rows_since(self, table: str, after: int) -> list[dict[str, Any]]:
-        changes = sorted(
-            (version, row_id)
-            for row_id, (_, version) in self.rows.items()
+        return [
+            self._row_body(row_id, value, version)
+            for version, row_id, value in self._history
             if row_id[0] == table and version > after
-        )
-        return [self._row_body(row_id) for _, row_id in changes]
+        ]
 
     def _current_version(self, row_id: RowId) -> int:
         value, version = self.rows.get(row_id, (None, 0))
