Read the newest manifest instead of all versions that were missed

Cause: the store turned 13 nodes away from 2 to 11.6 s; 28 versions of the manifest were written meanwhile. The feed lists every version since the last read. Over 10 Mbit/s one version takes 0.11 s, all of them 3.1 s, and the call was abandoned after 0.8 s and repeated from the same revision. The 12 nodes on such links applied version 92 at 23.8 s, when the store had discarded the history and they read the row alone; the one with 200 Mbit/s applied it at 11.83 s.

Change: a FeedPosition decides from which revision a table is read. The routes use NewestRowsPosition: after a failed read, and while versions follow each other within 0.3 s, the table is read as it is. feed.failed and feed.slow tell of such reads. The leader's feeds go on as they were.

--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -14,10 +14,11 @@
 from carawaystep.routing.current_routes import CurrentRoutes
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.candidate import Candidate
-from carawaystep.scheduler.change_feed import ChangeFeed
+from carawaystep.scheduler.feed_position import NewestRowsPosition
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.member import Member
 from carawaystep.scheduler.store_health import StoreHealth
+from carawaystep.scheduler.table_feed import TableFeed
 from carawaystep.scheduler.workflow_service import WorkflowService
 from carawaystep.store.operation import PutRow
 
@@ -93,8 +94,12 @@
 
     async def _follow_routes(self) -> None:
         source = self._ports.route_source
-        feed = ChangeFeed(
-            self._ports, self._store_health, source.table, _ROUTES_LONG_POLL_S
+        feed = TableFeed(
+            self._ports,
+            self._store_health,
+            source.table,
+            _ROUTES_LONG_POLL_S,
+            NewestRowsPosition(),
         )
         while True:
             for row in await feed.read():
--- a/tests/users_platform/test_narrow_links.py
+++ b/tests/users_platform/test_narrow_links.py
@@ -15,6 +15,7 @@
 from tests.users_platform.scenario import SUBMISSION_PATH
 from tests.users_platform.scenario import wait_for_condition
 from tests.users_platform.scenario import wait_for_state
+from tests.users_platform.store_fault import StoreFault
 
 if TYPE_CHECKING:
     from tests.users_platform.deployment import Deployment
@@ -25,6 +26,8 @@
 # The time within which a machine that reaches the store must apply a version.
 _APPLY_LIMIT_S = 3.0
 _CHANGE_INTERVAL_S = 0.08
+# Bytes of a manifest with a few hundred routes.
+_MANIFEST_SIZE = 120_000
 
 
 def _encode_manifest(version: int, size: int) -> str:
@@ -68,6 +71,45 @@
             )
             await asyncio.sleep(_CHANGE_INTERVAL_S)
 
+    def test_versions_missed_while_refused_are_skipped(self) -> None:
+        """Guards against repeated reads of more than the link can carry.
+
+        All missed versions together take longer to transfer than the timeout
+        of a call, so that a node that reads them never gets the newest one.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            node = await self._choose_node(deployment)
+            deployment.store.faults_by_node[node.name] = StoreFault.REFUSE
+            await asyncio.sleep(1.5)
+            await self._change_manifest(
+                deployment, range(4, 44), _MANIFEST_SIZE
+            )
+            self.assertEqual(3, _applied_version(node))
+            deployment.store.faults_by_node[node.name] = StoreFault.NONE
+            await _wait_for_version(node, 43)
+
+        run_scenario(scenario)
+
+    def test_manifests_in_quick_succession(self) -> None:
+        """Guards against a link that is filled with replaced versions.
+
+        The versions appear faster than the link can carry them.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            node = await self._choose_node(deployment)
+            await self._change_manifest(
+                deployment, range(4, 44), _MANIFEST_SIZE
+            )
+            await _wait_for_version(node, 43)
+            written = 40 * len(_encode_manifest(4, _MANIFEST_SIZE))
+            sent = deployment.store.bytes_sent[node.name]
+            self.assertLess(sent, written / 2)
+            self.assertEqual(0, _lost_count(node))
+
+        run_scenario(scenario)
+
     def test_manifest_that_takes_longer_than_the_timeout(self) -> None:
         """Guards against a response that is abandoned while it arrives."""
 
