Check the log lines of slow and failed feed reads

Cause: no test showed that feed.slow is written and feed.failed stops once the store counts as lost.

Change: two assertions in test_narrow_links.

--- a/tests/users_platform/test_narrow_links.py
+++ b/tests/users_platform/test_narrow_links.py
@@ -49,8 +49,8 @@
     )
 
 
-def _lost_count(node: Node) -> int:
-    return sum(event == "store.lost" for event, _ in node.log.events)
+def _events(node: Node) -> list[str]:
+    return [event for event, _ in node.log.events]
 
 
 class NarrowLinksTest(TestCase):
@@ -88,6 +88,10 @@
             self.assertEqual(3, _applied_version(node))
             deployment.store.faults_by_node[node.name] = StoreFault.NONE
             await _wait_for_version(node, 43)
+            events = _events(node)
+            self.assertNotIn(
+                "feed.failed", events[events.index("store.lost") :]
+            )
 
         run_scenario(scenario)
 
@@ -106,7 +110,7 @@
             written = 40 * len(_encode_manifest(4, _MANIFEST_SIZE))
             sent = deployment.store.bytes_sent[node.name]
             self.assertLess(sent, written / 2)
-            self.assertEqual(0, _lost_count(node))
+            self.assertNotIn("store.lost", _events(node))
 
         run_scenario(scenario)
 
@@ -118,10 +122,11 @@
             size = int(_LINK_RATE * 1.5)
             await self._change_manifest(deployment, range(4, 5), size)
             await _wait_for_version(node, 4)
+            self.assertIn("feed.slow", _events(node))
             deployment.store.drop_history()
             await self._change_manifest(deployment, range(5, 6), size)
             await _wait_for_version(node, 5)
-            self.assertEqual(0, _lost_count(node))
+            self.assertNotIn("store.lost", _events(node))
 
         run_scenario(scenario)
 
@@ -137,6 +142,6 @@
             answer = await node.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
             self.assertEqual(200, answer.status)
             await wait_for_state(node, "completed")
-            self.assertEqual(0, _lost_count(node))
+            self.assertNotIn("store.lost", _events(node))
 
         run_scenario(scenario)
