--- a/src/carawaystep/scheduler/table_feed.py
+++ b/src/carawaystep/scheduler/table_feed.py
@@ -96,21 +96,25 @@
         )
         seconds = self._ports.clock.now() - began_at
         if isinstance(result, Ok):
-            allowed_s = _SLOW_READ_S if since == 0 else wait_s + _SLOW_READ_S
-            if seconds > allowed_s:
-                self._ports.log.line(
-                    "feed.slow",
-                    self._table,
-                    since=since,
-                    rows=len(result.ok_value.rows),
-                    seconds=seconds,
-                )
+            expected_wait_s = 0.0 if since == 0 else wait_s
+            if seconds > expected_wait_s + _SLOW_READ_S:
+                self._log_slow_read(since, len(result.ok_value.rows), seconds)
         elif not self._store_health.lost:
-            self._ports.log.line(
-                "feed.failed",
-                self._table,
-                since=since,
-                seconds=seconds,
-                detail=result.err_value.detail,
-            )
+            self._log_failure(since, seconds, result.err_value)
         return result
+
+    def _log_slow_read(self, since: int, rows: int, seconds: float) -> None:
+        self._ports.log.line(
+            "feed.slow", self._table, since=since, rows=rows, seconds=seconds
+        )
+
+    def _log_failure(
+        self, since: int, seconds: float, failure: TableFailure
+    ) -> None:
+        self._ports.log.line(
+            "feed.failed",
+            self._table,
+            since=since,
+            seconds=seconds,
+            detail=failure.detail,
+        )
