Apply a stored cancellation also when it is read first

Callers saw tasks of a submission start, and go on, after its cancellation had been confirmed. A submission and its cancellation that are stored while no leader can be reached are read by separate feeds. When the cancellation came first, the planner did not know the workflow, ignored the row and never read it again in the term. A new term also planned before it had read the cancellations.

The planner now keeps a stored cancellation of an unknown workflow and applies it when the workflow is admitted. A term loads the stored cancellations with the other tables, before its first plan, and follows them from that revision. The log says where a cancellation came from.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -112,6 +112,8 @@
         # with the time at which the wait for them began. A report of a later
         # lifetime of the same worker also ends the wait.
         self._unlisted_workers: dict[WorkerKey, float] = {}
+        # Workflows whose cancellation is stored but that are not known yet.
+        self._early_cancellations: set[str] = set()
         self._changes = Changes()
 
     @property
@@ -172,25 +174,36 @@
         workflow = self._registry.add(spec)
         if not stored:
             self._changes.accepted.append(spec)
-        self._changes.states[spec.id] = workflow.state
         self._log.line("workflow.admitted", spec.id, queue=spec.queue)
+        if spec.id in self._early_cancellations:
+            self._early_cancellations.discard(spec.id)
+            self._cancel_workflow(workflow, "stored-before-submission")
+        self._changes.states[spec.id] = workflow.state
         return True
 
     def cancel(self, workflow_id: str) -> bool:
-        """Cancel a workflow.
+        """Cancel a workflow at a caller's request.
 
         :returns: False when the workflow is unknown; True also when it has
             already ended
         """
-        if workflow_id in self._registry.final_states:
+        return self._cancel_known(workflow_id, "caller")
+
+    def apply_stored_cancellation(self, workflow_id: str) -> bool:
+        """Cancel a workflow whose cancellation another process has stored.
+
+        Submissions and cancellations are read by separate feeds, so the
+        cancellation may be read first. That of an unknown workflow is kept
+        and takes effect when the workflow is admitted.
+
+        :returns: False when the workflow is unknown
+        """
+        if self._cancel_known(workflow_id, "store"):
             return True
-        workflow = self._registry.get(workflow_id)
-        if workflow is None:
-            return False
-        if workflow.cancel():
-            self._registry.mark_changed(workflow)
-            self._stop_workflow(workflow, "cancelled")
-        return True
+        if workflow_id not in self._early_cancellations:
+            self._early_cancellations.add(workflow_id)
+            self._log.line("cancellation.early", workflow_id)
+        return False
 
     def update_worker_list(self, records: Iterable[WorkerRecord]) -> None:
         """Apply the current list of workers.
@@ -413,6 +426,26 @@
             self._ticket_cache.forget_workflow(workflow_id)
         return changes
 
+    def _cancel_known(self, workflow_id: str, source: str) -> bool:
+        """Cancel a workflow; return False when it is unknown.
+
+        :param source: where the cancellation comes from, for the log
+        """
+        if workflow_id in self._registry.final_states:
+            return True
+        workflow = self._registry.get(workflow_id)
+        if workflow is None:
+            return False
+        self._cancel_workflow(workflow, source)
+        return True
+
+    def _cancel_workflow(self, workflow: Workflow, source: str) -> None:
+        if not workflow.cancel():
+            return
+        self._log.line("workflow.cancelled", workflow.id, source=source)
+        self._registry.mark_changed(workflow)
+        self._stop_workflow(workflow, "cancelled")
+
     def _usable(self, now: float) -> list[TrackedWorker]:
         return [w for w in self._workers.values() if w.usable(now)]
 
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -173,7 +173,7 @@
         The term ends when another process was elected or this one resigned.
         """
         try:
-            revision = await self._repository.load(self._planner)
+            revisions = await self._repository.load(self._planner)
             self._interference.restore(
                 await self._repository.load_interference()
             )
@@ -181,8 +181,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._follow_members())
                 group.create_task(self._follow_workers())
-                group.create_task(self._follow_submissions(revision))
-                group.create_task(self._follow_cancels())
+                group.create_task(
+                    self._follow_submissions(revisions.submissions)
+                )
+                group.create_task(self._follow_cancels(revisions.cancels))
                 group.create_task(self._confirm_term())
                 group.create_task(self._run_periodic_work())
                 group.create_task(self._run_planner())
@@ -498,13 +500,19 @@
                     self._planner.admit(spec, stored=True)
                     self._plan_requested.set()
 
-    async def _follow_cancels(self) -> None:
+    async def _follow_cancels(self, revision: int) -> None:
         feed = ChangeFeed(
-            self._ports, self._store_health, tables.CANCELS, _FEED_LONG_POLL_S
+            self._ports,
+            self._store_health,
+            tables.CANCELS,
+            _FEED_LONG_POLL_S,
+            revision,
         )
         while True:
             for row in await feed.read():
-                if row.value is not None and self._planner.cancel(row.key):
+                if row.value is None:
+                    continue
+                if self._planner.apply_stored_cancellation(row.key):
                     self._plan_requested.set()
 
     async def _confirm_term(self) -> None:
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -44,6 +45,14 @@
     """Another process was elected, or this one resigned."""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedRevisions:
+    """Revisions at which tables were read at the start of a term."""
+
+    submissions: int
+    cancels: int
+
+
 class WorkflowRepository:
     """Loads and stores workflows while a term lasts.
 
@@ -85,15 +94,20 @@
         """
         return self._confirmed_at
 
-    async def load(self, planner: Planner) -> int:
+    async def load(self, planner: Planner) -> LoadedRevisions:
         """Restore all stored workflows in a new planner.
 
+        Cancellations are applied here, so that the first plan starts no
+        task of a workflow that is stored as cancelled.
+
         :param planner: planner without workflows
-        :returns: revision at which the submissions were read
         """
-        submissions, revision = await self._read_table(tables.SUBMISSIONS)
+        submissions, submissions_revision = await self._read_table(
+            tables.SUBMISSIONS
+        )
         progress, _ = await self._read_table(tables.PROGRESS)
         ended, _ = await self._read_table(tables.ENDED)
+        cancels, cancels_revision = await self._read_table(tables.CANCELS)
         for row in ended:
             planner.restore_final(row.key, WorkflowState(row.value["state"]))
         records = {}
@@ -104,7 +118,9 @@
             spec = parse_spec(row)
             if spec is not None:
                 planner.restore(spec, records.get(row.key))
-        return revision
+        for row in cancels:
+            planner.apply_stored_cancellation(row.key)
+        return LoadedRevisions(submissions_revision, cancels_revision)
 
     async def load_interference(self) -> list[tuple[str, str, float]]:
         """Return the stored probabilities of harm between images.
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -222,6 +222,23 @@
         """Guards against confirming a cancellation without a workflow."""
         self.assertFalse(new_planner().cancel("0" * 16))
 
+    def test_cancellation_read_before_its_submission_takes_effect(
+        self,
+    ) -> None:
+        """Guards against starts of a workflow cancelled before it was known.
+
+        The leader reads submissions and cancellations by separate feeds.
+        """
+        planner = _planner_with_workers("w1")
+        spec = workflow_spec(_ONE_TASK)
+        planner.apply_stored_cancellation(spec.id)
+        planner.admit(spec, stored=True)
+        planner.plan(0.0, 2000.0)
+        changes = planner.take_changes()
+        self.assertEqual([], changes.orders)
+        self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.settled)
+        self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.states)
+
     def test_unexpected_run_is_stopped(self) -> None:
         """Guards against a run that a late order starts after its loss."""
         planner = _planner_with_workers("w1")
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Err
 from result import Ok
 from testtools import ExpectedException
@@ -17,17 +18,24 @@
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 from carawaystep.store.operation import CheckRow
 from carawaystep.store.operation import PutRow
+from carawaystep.store.row import Row
+from carawaystep.store.table_changes import TableChanges
 from carawaystep.store.table_commit import TableCommit
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableOutcomeUnknown
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
+from tests.planner.planners import new_planner
+from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import RecordingLog
+from tests.planner.planners import report
+from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from carawaystep.planner.planner import Planner
     from carawaystep.store.operation import Operation
 
 _SPEC = workflow_spec()
@@ -51,10 +59,60 @@
         return self._answers.pop(0)
 
 
+class _StoredTables:
+    """Returns the rows of each table, at increasing revisions."""
+
+    def __init__(self, values: dict[str, dict[str, object]]) -> None:
+        self._values = values
+        self._revision = 50
+
+    async def changes(self, table: str, since: int) -> object:
+        self._revision += 1
+        rows = tuple(
+            Row(key, value, 9, 9)
+            for key, value in self._values.get(table, {}).items()
+        )
+        return Ok(TableChanges(rows, self._revision, more=False))
+
+
 def _conflict(table: str, key: str, version: int) -> object:
     return Err(TableConflict("conflict", {(table, key): version}))
 
 
+def _repository(store: _Store | _StoredTables) -> WorkflowRepository:
+    return WorkflowRepository(
+        store,  # type: ignore[arg-type]
+        _Clock(),  # type: ignore[arg-type]
+        StoreHealth(RecordingLog(), 0.0),
+        RecordingLog(),
+        7,
+    )
+
+
+class LoadTest(TestCase):
+    """The stored state from which a term starts."""
+
+    def _load(self, values: dict[str, dict[str, object]]) -> Planner:
+        planner = new_planner()
+        planner.update_worker_list([worker_record("w1")])
+        planner.handle_report(report("w1"), 0.0)
+        asyncio.run(_repository(_StoredTables(values)).load(planner))
+        return planner
+
+    def test_stored_cancellation_is_applied_before_the_first_plan(
+        self,
+    ) -> None:
+        """Guards against starts of a cancelled workflow in a new term."""
+        planner = self._load(
+            {
+                tables.SUBMISSIONS: {_SPEC.id: msgspec.to_builtins(_SPEC)},
+                tables.CANCELS: {_SPEC.id: {"cancelled": True}},
+            }
+        )
+        self.assertEqual([], plan_and_take_starts(planner))
+        self.assertEqual(WorkflowState.CANCELLED, planner.state(_SPEC.id))
+
+
 class WorkflowRepositoryTest(TestCase):
     """Commits during one term."""
 
@@ -68,13 +126,7 @@
         self, batches: list[Changes], *answers: object
     ) -> list[Sequence[Operation]]:
         store = _Store(*answers)
-        repository = WorkflowRepository(
-            store,  # type: ignore[arg-type]
-            _Clock(),  # type: ignore[arg-type]
-            StoreHealth(RecordingLog(), 0.0),
-            RecordingLog(),
-            7,
-        )
+        repository = _repository(store)
         for changes in batches:
             asyncio.run(repository.commit(changes))
         return store.transactions
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -57,6 +57,9 @@
     "limits": {"max_body_bytes": 262144, "header_timeout_ms": 3000},
 }
 
+# Partition of all tables of the scheduler.
+STORE_PARTITION = "scheduler"
+
 
 def encode_value(value: Any) -> str:
     """Return the base64 of a JSON value, the store's encoding."""
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -42,6 +42,8 @@
     :ivar oldest_feed_version: feed calls from an older version get status
         410
     :ivar transaction_count: number of transactions received
+    :ivar feed_delays_s: by table, seconds by which answers of its change
+        feed are delayed
     """
 
     def __init__(self) -> None:
@@ -53,6 +55,7 @@
         self.answers_to_lose = 0
         self.oldest_feed_version = 0
         self.transaction_count = 0
+        self.feed_delays_s: dict[str, float] = {}
         self._rows_changed = asyncio.Condition()
 
     def app(self, node: str) -> Starlette:
@@ -96,14 +99,18 @@
         await asyncio.sleep(_WITHHELD_ANSWER_S)
         return Response(status_code=503)
 
-    async def put(self, table: str, key: str, value: str) -> None:
-        """Write a row without a condition, as the operator or a worker.
+    async def put(
+        self, table: str, key: str, value: str, part: str = ""
+    ) -> None:
+        """Write a row without a condition.
 
         :param value: base64 of the JSON value
+        :param part: partition, by default that of the operator's and the
+            workers' tables
         """
         async with self._rows_changed:
             self.version += 1
-            self.rows[table, "", key] = (value, self.version)
+            self.rows[table, part, key] = (value, self.version)
             self._rows_changed.notify_all()
 
     def drop_history(self) -> None:
@@ -180,6 +187,7 @@
                 )
         except TimeoutError:
             return self._json_response(200, rows=[])
+        await asyncio.sleep(self.feed_delays_s.get(query["table"], 0.0))
         return self._json_response(
             200, rows=self._rows_since(query["table"], after)
         )
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -6,8 +6,13 @@
 import json
 from typing import TYPE_CHECKING
 
+import msgspec
 from testtools import TestCase
 
+from carawaystep.scheduler import tables
+from carawaystep.workflow.step_spec import StepSpec
+from tests.users_platform.deployment import encode_value
+from tests.users_platform.deployment import STORE_PARTITION
 from tests.users_platform.scenario import count_starts_by_task
 from tests.users_platform.scenario import run_scenario
 from tests.users_platform.scenario import SUBMISSION_BODY
@@ -15,6 +20,7 @@
 from tests.users_platform.scenario import SUBMISSION_PATH
 from tests.users_platform.scenario import wait_for_state
 from tests.users_platform.store_fault import StoreFault
+from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
     from tests.users_platform.deployment import Deployment
@@ -146,6 +152,34 @@
             3, sum(len(worker.started) for worker in deployment.workers)
         )
 
+    def test_cancellation_read_before_its_submission_takes_effect(
+        self,
+    ) -> None:
+        """Guards against runs of a workflow cancelled before it was known.
+
+        Members store both without the leader. Its feed of submissions may
+        lag behind that of cancellations.
+        """
+        spec = workflow_spec(StepSpec(2, cpu_millis=500, memory_mb=10))
+
+        async def scenario(deployment: Deployment) -> None:
+            store = deployment.store
+            store.feed_delays_s[tables.SUBMISSIONS] = 0.5
+            for table, value in (
+                (tables.SUBMISSIONS, msgspec.to_builtins(spec)),
+                (tables.CANCELS, {"cancelled": True}),
+            ):
+                await store.put(
+                    table, spec.id, encode_value(value), STORE_PARTITION
+                )
+            await asyncio.sleep(1.5)
+            await wait_for_state(deployment.nodes[0], "cancelled")
+
+        deployment = run_scenario(scenario, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def test_queue_with_tickets_uses_allowed_workers_only(self) -> None:
         """Guards against starts without a ticket or on other workers."""
         path = f"/advised/{SUBMISSION_ID}"
