Confirm a cancellation only once it is stored

A caller could be told that a submission was cancelled although nothing of the cancellation was stored; when the term ended before the next commit, the next leader ran the submission on. Each commit of a workflow answered all calls that waited for the workflow, also a cancellation that had arrived while the commit was in progress and was not part of it.

Waiting calls are now an object of their own. A submission is answered by any stored state, a cancellation by a final one only.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -40,6 +40,8 @@
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import WORKER_LEASE_S
 from carawaystep.scheduler.member_session import MemberSession
+from carawaystep.scheduler.waiting_calls import WaitingCall
+from carawaystep.scheduler.waiting_calls import WaitingCalls
 from carawaystep.scheduler.workflow_repository import parse_spec
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
@@ -129,7 +131,7 @@
         self._order_numbers = count(1)
         self._pending_orders: dict[int, tuple[Order, float]] = {}
         self._published_states: dict[str, WorkflowState] = {}
-        self._waiting_calls: dict[str, list[tuple[MemberSession, int]]] = {}
+        self._waiting_calls = WaitingCalls()
         self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
         self._stopping = False
@@ -249,8 +251,9 @@
             await session.send(CallReply(message.call, False, refused=new))
             return
         self._planner.admit(message.spec, stored=False)
-        self._waiting_calls.setdefault(workflow_id, []).append(
-            (session, message.call)
+        self._waiting_calls.add(
+            workflow_id,
+            WaitingCall(session, message.call, is_cancellation=False),
         )
         self._plan_requested.set()
 
@@ -263,8 +266,9 @@
         if published is not None and published.final:
             await session.send(CallReply(message.call, True, published))
             return
-        self._waiting_calls.setdefault(workflow_id, []).append(
-            (session, message.call)
+        self._waiting_calls.add(
+            workflow_id,
+            WaitingCall(session, message.call, is_cancellation=True),
         )
         self._plan_requested.set()
 
@@ -348,11 +352,9 @@
             self._published_states.update(changes.states)
             for session in self._sessions.values():
                 await session.send(PublishedStates(self._term, changes.states))
-        for workflow_id in changes.states:
-            for session, call in self._waiting_calls.pop(workflow_id, ()):
-                await session.send(
-                    CallReply(call, True, self._published_states[workflow_id])
-                )
+        for workflow_id, state in changes.states.items():
+            for call in self._waiting_calls.take_answered(workflow_id, state):
+                await call.session.send(CallReply(call.number, True, state))
 
     async def _dispatch_orders(self, orders: list[Order]) -> None:
         by_member: dict[str, list[NumberedOrder]] = {}
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -42,6 +42,8 @@
     :ivar oldest_feed_version: feed calls from an older version get status
         410
     :ivar transaction_count: number of transactions received
+    :ivar commit_answer_delay_s: seconds between the application of a
+        transaction and its answer
     :ivar feed_delays_s: by table, seconds by which answers of its change
         feed are delayed
     """
@@ -55,6 +57,7 @@
         self.answers_to_lose = 0
         self.oldest_feed_version = 0
         self.transaction_count = 0
+        self.commit_answer_delay_s = 0.0
         self.feed_delays_s: dict[str, float] = {}
         self._rows_changed = asyncio.Condition()
 
@@ -154,6 +157,7 @@
         if self.answers_to_lose:
             self.answers_to_lose -= 1
             await asyncio.sleep(_WITHHELD_ANSWER_S)
+        await asyncio.sleep(self.commit_answer_delay_s)
         return self._json_response(200)
 
     async def _get(self, request: Request) -> Response:
--- a/tests/users_platform/test_faults.py
+++ b/tests/users_platform/test_faults.py
@@ -115,6 +115,32 @@
 
         self._assert_each_ran_once(run_scenario(scenario))
 
+    def test_cancellation_is_not_confirmed_by_an_earlier_commit(self) -> None:
+        """Guards against confirming a cancellation that is not stored.
+
+        It arrives while a commit of the same workflow is in progress, and
+        no later commit succeeds.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            (node,) = deployment.nodes
+            deployment.store.commit_answer_delay_s = 0.3
+            async with asyncio.TaskGroup() as group:
+                submission = group.create_task(
+                    node.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
+                )
+                await asyncio.sleep(0.1)
+                cancellation = group.create_task(
+                    node.call("DELETE", SUBMISSION_PATH)
+                )
+                await asyncio.sleep(0.1)
+                fault = StoreFault.SILENT
+                deployment.store.faults_by_node[node.name] = fault
+            self.assertEqual(200, submission.result().status)
+            self.assertEqual(504, cancellation.result().status)
+
+        run_scenario(scenario, nodes=1)
+
     def test_discarded_history_loses_no_worker(self) -> None:
         """Guards against a change feed that stops after status 410."""
 
