Withdraw a start that is held back after its commit

A submission cancelled while a placement was being stored stayed unsettled and its run kept its capacity for the rest of the term; the run was stopped again every 0.5 s. The start is rightly not sent, but its run stayed placed: the worker confirms the stop of a run that it never had and never reports an end.

The leader now withdraws such a start, which gives its run up at once.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -383,6 +383,15 @@
             return False
         return workflow.is_current_run(order.ref, order.run)
 
+    def withdraw_start(self, order: Order) -> None:
+        """Give up the run of a stored start that is not sent.
+
+        No worker ever reports the end of such a run.
+        """
+        worker = self._workers.get(order.worker)
+        if worker is not None:
+            self._lose_run(worker, order.ref, order.run, "not-sent")
+
     def retry_stops(self) -> None:
         """Repeat the stops of runs that have not ended yet."""
         for worker in self._workers.values():
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -336,14 +336,7 @@
 
     async def _publish_changes(self, changes: Changes) -> None:
         """Send the orders, acknowledgements and states of stored changes."""
-        await self._dispatch_orders(
-            [
-                order
-                for order in changes.orders
-                if not isinstance(order, StartOrder)
-                or self._planner.should_send(order)
-            ]
-        )
+        await self._dispatch_orders(self._withdraw_starts(changes.orders))
         for key, number in changes.acknowledged.items():
             session = self._sessions.get(self._member_by_worker.get(key, ""))
             if session is not None:
@@ -356,6 +349,18 @@
             for call in self._waiting_calls.take_answered(workflow_id, state):
                 await call.session.send(CallReply(call.number, True, state))
 
+    def _withdraw_starts(self, orders: list[Order]) -> list[Order]:
+        """Withdraw the starts that must not be sent; return the others."""
+        remaining: list[Order] = []
+        for order in orders:
+            is_start = isinstance(order, StartOrder)
+            if is_start and not self._planner.should_send(order):
+                self._planner.withdraw_start(order)
+                self._plan_requested.set()
+            else:
+                remaining.append(order)
+        return remaining
+
     async def _dispatch_orders(self, orders: list[Order]) -> None:
         by_member: dict[str, list[NumberedOrder]] = {}
         now = self.now
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -218,6 +218,26 @@
         self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.settled)
         self.assertEqual({start.worker: 1}, changes.acknowledged)
 
+    def test_start_held_back_after_a_cancellation_uses_no_capacity(
+        self,
+    ) -> None:
+        """Guards against a run that is stopped for the rest of the term.
+
+        The worker never had the run, so it reports no end of it.
+        """
+        planner = _planner_with_workers("w1")
+        spec = workflow_spec(_ONE_TASK)
+        planner.admit(spec, False)
+        (start,) = plan_and_take_starts(planner)
+        planner.cancel(spec.id)
+        self.assertFalse(planner.should_send(start))
+        planner.withdraw_start(start)
+        self.assertEqual(
+            {spec.id: WorkflowState.CANCELLED}, planner.take_changes().settled
+        )
+        (worker,) = planner.workers.values()
+        self.assertEqual({}, worker.runs)
+
     def test_unknown_workflow_is_not_cancelled(self) -> None:
         """Guards against confirming a cancellation without a workflow."""
         self.assertFalse(new_planner().cancel("0" * 16))
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -18,6 +18,7 @@
 from tests.users_platform.scenario import SUBMISSION_BODY
 from tests.users_platform.scenario import SUBMISSION_ID
 from tests.users_platform.scenario import SUBMISSION_PATH
+from tests.users_platform.scenario import wait_for_condition
 from tests.users_platform.scenario import wait_for_state
 from tests.users_platform.store_fault import StoreFault
 from tests.workflow.workflows import workflow_spec
@@ -134,6 +135,35 @@
         deployment = run_scenario(scenario, workers=1, run_s=1.0)
         self.assertEqual(1, deployment.workers[0].max_concurrent_runs)
 
+    def test_submission_cancelled_before_its_first_start_is_settled(
+        self,
+    ) -> None:
+        """Guards against a run that keeps its capacity but never started.
+
+        The cancellation arrives while the placement is being stored.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            (node,) = deployment.nodes
+            store = deployment.store
+            store.commit_answer_delay_s = 0.3
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    node.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
+                )
+                await asyncio.sleep(0.1)
+                cancellation = group.create_task(
+                    node.call("DELETE", SUBMISSION_PATH)
+                )
+            self.assertEqual(200, cancellation.result().status)
+            ended_row = (tables.ENDED, STORE_PARTITION, SUBMISSION_ID)
+            await wait_for_condition(lambda: ended_row in store.rows)
+
+        deployment = run_scenario(scenario, nodes=1, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def test_cancelled_submission_starts_no_further_task(self) -> None:
         """Guards against starts after a confirmed cancellation."""
 
