Let starts expire that wait at a member

A task could start several seconds after its submission's cancellation had been confirmed. The leader checks a start when it sends it, but the start may then wait in the connection to the member and behind three calls at a time of 0.6 s each to a worker that does not answer, together with the stops that are repeated every 0.5 s. The leader's timeout for orders does not take it out of that queue, and the grant of the member is renewed meanwhile.

The leader now sends the last timestamp that it has from the member with the orders, as it does with heartbeats, and the member does not send a start later than 2 s after that time. Stops do not expire.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -65,10 +65,16 @@
 
 
 class Orders(msgspec.Struct, tag=True, array_like=True, frozen=True):
-    """Orders for the workers that are assigned to a member."""
+    """Orders for the workers that are assigned to a member.
+
+    :param echoed_timestamp: timestamp of the member's last heartbeat that
+        the leader had received when it decided on the orders; starts expire
+        some time after it. None if they do not expire.
+    """
 
     term: int
     orders: list[NumberedOrder]
+    echoed_timestamp: float | None = None
 
 
 class Acknowledge(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -373,8 +373,9 @@
             )
         for member, numbered in by_member.items():
             session = self._sessions.get(member)
-            message = Orders(self._term, numbered)
-            if session is not None and await session.send(message):
+            if session is not None and await session.send(
+                Orders(self._term, numbered, session.member_timestamp)
+            ):
                 continue
             for item in numbered:
                 self._apply_order_result(
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -226,7 +226,7 @@
                     )
                 )
             else:
-                proxy.enqueue_order(item)
+                proxy.enqueue_order(item, message.echoed_timestamp)
 
     def _apply_assignment(self, message: Assign) -> None:
         if message.version <= self._assignment_version:
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -58,6 +58,14 @@
         """Return the stored record of the member."""
         return self._record
 
+    @property
+    def member_timestamp(self) -> float:
+        """Return the timestamp of the member's last heartbeat, 0 if none.
+
+        It is a time of the member's clock.
+        """
+        return self._member_timestamp
+
     def available(self, now: float) -> bool:
         """Tell whether the member can be assigned workers and requests.
 
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -10,6 +11,7 @@
 from carawaystep.cluster.messages import OrderResult
 from carawaystep.cluster.messages import Report
 from carawaystep.cluster.messages import ReportPollRejected
+from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 
@@ -38,6 +40,21 @@
 # Orders wait for the first report: the deadline of a start is a time of the
 # worker's clock, which is known only from a report.
 _FIRST_REPORT_TIMEOUT_S = 0.5
+# The workflow of an older start may have been cancelled meanwhile.
+_START_VALIDITY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _QueuedOrder:
+    """An order that waits to be sent.
+
+    :param numbered: the order and its number
+    :param decided_at: time of the member's clock before which the leader
+        did not decide on it, None if unknown
+    """
+
+    numbered: NumberedOrder
+    decided_at: float | None
 
 
 class WorkerProxy:
@@ -63,7 +80,7 @@
         self._acknowledged_end = 0
         self._acknowledgement_received = asyncio.Event()
         self._first_report_received = asyncio.Event()
-        self._orders: asyncio.Queue[NumberedOrder] = asyncio.Queue()
+        self._orders: asyncio.Queue[_QueuedOrder] = asyncio.Queue()
         self._answered_at = 0.0
         self._prompt_reports_left = 0
 
@@ -72,9 +89,16 @@
         self._acknowledged_end = max(self._acknowledged_end, number)
         self._acknowledgement_received.set()
 
-    def enqueue_order(self, order: NumberedOrder) -> None:
-        """Queue an order of the leader."""
-        self._orders.put_nowait(order)
+    def enqueue_order(
+        self, order: NumberedOrder, decided_at: float | None
+    ) -> None:
+        """Queue an order of the leader.
+
+        :param decided_at: time of the member's clock before which the
+            leader did not decide on it; a start is not sent later than
+            ``_START_VALIDITY_S`` after it. None if it does not expire.
+        """
+        self._orders.put_nowait(_QueuedOrder(order, decided_at))
 
     async def run(self) -> None:
         """Poll for reports and send orders until the task is cancelled."""
@@ -144,13 +168,14 @@
 
     async def _execute_orders(self) -> None:
         while True:
-            item = await self._orders.get()
-            outcome = await self._execute_order(item)
+            queued = await self._orders.get()
+            outcome = await self._execute_order(queued)
             await self._context.send(
-                OrderResult(self._term, item.number, outcome)
+                OrderResult(self._term, queued.numbered.number, outcome)
             )
 
-    async def _execute_order(self, item: NumberedOrder) -> OrderOutcome:
+    async def _execute_order(self, queued: _QueuedOrder) -> OrderOutcome:
+        order = queued.numbered.order
         try:
             async with asyncio.timeout(_FIRST_REPORT_TIMEOUT_S):
                 await self._first_report_received.wait()
@@ -158,7 +183,15 @@
             return OrderOutcome.NOT_SENT
         if not self._context.holds_grant(self._term):
             return OrderOutcome.NOT_SENT
-        outcome = await self._link.execute_order(item.order, self._term)
-        if isinstance(item.order, StopOrder):
+        if isinstance(order, StartOrder) and self._has_expired(queued):
+            return OrderOutcome.NOT_SENT
+        outcome = await self._link.execute_order(order, self._term)
+        if isinstance(order, StopOrder):
             self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
         return outcome
+
+    def _has_expired(self, queued: _QueuedOrder) -> bool:
+        return (
+            queued.decided_at is not None
+            and self._context.now - queued.decided_at > _START_VALIDITY_S
+        )
