--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -40,6 +40,8 @@
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import WORKER_LEASE_S
 from carawaystep.scheduler.member_session import MemberSession
+from carawaystep.scheduler.waiting_calls import WaitingCall
+from carawaystep.scheduler.waiting_calls import WaitingCalls
 from carawaystep.scheduler.workflow_repository import parse_spec
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
@@ -129,7 +131,7 @@
         self._order_numbers = count(1)
         self._pending_orders: dict[int, tuple[Order, float]] = {}
         self._published_states: dict[str, WorkflowState] = {}
-        self._waiting_calls: dict[str, list[tuple[MemberSession, int]]] = {}
+        self._waiting_calls = WaitingCalls()
         self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
         self._stopping = False
@@ -173,7 +175,7 @@
         The term ends when another process was elected or this one resigned.
         """
         try:
-            revision = await self._repository.load(self._planner)
+            revisions = await self._repository.load(self._planner)
             self._interference.restore(
                 await self._repository.load_interference()
             )
@@ -181,8 +183,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._follow_members())
                 group.create_task(self._follow_workers())
-                group.create_task(self._follow_submissions(revision))
-                group.create_task(self._follow_cancels())
+                group.create_task(
+                    self._follow_submissions(revisions.submissions)
+                )
+                group.create_task(self._follow_cancels(revisions.cancels))
                 group.create_task(self._confirm_term())
                 group.create_task(self._run_periodic_work())
                 group.create_task(self._run_planner())
@@ -247,8 +251,9 @@
             await session.send(CallReply(message.call, False, refused=new))
             return
         self._planner.admit(message.spec, stored=False)
-        self._waiting_calls.setdefault(workflow_id, []).append(
-            (session, message.call)
+        self._waiting_calls.add(
+            workflow_id,
+            WaitingCall(session, message.call, is_cancellation=False),
         )
         self._plan_requested.set()
 
@@ -261,8 +266,9 @@
         if published is not None and published.final:
             await session.send(CallReply(message.call, True, published))
             return
-        self._waiting_calls.setdefault(workflow_id, []).append(
-            (session, message.call)
+        self._waiting_calls.add(
+            workflow_id,
+            WaitingCall(session, message.call, is_cancellation=True),
         )
         self._plan_requested.set()
 
@@ -330,14 +336,7 @@
 
     async def _publish_changes(self, changes: Changes) -> None:
         """Send the orders, acknowledgements and states of stored changes."""
-        await self._dispatch_orders(
-            [
-                order
-                for order in changes.orders
-                if not isinstance(order, StartOrder)
-                or self._planner.should_send(order)
-            ]
-        )
+        await self._dispatch_orders(self._withdraw_starts(changes.orders))
         for key, number in changes.acknowledged.items():
             session = self._sessions.get(self._member_by_worker.get(key, ""))
             if session is not None:
@@ -346,11 +345,21 @@
             self._published_states.update(changes.states)
             for session in self._sessions.values():
                 await session.send(PublishedStates(self._term, changes.states))
-        for workflow_id in changes.states:
-            for session, call in self._waiting_calls.pop(workflow_id, ()):
-                await session.send(
-                    CallReply(call, True, self._published_states[workflow_id])
-                )
+        for workflow_id, state in changes.states.items():
+            for call in self._waiting_calls.take_answered(workflow_id, state):
+                await call.session.send(CallReply(call.number, True, state))
+
+    def _withdraw_starts(self, orders: list[Order]) -> list[Order]:
+        """Withdraw the starts that must not be sent; return the others."""
+        remaining: list[Order] = []
+        for order in orders:
+            is_start = isinstance(order, StartOrder)
+            if is_start and not self._planner.should_send(order):
+                self._planner.withdraw_start(order)
+                self._plan_requested.set()
+            else:
+                remaining.append(order)
+        return remaining
 
     async def _dispatch_orders(self, orders: list[Order]) -> None:
         by_member: dict[str, list[NumberedOrder]] = {}
@@ -364,8 +373,9 @@
             )
         for member, numbered in by_member.items():
             session = self._sessions.get(member)
-            message = Orders(self._term, numbered)
-            if session is not None and await session.send(message):
+            if session is not None and await session.send(
+                Orders(self._term, numbered, session.member_timestamp)
+            ):
                 continue
             for item in numbered:
                 self._apply_order_result(
@@ -498,13 +508,19 @@
                     self._planner.admit(spec, stored=True)
                     self._plan_requested.set()
 
-    async def _follow_cancels(self) -> None:
+    async def _follow_cancels(self, revision: int) -> None:
         feed = ChangeFeed(
-            self._ports, self._store_health, tables.CANCELS, _FEED_LONG_POLL_S
+            self._ports,
+            self._store_health,
+            tables.CANCELS,
+            _FEED_LONG_POLL_S,
+            revision,
         )
         while True:
             for row in await feed.read():
-                if row.value is not None and self._planner.cancel(row.key):
+                if row.value is None:
+                    continue
+                if self._planner.apply_stored_cancellation(row.key):
                     self._plan_requested.set()
 
     async def _confirm_term(self) -> None:
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -51,6 +51,10 @@
     :ivar link_rates: bytes per second of the responses to one node, by its
         name; the responses to other nodes are not limited
     :ivar bytes_sent: bytes of the bodies sent over each limited link
+    :ivar commit_answer_delay_s: seconds between the application of a
+        transaction and its answer
+    :ivar feed_delays_s: by table, seconds by which answers of its change
+        feed are delayed
     """
 
     def __init__(self) -> None:
@@ -67,6 +71,8 @@
         self._links: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         # Each version of each row: the change feed lists all of them.
         self._history: list[tuple[int, RowId, str | None]] = []
+        self.commit_answer_delay_s = 0.0
+        self.feed_delays_s: dict[str, float] = {}
         self._rows_changed = asyncio.Condition()
 
     def app(self, node: str) -> Starlette:
@@ -134,14 +140,18 @@
         headers = dict(response.headers)
         return StreamingResponse(send_parts(), response.status_code, headers)
 
-    async def put(self, table: str, key: str, value: str) -> None:
-        """Write a row without a condition, as the operator or a worker.
+    async def put(
+        self, table: str, key: str, value: str, part: str = ""
+    ) -> None:
+        """Write a row without a condition.
 
         :param value: base64 of the JSON value
+        :param part: partition, by default that of the operator's and the
+            workers' tables
         """
         async with self._rows_changed:
             self.version += 1
-            self._write((table, "", key), value)
+            self._write((table, part, key), value)
             self._rows_changed.notify_all()
 
     def drop_history(self) -> None:
@@ -196,6 +206,7 @@
         if self.answers_to_lose:
             self.answers_to_lose -= 1
             await asyncio.sleep(_WITHHELD_ANSWER_S)
+        await asyncio.sleep(self.commit_answer_delay_s)
         return self._json_response(200)
 
     async def _get(self, request: Request) -> Response:
@@ -229,6 +240,7 @@
                 )
         except TimeoutError:
             return self._json_response(200, rows=[])
+        await asyncio.sleep(self.feed_delays_s.get(query["table"], 0.0))
         return self._json_response(
             200, rows=self._rows_since(query["table"], after)
         )
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -6,15 +6,22 @@
 import json
 from typing import TYPE_CHECKING
 
+import msgspec
 from testtools import TestCase
 
+from carawaystep.scheduler import tables
+from carawaystep.workflow.step_spec import StepSpec
+from tests.users_platform.deployment import encode_value
+from tests.users_platform.deployment import STORE_PARTITION
 from tests.users_platform.scenario import count_starts_by_task
 from tests.users_platform.scenario import run_scenario
 from tests.users_platform.scenario import SUBMISSION_BODY
 from tests.users_platform.scenario import SUBMISSION_ID
 from tests.users_platform.scenario import SUBMISSION_PATH
+from tests.users_platform.scenario import wait_for_condition
 from tests.users_platform.scenario import wait_for_state
 from tests.users_platform.store_fault import StoreFault
+from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
     from tests.users_platform.deployment import Deployment
@@ -128,6 +135,35 @@
         deployment = run_scenario(scenario, workers=1, run_s=1.0)
         self.assertEqual(1, deployment.workers[0].max_concurrent_runs)
 
+    def test_submission_cancelled_before_its_first_start_is_settled(
+        self,
+    ) -> None:
+        """Guards against a run that keeps its capacity but never started.
+
+        The cancellation arrives while the placement is being stored.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            (node,) = deployment.nodes
+            store = deployment.store
+            store.commit_answer_delay_s = 0.3
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    node.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
+                )
+                await asyncio.sleep(0.1)
+                cancellation = group.create_task(
+                    node.call("DELETE", SUBMISSION_PATH)
+                )
+            self.assertEqual(200, cancellation.result().status)
+            ended_row = (tables.ENDED, STORE_PARTITION, SUBMISSION_ID)
+            await wait_for_condition(lambda: ended_row in store.rows)
+
+        deployment = run_scenario(scenario, nodes=1, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def test_cancelled_submission_starts_no_further_task(self) -> None:
         """Guards against starts after a confirmed cancellation."""
 
@@ -146,6 +182,34 @@
             3, sum(len(worker.started) for worker in deployment.workers)
         )
 
+    def test_cancellation_read_before_its_submission_takes_effect(
+        self,
+    ) -> None:
+        """Guards against runs of a workflow cancelled before it was known.
+
+        Members store both without the leader. Its feed of submissions may
+        lag behind that of cancellations.
+        """
+        spec = workflow_spec(StepSpec(2, cpu_millis=500, memory_mb=10))
+
+        async def scenario(deployment: Deployment) -> None:
+            store = deployment.store
+            store.feed_delays_s[tables.SUBMISSIONS] = 0.5
+            for table, value in (
+                (tables.SUBMISSIONS, msgspec.to_builtins(spec)),
+                (tables.CANCELS, {"cancelled": True}),
+            ):
+                await store.put(
+                    table, spec.id, encode_value(value), STORE_PARTITION
+                )
+            await asyncio.sleep(1.5)
+            await wait_for_state(deployment.nodes[0], "cancelled")
+
+        deployment = run_scenario(scenario, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def test_queue_with_tickets_uses_allowed_workers_only(self) -> None:
         """Guards against starts without a ticket or on other workers."""
         path = f"/advised/{SUBMISSION_ID}"
