Bind the ports of tests when they are chosen

Cause: find_free_port and its copies in four other test files released a port that they had found free, and a server bound it later. In between, another process could take it, and starts failed with "address already in use".

Change: UvicornServer.bind binds and listens on an assigned port before the start; ClusterServer and PeerServer accept port 0 and report their address. Tests use them through tests/adapters/http/bound_server.py. Where settings need the port before the server exists, PortAllocator keeps it bound: no socket can bind it before hand_over, and the system assigns it to no other until close, so that a restarted process of the tools finds its port free as well. Between hand_over and the bind of a started process, only a socket that sets SO_REUSEADDR and names this port can still take it.

--- a/src/carawaystep/adapters/http/uvicorn_server.py
+++ b/src/carawaystep/adapters/http/uvicorn_server.py
@@ -35,11 +35,12 @@
 
         :param app: ASGI application
         :param host: IPv4 or IPv6 address to listen on
-        :param port: TCP port to listen on
+        :param port: TCP port to listen on, 0 for one that is free
         """
         self._app = app
         self._host = host
         self._port = port
+        self._listener: socket.socket | None = None
         self._aborting = False
         self._server = Server(
             Config(
@@ -58,12 +59,28 @@
             )
         )
 
+    @property
+    def port(self) -> int:
+        """Return the TCP port, the assigned one after :meth:`bind`."""
+        return self._port
+
+    def bind(self) -> None:
+        """Bind the address, so that connections wait for :meth:`start`.
+
+        :raises OSError: the address cannot be bound
+        """
+        listener = self._create_listener()
+        self._port = listener.getsockname()[1]
+        self._listener = listener
+
     async def start(self) -> None:
-        """Bind the address and start to accept connections.
+        """Bind the address unless it is bound and accept connections.
 
         :raises OSError: the address cannot be bound
         """
-        listener = self._bind()
+        listener, self._listener = self._listener, None
+        if listener is None:
+            listener = self._create_listener()
         config = self._server.config
         config.load()
         self._server.lifespan = config.lifespan_class(config)
@@ -76,6 +93,8 @@
             that are still open afterwards are aborted
         """
         if not self._server.started:
+            if self._listener is not None:
+                self._listener.close()
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace_s):
@@ -103,7 +122,7 @@
     def _protocol_class(self) -> type[H11Protocol]:
         return H11Protocol
 
-    def _bind(self) -> socket.socket:
+    def _create_listener(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
         # asyncio sets TCP_NODELAY only on sockets with an explicit protocol.
         # Without it, each reply waited some 40 ms for a delayed ACK.
--- a/src/carawaystep/adapters/zmq/cluster_server.py
+++ b/src/carawaystep/adapters/zmq/cluster_server.py
@@ -5,6 +5,7 @@
 from typing import cast
 from typing import TYPE_CHECKING
 
+from zmq import LAST_ENDPOINT
 from zmq import LINGER
 from zmq import MAXMSGSIZE
 from zmq import NOBLOCK
@@ -31,7 +32,7 @@
     def __init__(self, address: str) -> None:
         """Bind the socket.
 
-        :param address: ZeroMQ address to bind
+        :param address: ZeroMQ address to bind; port 0 for one that is free
         :raises ZMQError: the address cannot be bound
         """
         self._codec = ClusterCodec()
@@ -42,6 +43,11 @@
         self._socket.setsockopt(ROUTER_MANDATORY, 1)
         self._socket.bind(address)
 
+    @property
+    def address(self) -> str:
+        """Return the ZeroMQ address that is bound."""
+        return self._socket.get_string(LAST_ENDPOINT)
+
     async def receive(self) -> tuple[bytes, FromLeader]:
         """Wait for a message; malformed ones are dropped."""
         while True:
--- a/src/carawaystep/adapters/zmq/peer_server.py
+++ b/src/carawaystep/adapters/zmq/peer_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
+from zmq import LAST_ENDPOINT
 from zmq import LINGER
 from zmq import MAXMSGSIZE
 from zmq import NOBLOCK
@@ -39,7 +40,7 @@
     def __init__(self, address: str, handler: PeerHandler) -> None:
         """Create a server that is not started.
 
-        :param address: ZeroMQ address to bind
+        :param address: ZeroMQ address to bind; port 0 for one that is free
         :param handler: produces the replies to messages
         """
         self._address = address
@@ -50,6 +51,11 @@
         self._malformed_messages = 0
         self._undelivered_replies = 0
 
+    @property
+    def address(self) -> str:
+        """Return the ZeroMQ address, the bound one after :meth:`start`."""
+        return self._address
+
     @property
     def malformed_messages(self) -> int:
         """Return the number of dropped messages that violate the protocol."""
@@ -82,6 +88,7 @@
         except ZMQError:
             socket.close()
             raise
+        self._address = socket.get_string(LAST_ENDPOINT)
         self._socket = socket
         self._serve_task = asyncio.create_task(self._serve(socket))
 
--- a/tests/adapters/http/test_uvicorn_server.py
+++ b/tests/adapters/http/test_uvicorn_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
@@ -11,12 +10,12 @@
 from starlette.routing import Route
 from testtools import TestCase
 
-from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from tests.adapters.http.bound_server import bind_server
+from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
     from starlette.requests import Request
 
-_HOST = "127.0.0.1"
 _CALLS = 20
 # A delayed ACK takes 40 ms on Linux; a call without one takes about 1 ms.
 _MAX_TOTAL_S = _CALLS * 0.020
@@ -38,13 +37,12 @@
         asyncio.run(self._call_repeatedly())
 
     async def _call_repeatedly(self) -> None:
-        with socket.socket() as probe:
-            probe.bind((_HOST, 0))
-            port = probe.getsockname()[1]
         app = Starlette(routes=[Route("/", _answer)])
-        server = UvicornServer(app, _HOST, port)
+        server = bind_server(app)
         await server.start()
-        reader, writer = await asyncio.open_connection(_HOST, port)
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK_HOST, server.port
+        )
         loop = asyncio.get_running_loop()
         start = loop.time()
         for _ in range(_CALLS):
--- a/tests/adapters/zmq/test_peer_server.py
+++ b/tests/adapters/zmq/test_peer_server.py
@@ -12,7 +12,6 @@
 from testtools import ExpectedException
 from testtools import TestCase
 from zmq import DEALER
-from zmq import ROUTER
 
 from carawaystep.adapters.zmq.peer_client import PeerClient
 from carawaystep.adapters.zmq.peer_codec import MAX_BUFFERED_BYTES
@@ -25,6 +24,7 @@
 from tests.adapters.zmq.peer_samples import LOAD
 from tests.adapters.zmq.peer_samples import open_socket
 from tests.adapters.zmq.peer_samples import REQUEST
+from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -46,18 +46,13 @@
 ) -> None:
     async def run() -> None:
         handler = FakeHandler()
-        probe = open_socket(ROUTER)
-        port = probe.bind_to_random_port("tcp://127.0.0.1")
-        probe.close()
-        address = f"tcp://127.0.0.1:{port}"
-        await asyncio.sleep(0.02)
-        server = PeerServer(address, handler)
+        server = PeerServer(f"tcp://{LOOPBACK_HOST}:0", handler)
         await server.start()
-        client = PeerClient(address)
+        client = PeerClient(server.address)
         await client.start()
         try:
             await _wait_until_connected(client)
-            await test(handler, server, client, address)
+            await test(handler, server, client, server.address)
         finally:
             await client.close()
             await server.stop()
--- a/tests/standin/test_servers.py
+++ b/tests/standin/test_servers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from contextlib import ExitStack
+from contextlib import closing
 from contextlib import suppress
 import json
 import socket
@@ -22,7 +22,10 @@
 )
 from carawaystep.standin.platform.server import serve as serve_platform
 from carawaystep.standin.worker.server import serve as serve_workers
+from tests.adapters.http.bound_server import bind_server
 from tests.standin.event_loops import real_time
+from tools.port_allocator import LOOPBACK_HOST
+from tools.port_allocator import PortAllocator
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -31,7 +34,6 @@
     from starlette.types import Scope
     from starlette.types import Send
 
-_HOST = "127.0.0.1"
 _FENCE = {"owner": "e1", "epoch": 1}
 _REQUEST = (
     b"POST /v1/requests HTTP/1.1\r\nHost: w\r\nContent-Length: 4\r\n"
@@ -40,21 +42,12 @@
 )
 
 
-def _free_ports(count: int) -> list[int]:
-    with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server((_HOST, 0)))
-            for _ in range(count)
-        ]
-        return [bound.getsockname()[1] for bound in sockets]
-
-
 async def _connect(
     port: int,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     while True:
         with suppress(ConnectionRefusedError):
-            return await asyncio.open_connection(_HOST, port)
+            return await asyncio.open_connection(LOOPBACK_HOST, port)
         await asyncio.sleep(0.01)
 
 
@@ -79,8 +72,18 @@
 
 @asynccontextmanager
 async def _workers(count: int, **settings: Any) -> AsyncIterator[list[int]]:
-    ports = _free_ports(count)
-    listen = [{"host": _HOST, "port": port} for port in ports]
+    with closing(PortAllocator()) as allocator:
+        ports = [allocator.reserve() for _ in range(count)]
+        allocator.hand_over(ports)
+        async with _workers_at(ports, **settings):
+            yield ports
+
+
+@asynccontextmanager
+async def _workers_at(
+    ports: list[int], **settings: Any
+) -> AsyncIterator[None]:
+    listen = [{"host": LOOPBACK_HOST, "port": port} for port in ports]
     workers = [
         {"name": f"w{number}", "http": http, **settings}
         for number, http in enumerate(listen)
@@ -92,7 +95,7 @@
     stop = asyncio.Event()
     serving = asyncio.create_task(serve_workers(parsed, stop))
     try:
-        yield ports
+        yield
     finally:
         stop.set()
         await serving
@@ -119,7 +122,7 @@
             self.assertEqual([2, 4, 2], epochs)
         for port in ports:
             with self.assertRaises(ConnectionRefusedError):
-                await asyncio.open_connection(_HOST, port)
+                await asyncio.open_connection(LOOPBACK_HOST, port)
 
     @real_time
     async def test_connections_beyond_the_limit_are_closed(self) -> None:
@@ -178,11 +181,14 @@
     @real_time
     async def test_platform_stops_despite_a_frozen_call(self) -> None:
         """Guards against a shutdown that waits for a frozen call."""
-        (port,) = _free_ports(1)
+        allocator = PortAllocator()
+        self.addCleanup(allocator.close)
+        port = allocator.reserve()
         settings = StandinPlatformSettings.model_validate(
-            {"http": {"host": _HOST, "port": port}, "vms": []}
+            {"http": {"host": LOOPBACK_HOST, "port": port}, "vms": []}
         )
         stop = asyncio.Event()
+        allocator.hand_over((port,))
         serving = asyncio.create_task(serve_platform(settings, stop))
         await _call(port, "POST", "/faults", {"freeze_s": 60})
         frozen = asyncio.create_task(_call(port, "GET", "/v1/vms"))
@@ -199,14 +205,13 @@
 
         Without TCP_NODELAY a response waits 40 ms for a delayed ACK.
         """
-        (port,) = _free_ports(1)
-        first = UvicornServer(_no_app, _HOST, port)
+        first = bind_server(_no_app)
         await first.start()
-        second = UvicornServer(_no_app, _HOST, port)
+        second = UvicornServer(_no_app, LOOPBACK_HOST, first.port)
         with self.assertRaises(OSError):
             await second.start()
         await second.stop(0)
-        _, writer = await _connect(port)
+        _, writer = await _connect(first.port)
         await asyncio.sleep(0.05)
         (connection,) = first._server.server_state.connections
         accepted = connection.transport.get_extra_info("socket")
--- a/tests/users_platform/costs/stub_services.py
+++ b/tests/users_platform/costs/stub_services.py
@@ -5,22 +5,21 @@
 import asyncio
 from contextlib import contextmanager
 from multiprocessing import get_context
-import socket
-import time
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
 from starlette.responses import Response
 from starlette.routing import Route
 
-from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from tests.adapters.http.bound_server import bind_server
+from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from multiprocessing.connection import Connection
 
     from starlette.requests import Request
 
-_HOST = "127.0.0.1"
 _START_TIMEOUT_S = 10.0
 _RUNNING_ROWS = ",".join(
     f'["5c0e7a21d94b36f8.0.1.{number}",2,"00000bb87a21d94b",41,12]'
@@ -38,51 +37,37 @@
     """Run the stubs in a separate process until the context ends.
 
     :returns: IP address and port of both stubs
-    :raises ConnectionRefusedError: the process does not listen in time
+    :raises TimeoutError: the process does not listen in time
     """
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        port: int = probe.getsockname()[1]
-    process = get_context("spawn").Process(target=_main, args=(port,))
+    context = get_context("spawn")
+    receiver, sender = context.Pipe(duplex=False)
+    process = context.Process(target=_main, args=(sender,))
     process.start()
     try:
-        _wait_until_open(port)
-        yield f"{_HOST}:{port}"
+        if not receiver.poll(_START_TIMEOUT_S):
+            raise TimeoutError("the stubs did not start in time")
+        yield f"{LOOPBACK_HOST}:{receiver.recv()}"
     finally:
         process.terminate()
         process.join()
 
 
-def _wait_until_open(port: int) -> None:
-    deadline = time.monotonic() + _START_TIMEOUT_S
-    while True:
-        try:
-            socket.create_connection((_HOST, port), 1.0).close()
-        except ConnectionRefusedError:
-            if time.monotonic() > deadline:
-                raise
-            time.sleep(0.05)
-        else:
-            return
+def _main(port_sender: Connection) -> None:
+    asyncio.run(_serve(port_sender))
 
 
-def _main(port: int) -> None:
-    asyncio.run(_serve(port))
-
-
-async def _serve(port: int) -> None:
-    server = UvicornServer(
+async def _serve(port_sender: Connection) -> None:
+    server = bind_server(
         Starlette(
             routes=[
                 _route("/api/hold", _HOLD_BODY),
                 _route("/api/run-start", _ORDER_BODY),
                 _route("/api/rows-tx", _COMMIT_BODY),
             ]
-        ),
-        _HOST,
-        port,
+        )
     )
     await server.start()
+    port_sender.send(server.port)
     await asyncio.Event().wait()
 
 
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from base64 import b64encode
+from dataclasses import replace
 import json
-import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
-from carawaystep.adapters.http.uvicorn_server import UvicornServer
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.entry.supervisor import Supervisor
 from carawaystep.scheduler.node_settings import NodeSettings
@@ -16,16 +15,19 @@
 from carawaystep_platform.front_end import FrontEnd
 from carawaystep_platform.ports import PlatformPorts
 from carawaystep_platform.settings import ProcessSettings
+from tests.adapters.http.bound_server import bind_server
 from tests.fakes.fake_counters import FakeCounters
 from tests.planner.planners import RecordingLog
 from tests.users_platform.placement_standin import PlacementStandin
 from tests.users_platform.placement_standin import TICKET_VALIDITY_S
 from tests.users_platform.store_standin import StoreStandin
 from tests.users_platform.worker_standin import WorkerStandin
+from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
     from starlette.applications import Starlette
 
+    from carawaystep.adapters.http.uvicorn_server import UvicornServer
     from carawaystep.adapters.http_client.http_response import HttpResponse
 
 _BOOKINGS_ROUTE = {
@@ -63,14 +65,6 @@
     return b64encode(json.dumps(value).encode()).decode()
 
 
-def find_free_port() -> int:
-    """Return a TCP port that is currently free on the loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Node:
     """A scheduler node with its front end, within the test process."""
 
@@ -85,17 +79,16 @@
         """
         self.name = name
         self.log = RecordingLog()
-        self.port = find_free_port()
         settings = ProcessSettings(
             NodeSettings(
                 name,
                 "zone",
                 1.0,
-                f"tcp://127.0.0.1:{find_free_port()}",
+                f"tcp://{LOOPBACK_HOST}:0",
                 6.0,
                 0.1,
             ),
-            f"127.0.0.1:{self.port}",
+            "",
             "",
             "",
             store_address,
@@ -103,10 +96,14 @@
         )
         self.ports = PlatformPorts(settings, self.log)
         self.supervisor = Supervisor(FakeCounters())
-        self.node = SchedulerNode(settings.node, self.ports, self.supervisor)
+        node_settings = replace(
+            settings.node, cluster_address=self.ports.cluster_address
+        )
+        self.node = SchedulerNode(node_settings, self.ports, self.supervisor)
         app = FrontEnd(self.node, self.log).app()
-        self.server = UvicornServer(app, "127.0.0.1", self.port)
-        self.client = HttpClient(f"http://127.0.0.1:{self.port}", 4)
+        self.server = bind_server(app)
+        self.port = self.server.port
+        self.client = HttpClient(f"http://{LOOPBACK_HOST}:{self.port}", 4)
 
     @property
     def was_elected(self) -> bool:
@@ -159,6 +156,8 @@
         self.workers = [
             WorkerStandin(f"i-{number}", run_s) for number in range(workers)
         ]
+        for worker in self.workers:
+            worker.address = self._add_server(worker.app())
         self.nodes = [
             self._create_node(f"edge-{number}", advice_address)
             for number in range(nodes)
@@ -174,9 +173,9 @@
 
     def _add_server(self, app: Starlette) -> str:
         """Add a server that starts with the deployment; return its address."""
-        port = find_free_port()
-        self._servers.append(UvicornServer(app, "127.0.0.1", port))
-        return f"127.0.0.1:{port}"
+        server = bind_server(app)
+        self._servers.append(server)
+        return f"{LOOPBACK_HOST}:{server.port}"
 
     async def start(self) -> None:
         """Start all servers and nodes; store the manifest and the workers."""
@@ -184,11 +183,6 @@
             await server.start()
         await self.store.put("op", "config", encode_value(MANIFEST))
         for worker in self.workers:
-            port = find_free_port()
-            server = UvicornServer(worker.app(), "127.0.0.1", port)
-            await server.start()
-            self._servers.append(server)
-            worker.address = f"127.0.0.1:{port}"
             await self.register_worker(worker)
         for node in self.nodes:
             await node.start()
--- a/tests/users_platform/test_advice_client.py
+++ b/tests/users_platform/test_advice_client.py
@@ -11,11 +11,11 @@
 from starlette.routing import Route
 from testtools import TestCase
 
-from carawaystep.adapters.http.uvicorn_server import UvicornServer
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.planner.advice_request import AdviceRequest
 from carawaystep_platform.advice_client import AdviceClient
-from tests.users_platform.deployment import find_free_port
+from tests.adapters.http.bound_server import bind_server
+from tools.port_allocator import LOOPBACK_HOST
 
 _REQUEST = AdviceRequest("a" * 16, 0, 1, [WorkerKey("i-1", 7)], 3.0)
 
@@ -26,11 +26,10 @@
     async def advise(request: object) -> Response:
         return Response(body, status)
 
-    port = find_free_port()
     app = Starlette(routes=[Route("/api/advise", advise, methods=["POST"])])
-    server = UvicornServer(app, "127.0.0.1", port)
+    server = bind_server(app)
     await server.start()
-    client = AdviceClient(f"127.0.0.1:{port}")
+    client = AdviceClient(f"{LOOPBACK_HOST}:{server.port}")
     try:
         return await client.ask(_REQUEST)
     finally:
--- a/tools/capacity/measured_entry.py
+++ b/tools/capacity/measured_entry.py
@@ -151,12 +151,12 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._ports.close()
         await self._group.stop(_STOP_TIMEOUT_S, "entry")
         await self._group.stop(_STOP_TIMEOUT_S)
         await asyncio.gather(*(peer.stop() for peer in self._peers.values()))
         await self._table.close()
         await self._stack.aclose()
+        self._ports.close()
 
     def _cpu_s(self) -> float:
         times = self.process.cpu_times()
@@ -262,7 +262,7 @@
         )
 
     def _start_process(self, spec: ProcessSpec) -> None:
-        self._ports.release(spec.ports)
+        self._ports.hand_over(spec.ports)
         self._group.start(spec)
 
     async def _start_peers(self) -> None:
@@ -274,7 +274,7 @@
                 else _REMOTE_HEARTBEAT_INTERVAL_S
             )
             port = self._ports.reserve()
-            self._ports.release((port,))
+            self._ports.hand_over((port,))
             peer = SimulatedPeer(name, port, self._counter, interval_s)
             await peer.start()
             self._peers[name] = peer
--- a/tools/capacity/sampler.py
+++ b/tools/capacity/sampler.py
@@ -20,7 +20,7 @@
 
 # Reports, leases and polls become periodic only some time after the start.
 _SETTLING_TIME_S = 6.0
-# A start fails when another process binds a released port first.
+# A process may not be ready in time on a busy machine.
 _MAX_ATTEMPTS = 3
 _MEGABYTE_BYTES = 1_000_000
 
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -140,7 +140,6 @@
 
         :returns: names of the processes that needed SIGKILL
         """
-        self._ports.close()
         timeout_s = self._deployment.drain_limit_s + _EXIT_MARGIN_S
         killed: tuple[str, ...] = ()
         try:
@@ -148,6 +147,7 @@
         finally:
             killed += await self._group.stop(_EXIT_MARGIN_S)
             await self._port_map.close()
+            self._ports.close()
         return killed
 
     async def restart(self, name: str) -> Result[None, LaunchFailure]:
@@ -177,7 +177,7 @@
     ) -> LaunchFailure | None:
         processes = []
         for spec in stage:
-            self._ports.release(spec.ports)
+            self._ports.hand_over(spec.ports)
             processes.append(self._group.start(spec))
         failures = await asyncio.gather(
             *(self._await_ready(process) for process in processes)
