Reserve the port of the absent peer in a test

Cause: test_requests_to_an_absent_peer_are_not_queued used the address of a port that it had just released. Another process could listen on it, so that the request was sent.

Change: the port stays reserved for the whole test, and connections to it are refused.

--- a/tests/adapters/zmq/test_peer_client.py
+++ b/tests/adapters/zmq/test_peer_client.py
@@ -22,6 +22,8 @@
 from tests.adapters.zmq.peer_samples import LOAD
 from tests.adapters.zmq.peer_samples import open_socket
 from tests.adapters.zmq.peer_samples import REQUEST
+from tools.port_allocator import LOOPBACK_HOST
+from tools.port_allocator import PortAllocator
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -56,11 +58,12 @@
     def test_requests_to_an_absent_peer_are_not_queued(self) -> None:
         """Guards against queued requests that run when the peer is back."""
 
+        ports = PortAllocator()
+        self.addCleanup(ports.close)
+        absent_peer = f"tcp://{LOOPBACK_HOST}:{ports.reserve()}"
+
         async def run() -> None:
-            probe = open_socket(ROUTER)
-            port = probe.bind_to_random_port("tcp://127.0.0.1")
-            probe.close()
-            for address in (f"tcp://127.0.0.1:{port}", "no address"):
+            for address in (absent_peer, "no address"):
                 client = PeerClient(address)
                 result = await client.forward(REQUEST, 0.2)
                 self.assertFalse(result.err_value.sent)
