Delay each campaign after a failed one or an ended term

Cause: postpone_campaign moved the start of the wait for a heartbeat, which delays nothing when the leader has resigned, and reset the age of the leader's confirmation, which its next heartbeat set again. Candidates could then campaign at each check, every 0.1 s.

Change: it sets the time before which no campaign starts, one campaign delay later, whatever the reason for the campaign is.

Result: the new test, for a resigned leader and for one whose term is not confirmed, failed before and passes now.

--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -52,9 +52,9 @@
         )
         self._term = 0
         self._leader = ""
-        # Start of the wait for a heartbeat: the last heartbeat or the start of
-        # this process, or a later time that postpone_campaign has set.
+        # The last heartbeat or the start of this process.
         self._waiting_since = now
+        self._campaign_postponed_until = now
         self._leader_timeout_s = _STARTUP_LEADER_TIMEOUT_S
         self._echoed_timestamp = 0.0
         self._confirmation_age_s = 0.0
@@ -132,6 +132,8 @@
         It should when the leader has resigned, its heartbeats are missing or
         the store has not confirmed its term for too long.
         """
+        if now < self._campaign_postponed_until:
+            return False
         if self._leader_resigned:
             return now - self._waiting_since > self._campaign_delay_s
         since_heartbeat_s = now - self._waiting_since
@@ -148,7 +150,5 @@
         To be called after a failed campaign, and after the end of a term of
         this process.
         """
-        self._waiting_since = max(
-            self._waiting_since, now - self._leader_timeout_s
-        )
+        self._campaign_postponed_until = now + self._campaign_delay_s
         self._confirmation_age_s = 0.0
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -51,6 +51,23 @@
         leadership.postpone_campaign(10.6)
         self.assertFalse(leadership.should_campaign(10.6))
 
+    def test_campaign_waits_for_the_delay_after_a_failed_one(self) -> None:
+        """Guards against campaigns in a row while another one is elected.
+
+        The leader has resigned, or its next heartbeat says again that the
+        store has not confirmed its term.
+        """
+        resigned = self._with_leader()
+        resigned.record_resignation(5)
+        resigned.postpone_campaign(12.0)
+        self.assertFalse(resigned.should_campaign(12.1))
+        self.assertTrue(resigned.should_campaign(12.6))
+        unconfirmed = self._with_leader()
+        unconfirmed.postpone_campaign(10.6)
+        unconfirmed.record_heartbeat(5, "edge-2", 10.5, 5.0, 10.7)
+        self.assertFalse(unconfirmed.should_campaign(10.7))
+        self.assertTrue(unconfirmed.should_campaign(11.2))
+
     def test_resignation_starts_a_campaign_before_the_timeout(self) -> None:
         """Guards against a gap of seconds without a leader.
 
