Repeat a failed write of the probabilities of harm

Cause: _save_interference counted probabilities as saved, and logged them as stored, also when the store had not confirmed the write. They were written again only after another change, so that the next leader could miss them.

Change: save_interference returns whether the write is confirmed; only then the probabilities count as saved. Otherwise the next interval writes them again.

Result: both new tests failed before and pass now.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -290,8 +290,9 @@
         while True:
             await asyncio.sleep(_INTERFERENCE_SAVE_INTERVAL_S)
             pairs = self._interference.probabilities()
-            if pairs != saved:
-                await self._repository.save_interference(pairs)
+            if pairs == saved:
+                continue
+            if await self._repository.save_interference(pairs):
                 saved = pairs
                 self._ports.log.line(
                     "interference.stored",
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -127,10 +127,11 @@
 
     async def save_interference(
         self, pairs: list[tuple[str, str, float]]
-    ) -> None:
+    ) -> bool:
         """Store probabilities of harm; a failure is not retried.
 
         :param pairs: as returned by :meth:`load_interference`
+        :returns: whether they are known to be stored
         """
         value = [
             (best_effort, serving, round(probability, 3))
@@ -142,10 +143,12 @@
                 PutRow(tables.CONTROL, tables.INTERFERENCE_KEY, None, value),
             ]
         )
-        if not isinstance(result, Ok):
-            self._store_health.record_failure(
-                result.err_value.detail, self._clock.now()
-            )
+        if isinstance(result, Ok):
+            return True
+        self._store_health.record_failure(
+            result.err_value.detail, self._clock.now()
+        )
+        return False
 
     async def confirm(self) -> bool:
         """Check in the leader row whether this term is still the current one.
--- /dev/null
+++ b/tests/scheduler/test_leader_term.py
@@ -0,0 +1,73 @@
+"""Tests of the periodic work of a leader."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from result import Err
+from result import Ok
+from testtools import TestCase
+
+from carawaystep.scheduler import leader_term
+from carawaystep.scheduler.leader_term import LeaderTerm
+from carawaystep.scheduler.node_settings import NodeSettings
+from carawaystep.scheduler.store_health import StoreHealth
+from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableOutcomeUnknown
+from tests.planner.planners import RecordingLog
+
+_SETTINGS = NodeSettings("edge-1", "zone", 1.0, "tcp://127.0.0.1:1", 6.0, 0.1)
+
+
+class _Clock:
+    def now(self) -> float:
+        return 10.0
+
+
+class _Store:
+    """Fails a number of writes and counts all."""
+
+    def __init__(self, failures: int) -> None:
+        self._failures = failures
+        self.writes = 0
+
+    async def transact(self, operations: object) -> object:
+        self.writes += 1
+        if self.writes <= self._failures:
+            return Err(TableOutcomeUnknown("no answer"))
+        return Ok(TableCommit(40, ()))
+
+
+class LeaderTermTest(TestCase):
+    """Tasks of one term."""
+
+    def test_failed_write_of_interference_is_repeated(self) -> None:
+        """Guards against a failed write that is taken for a stored one."""
+        log = RecordingLog()
+        store = _Store(failures=2)
+        ports = SimpleNamespace(store=store, clock=_Clock(), log=log)
+
+        async def run() -> None:
+            term = LeaderTerm(
+                _SETTINGS,
+                ports,  # type: ignore[arg-type]
+                StoreHealth(log, 0.0),
+                7,
+            )
+            pairs = [("a", "b", 0.5)]
+            with (
+                patch.object(
+                    term._interference, "probabilities", return_value=pairs
+                ),
+                patch.object(leader_term, "_INTERFERENCE_SAVE_INTERVAL_S", 0),
+            ):
+                saving = asyncio.create_task(term._save_interference())
+                await asyncio.sleep(0.05)
+                saving.cancel()
+
+        asyncio.run(run())
+        self.assertEqual(3, store.writes)
+        stored = [e for e, _ in log.events if e == "interference.stored"]
+        self.assertEqual(["interference.stored"], stored)
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -20,6 +20,7 @@
 from carawaystep.store.table_commit import TableCommit
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableOutcomeUnknown
+from carawaystep.store.table_failure import TableRefused
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import RecordingLog
@@ -67,6 +68,15 @@
     def _commit_all(
         self, batches: list[Changes], *answers: object
     ) -> list[Sequence[Operation]]:
+        repository, store = self._create_repository(*answers)
+        for changes in batches:
+            asyncio.run(repository.commit(changes))
+        return store.transactions
+
+    @staticmethod
+    def _create_repository(
+        *answers: object,
+    ) -> tuple[WorkflowRepository, _Store]:
         store = _Store(*answers)
         repository = WorkflowRepository(
             store,  # type: ignore[arg-type]
@@ -75,9 +85,20 @@
             RecordingLog(),
             7,
         )
-        for changes in batches:
-            asyncio.run(repository.commit(changes))
-        return store.transactions
+        return repository, store
+
+    def test_failed_write_of_interference_is_not_counted_as_saved(
+        self,
+    ) -> None:
+        """Guards against probabilities that the next leader does not find."""
+
+        async def save(answer: object) -> bool:
+            repository, _ = self._create_repository(answer)
+            return await repository.save_interference([("a", "b", 0.5)])
+
+        self.assertTrue(asyncio.run(save(_OK)))
+        for failure in (TableOutcomeUnknown("lost"), TableRefused("busy")):
+            self.assertFalse(asyncio.run(save(Err(failure))))
 
     def test_every_commit_checks_the_term(self) -> None:
         """Guards against writes of a deposed leader."""
