Show no settled workflow as pending

Cause: without the leader, a state is read from the submissions, then from the progress. If the workflow was settled between the two reads, its progress row was gone and it was reported as pending, though it had been running before.

Change: a submission without a progress row is pending only if the ended workflows, which are read last, do not list it. This costs a third read for workflows that have not started. A progress row that is found is still reported without a further read: the workflow had not been settled when it was read.

--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -21,6 +21,7 @@
     from carawaystep.leadership.leadership import Leadership
     from carawaystep.scheduler.member import Member
     from carawaystep.scheduler.store_health import StoreHealth
+    from carawaystep.store.row import Row
     from carawaystep.store.table_failure import TableFailure
     from carawaystep.store.table_service import TableService
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -143,8 +144,10 @@
     ) -> Result[WorkflowState | None, TableFailure]:
         """Return a workflow's state from the store, Ok(None) if absent.
 
-        When a workflow is settled, its row moves from the submissions to the
-        ended workflows. Reading in the same order never misses the row.
+        When a workflow is settled, its rows of the submission and of the
+        progress are replaced by one of the ended workflows, which stays.
+        Reading in this order never misses the row, and a workflow without a
+        progress row is pending only if it has not ended.
         """
         submission = await self._store.get(tables.SUBMISSIONS, workflow_id)
         if isinstance(submission, Err):
@@ -153,19 +156,25 @@
             progress = await self._store.get(tables.PROGRESS, workflow_id)
             if isinstance(progress, Err):
                 return progress
-            if progress.ok_value is None:
-                return Ok(WorkflowState.PENDING)
-            if progress.ok_value.value.get("cancelled"):
-                return Ok(WorkflowState.CANCELLED)
-            if progress.ok_value.value.get("failed"):
-                return Ok(WorkflowState.FAILED)
-            return Ok(WorkflowState.RUNNING)
+            if progress.ok_value is not None:
+                return Ok(self._progress_state(progress.ok_value))
         ended = await self._store.get(tables.ENDED, workflow_id)
         if isinstance(ended, Err):
             return ended
-        if ended.ok_value is None:
+        if ended.ok_value is not None:
+            return Ok(WorkflowState(ended.ok_value.value["state"]))
+        if submission.ok_value is None:
             return Ok(None)
-        return Ok(WorkflowState(ended.ok_value.value["state"]))
+        return Ok(WorkflowState.PENDING)
+
+    @staticmethod
+    def _progress_state(progress: Row) -> WorkflowState:
+        """Return the state that a progress row stands for."""
+        if progress.value.get("cancelled"):
+            return WorkflowState.CANCELLED
+        if progress.value.get("failed"):
+            return WorkflowState.FAILED
+        return WorkflowState.RUNNING
 
     def _write_outcome(
         self, result: Result[None, TableFailure], refusal_is_certain: bool
