Pause before each retry of a failed commit

Cause: only a refused commit was retried after a pause. A store that resets connections fails at once, so that the leader repeated its commit without a pause until the store was back.

A conflict is resolved and retried at once, as before.

Result: the new test failed before (no pause after an unknown outcome) and passes now.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -15,7 +15,6 @@
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
-from carawaystep.store.table_failure import TableRefused
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -216,8 +215,7 @@
                 workflows=len(workflow_ids),
                 detail=failure.detail,
             )
-            if isinstance(failure, TableRefused):
-                await asyncio.sleep(_RETRY_INTERVAL_S)
+            await asyncio.sleep(_RETRY_INTERVAL_S)
 
     def _operations(
         self,
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest.mock import AsyncMock
+from unittest.mock import patch
 
 from result import Err
 from result import Ok
@@ -161,6 +163,13 @@
         ]
         self.assertEqual([35], [operation.expected for operation in puts])
 
+    def test_retry_after_a_failure_waits(self) -> None:
+        """Guards against retries without a pause when the store is down."""
+        for failure in (TableOutcomeUnknown("reset"), TableRefused("busy")):
+            with patch("asyncio.sleep", AsyncMock()) as sleep:
+                self._commit(Err(failure), Err(failure), _OK)
+            self.assertEqual(2, sleep.await_count)
+
     def test_submission_stored_by_a_member_is_not_inserted(
         self,
     ) -> None:
