Repeat a failed start of an entry node

Cause: the daemon of the entries ran node.start() in a task that nothing looked at. After an error, or a broken invariant, the process accepted connections and never served a request, without a log line. The daemon of the platform has no such task: its start is synchronous and an error ends the process.

Change: the supervisor runs the start. It logs an error and repeats the start after a second; a broken invariant ends the process with exit code 70. The steps before the tasks are spawned only read and may be repeated.

--- a/src/carawaystep/entry/daemon.py
+++ b/src/carawaystep/entry/daemon.py
@@ -98,7 +98,7 @@
         await self._http.start()
         await self._peer_server.start()
         self._node.supervisor.spawn("peer server", self._run_peer_server)
-        starting = asyncio.create_task(self._node.start())
+        starting = self._node.supervisor.spawn("start", self._node.start)
         stopped = asyncio.create_task(stop.wait())
         broken = asyncio.create_task(self._node.supervisor.broken_invariant())
         replaced = asyncio.create_task(self._node.wait_replaced())
