Report the lines that a full queue of the log dropped

Change: log.dropped reports the count with the next change of second and when the log is closed. A report that is itself dropped is repeated. close() waits until the queue is empty before it writes the report and stops the thread.

--- a/src/carawaystep/adapters/logs/json_decision_log.py
+++ b/src/carawaystep/adapters/logs/json_decision_log.py
@@ -56,6 +56,7 @@
         line_queue: queue.Queue[logging.LogRecord] = queue.Queue(
             _MAX_QUEUED_LINES
         )
+        self._queue = line_queue
         self._handler = _DroppingHandler(line_queue)
         output = logging.StreamHandler(sys.stdout)
         output.setFormatter(logging.Formatter("%(message)s"))
@@ -100,7 +101,11 @@
 
     def close(self) -> None:
         """Write all queued lines and stop the thread."""
-        self._flush_line_counts(time.time())
+        now = time.time()
+        self._flush_line_counts(now)
+        # A full queue would take neither the report nor the end mark.
+        self._queue.join()
+        self._report_dropped_lines(now)
         self._listener.stop()
 
     def _flush_line_counts(self, now: float) -> None:
@@ -117,6 +122,16 @@
                 )
         self._counts.clear()
         self._current_second = int(now)
+        self._report_dropped_lines(now)
+
+    def _report_dropped_lines(self, now: float) -> None:
+        """Report dropped lines once; repeat it if the report was dropped."""
+        count = self._handler.dropped_lines
+        if count == 0:
+            return
+        self._write(now, "log.dropped", self._node, {"count": count})
+        report_dropped = self._handler.dropped_lines > count
+        self._handler.dropped_lines = count if report_dropped else 0
 
     def _write(
         self,
--- a/tests/adapters/logs/test_json_decision_log.py
+++ b/tests/adapters/logs/test_json_decision_log.py
@@ -5,12 +5,25 @@
 from contextlib import redirect_stdout
 from io import StringIO
 import json
+from threading import Event
 
 from testtools import TestCase
 
 from carawaystep.adapters.logs.json_decision_log import JsonDecisionLog
 
 
+class _BlockedOutput(StringIO):
+    """Blocks the writing thread, like a pipe that nobody reads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unblocked = Event()
+
+    def write(self, text: str) -> int:
+        self.unblocked.wait()
+        return super().write(text)
+
+
 class JsonDecisionLogTest(TestCase):
     """Tests the content of lines and their limit per second."""
 
@@ -39,6 +52,21 @@
             line,
         )
 
+    def test_lines_dropped_by_a_full_queue_are_counted(self) -> None:
+        """Guards against a gap in the log that nothing reports."""
+        output = _BlockedOutput()
+        with redirect_stdout(output):
+            log = JsonDecisionLog("edge-1")
+            for number in range(6000):
+                log.line(f"event.{number // 150}", "t")
+            output.unblocked.set()
+            log.close()
+        lines = [json.loads(line) for line in output.getvalue().splitlines()]
+        reports = [line for line in lines if line["event"] == "log.dropped"]
+        dropped_count = sum(line["count"] for line in reports)
+        self.assertGreater(dropped_count, 0)
+        self.assertEqual(6000, len(lines) - len(reports) + dropped_count)
+
     def test_observer_receives_every_line(self) -> None:
         """Guards against metrics that do not count omitted lines."""
         observed_events: list[str] = []
