--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -16,7 +16,6 @@
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
-from carawaystep.store.table_failure import TableRefused
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -143,10 +142,11 @@
 
     async def save_interference(
         self, pairs: list[tuple[str, str, float]]
-    ) -> None:
+    ) -> bool:
         """Store probabilities of harm; a failure is not retried.
 
         :param pairs: as returned by :meth:`load_interference`
+        :returns: whether they are known to be stored
         """
         value = [
             (best_effort, serving, round(probability, 3))
@@ -158,10 +158,12 @@
                 PutRow(tables.CONTROL, tables.INTERFERENCE_KEY, None, value),
             ]
         )
-        if not isinstance(result, Ok):
-            self._store_health.record_failure(
-                result.err_value.detail, self._clock.now()
-            )
+        if isinstance(result, Ok):
+            return True
+        self._store_health.record_failure(
+            result.err_value.detail, self._clock.now()
+        )
+        return False
 
     async def confirm(self) -> bool:
         """Check in the leader row whether this term is still the current one.
@@ -229,8 +231,7 @@
                 workflows=len(workflow_ids),
                 detail=failure.detail,
             )
-            if isinstance(failure, TableRefused):
-                await asyncio.sleep(_RETRY_INTERVAL_S)
+            await asyncio.sleep(_RETRY_INTERVAL_S)
 
     def _operations(
         self,
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest.mock import AsyncMock
+from unittest.mock import patch
 
 import msgspec
 from result import Err
@@ -23,6 +25,7 @@
 from carawaystep.store.table_commit import TableCommit
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableOutcomeUnknown
+from carawaystep.store.table_failure import TableRefused
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import new_planner
@@ -131,6 +134,19 @@
             asyncio.run(repository.commit(changes))
         return store.transactions
 
+    def test_failed_write_of_interference_is_not_counted_as_saved(
+        self,
+    ) -> None:
+        """Guards against probabilities that the next leader does not find."""
+
+        async def save(answer: object) -> bool:
+            repository = _repository(_Store(answer))
+            return await repository.save_interference([("a", "b", 0.5)])
+
+        self.assertTrue(asyncio.run(save(_OK)))
+        for failure in (TableOutcomeUnknown("lost"), TableRefused("busy")):
+            self.assertFalse(asyncio.run(save(Err(failure))))
+
     def test_every_commit_checks_the_term(self) -> None:
         """Guards against writes of a deposed leader."""
         (operations,) = self._commit(_OK)
@@ -192,6 +208,13 @@
         ]
         self.assertEqual([35], [operation.expected for operation in puts])
 
+    def test_retry_after_a_failure_waits(self) -> None:
+        """Guards against retries without a pause when the store is down."""
+        for failure in (TableOutcomeUnknown("reset"), TableRefused("busy")):
+            with patch("asyncio.sleep", AsyncMock()) as sleep:
+                self._commit(Err(failure), Err(failure), _OK)
+            self.assertEqual(2, sleep.await_count)
+
     def test_submission_stored_by_a_member_is_not_inserted(
         self,
     ) -> None:
