Store the cancellation of an id that is not known

A caller that cancelled a submission whose acceptance was still open got 410 and saw its tasks start afterwards: the submission was in flight, and the cancellation left nothing behind that it could meet.

The member now stores the cancellation before it answers 410; without that the outcome stays open (504). The leader keeps such a cancellation and applies it when the submission is read.

Before the change the submission of the new test ran and was not shown as cancelled within 3 s.

--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -106,7 +106,11 @@
         return await self._stored_state(workflow_id)
 
     async def cancel(self, workflow_id: str) -> CallOutcome:
-        """Cancel a workflow; a workflow that has ended is left as it is."""
+        """Cancel a workflow; a workflow that has ended is left as it is.
+
+        The cancellation of an absent workflow is stored too, because its
+        submission may still be in flight.
+        """
         published = self._member.published_states.get(workflow_id)
         if published is not None and published.final:
             return CallOutcome.ACCEPTED
@@ -119,15 +123,16 @@
         stored = await self._stored_state(workflow_id)
         if isinstance(stored, Err):
             return CallOutcome.UNKNOWN
-        if stored.ok_value is None:
-            return CallOutcome.ABSENT
-        if stored.ok_value.final:
+        if stored.ok_value is not None and stored.ok_value.final:
             return CallOutcome.ACCEPTED
         row = PutRow(tables.CANCELS, workflow_id, None, {"cancelled": True})
         result = await self._store.transact([row])
-        return self._write_outcome(
+        outcome = self._write_outcome(
             result.map(lambda _: None), refusal_is_certain=False
         )
+        if outcome is CallOutcome.ACCEPTED and stored.ok_value is None:
+            return CallOutcome.ABSENT
+        return outcome
 
     def count_queued(self, queue: str) -> int | None:
         """Return the number of workflows of a queue that have not started.
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -210,6 +210,28 @@
             [], [w.started for w in deployment.workers if w.started]
         )
 
+    def test_submission_that_arrives_after_its_cancellation_never_runs(
+        self,
+    ) -> None:
+        """Guards against runs of a submission after 410 to its cancellation.
+
+        The submission was in flight when the cancellation was answered.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            first, second = deployment.nodes
+            answer = await first.call("DELETE", SUBMISSION_PATH)
+            self.assertEqual(410, answer.status)
+            await asyncio.sleep(0.3)
+            late = await second.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
+            self.assertEqual(200, late.status)
+            await wait_for_state(second, "cancelled", limit_s=3.0)
+
+        deployment = run_scenario(scenario, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def test_queue_with_tickets_uses_allowed_workers_only(self) -> None:
         """Guards against starts without a ticket or on other workers."""
         path = f"/advised/{SUBMISSION_ID}"
