Never run a settled workflow again from a late insert

When the store applied a repeated insert of a submission late, after its workflow had been settled, the row of the submission came back, and the next term restored the workflow and started it again, also a cancelled one. The insert of the leader required only that the row does not exist, which holds again after the end; that of a member also required that no end is stored.

The leader's insert now has the same condition, and a new term leaves out submissions whose end is stored. An inserted workflow takes up to five entries, so a commit holds 19 workflows instead of 24; the test of the entry limit covers such commits too.

Before the change the new term started both tasks of a cancelled workflow in the new test.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -35,9 +35,9 @@
     from carawaystep.store.table_service import TableService
 
 # The store accepts 100 entries per transaction and counts a condition on a
-# row and a change of that row separately. A workflow needs at most four
+# row and a change of that row separately. A workflow needs at most five
 # entries and the check of the leader row one.
-_WORKFLOWS_PER_COMMIT = 24
+_WORKFLOWS_PER_COMMIT = 19
 _RETRY_INTERVAL_S = 0.1
 
 
@@ -116,7 +116,7 @@
             self._progress_versions[row.key] = row.version
         for row in submissions:
             spec = parse_spec(row)
-            if spec is not None:
+            if spec is not None and planner.state(spec.id) is None:
                 planner.restore(spec, records.get(row.key))
         for row in cancels:
             planner.apply_stored_cancellation(row.key)
@@ -244,6 +244,9 @@
         for workflow_id, spec in inserts.items():
             if workflow_id not in changes.settled:
                 value = msgspec.to_builtins(spec)
+                # Without this check, an insert that the store applies late
+                # could follow the end of the workflow.
+                operations.append(CheckRow(tables.ENDED, workflow_id, 0))
                 operations.append(
                     PutRow(tables.SUBMISSIONS, workflow_id, 0, value)
                 )
@@ -297,7 +300,7 @@
         for (table, key), version in conflict.versions.items():
             if table == tables.CONTROL:
                 raise TermEnded
-            if table == tables.SUBMISSIONS:
+            if table in (tables.SUBMISSIONS, tables.ENDED):
                 inserts.pop(key, None)
             elif version:
                 self._progress_versions[key] = version
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -112,6 +112,22 @@
         self.assertEqual([], plan_and_take_starts(planner))
         self.assertEqual(WorkflowState.CANCELLED, planner.state(_SPEC.id))
 
+    def test_settled_workflow_with_a_submission_row_is_not_started(
+        self,
+    ) -> None:
+        """Guards against running a settled workflow again in a new term.
+
+        The store may apply a repeated insert of its row late.
+        """
+        planner = self._load(
+            {
+                tables.SUBMISSIONS: {_SPEC.id: msgspec.to_builtins(_SPEC)},
+                tables.ENDED: {_SPEC.id: {"state": "cancelled"}},
+            }
+        )
+        self.assertEqual([], plan_and_take_starts(planner))
+        self.assertEqual(WorkflowState.CANCELLED, planner.state(_SPEC.id))
+
 
 class WorkflowRepositoryTest(TestCase):
     """Commits during one term."""
@@ -138,24 +154,34 @@
             CheckRow(tables.CONTROL, tables.LEADER_KEY, 7), operations[0]
         )
 
+    def test_insert_requires_that_the_workflow_has_not_ended(self) -> None:
+        """Guards against an insert that is applied after the end."""
+        (operations,) = self._commit(_OK)
+        self.assertIn(CheckRow(tables.ENDED, _SPEC.id, 0), operations)
+
     def test_transaction_stays_within_the_entry_limit(
         self,
     ) -> None:
         """Guards against a batch that the store always refuses.
 
-        Workflows that are settled take the most entries of a transaction.
+        Workflows that are inserted with progress take the most entries of a
+        transaction, then those that are settled.
         """
         workflow_ids = [f"{number:016x}" for number in range(90)]
+        accepted = [
+            workflow_spec(id=workflow_id) for workflow_id in workflow_ids
+        ]
         progress = {
             workflow_id: WorkflowRecord([]) for workflow_id in workflow_ids
         }
         settled = dict.fromkeys(workflow_ids, WorkflowState.CANCELLED)
         transactions = self._commit_all(
             [
+                Changes(accepted=accepted, progress=progress),
                 Changes(progress=progress),
                 Changes(progress=progress, settled=settled),
             ],
-            *[_OK] * 20,
+            *[_OK] * 30,
         )
         entries = [
             sum(
