Store no placement unseen after a cancellation

Tasks of a submission started after its cancellation had been confirmed while the leader's feed of cancellations lagged: an answer of the feed that is lost costs 3 s, two cost more than the 4 s that a start may come after a confirmed cancellation, and commits went on meanwhile.

The transaction that stores placements now requires that none of their workflows has a stored cancellation. If one has, the leader applies the cancellation, stores the placement all the same, so that a later leader waits for its run, and withdraws the start. A commit holds 16 workflows, because one that is inserted with starts takes six entries.

Before the change both tasks of the new test started while the feed lagged 1.5 s.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -330,7 +330,9 @@
             if changes.is_empty:
                 continue
             if changes.needs_commit:
-                await self._repository.commit(changes)
+                for workflow_id in await self._repository.commit(changes):
+                    self._planner.apply_stored_cancellation(workflow_id)
+                    self._plan_requested.set()
             await self._publish_changes(changes)
             await asyncio.sleep(_BATCH_WINDOW_S)
 
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -35,9 +35,9 @@
     from carawaystep.store.table_service import TableService
 
 # The store accepts 100 entries per transaction and counts a condition on a
-# row and a change of that row separately. A workflow needs at most five
+# row and a change of that row separately. A workflow needs at most six
 # entries and the check of the leader row one.
-_WORKFLOWS_PER_COMMIT = 19
+_WORKFLOWS_PER_COMMIT = 16
 _RETRY_INTERVAL_S = 0.1
 
 
@@ -182,11 +182,18 @@
         self._record_confirmation(began_at)
         return True
 
-    async def commit(self, changes: Changes) -> None:
+    async def commit(self, changes: Changes) -> set[str]:
         """Store a batch of changes, retrying until all of it is stored.
 
+        A placement is not stored without notice after the cancellation of
+        its workflow, so that no start depends on how fast the feed of
+        cancellations is.
+
+        :returns: ids of workflows with starts in the batch whose
+            cancellation was stored earlier
         :raises TermEnded: another process was elected
         """
+        cancelled: set[str] = set()
         id_lists = [
             *([spec.id] for spec in changes.accepted),
             *([workflow_id] for workflow_id in changes.progress),
@@ -198,29 +205,42 @@
         )
         for begin in range(0, len(workflow_ids), _WORKFLOWS_PER_COMMIT):
             chunk = set(workflow_ids[begin : begin + _WORKFLOWS_PER_COMMIT])
-            await self._commit_chunk(changes, chunk)
+            cancelled |= await self._commit_chunk(changes, chunk)
+        return cancelled
 
     async def _commit_chunk(
         self, changes: Changes, workflow_ids: set[str]
-    ) -> None:
+    ) -> set[str]:
         inserts = {
             spec.id: spec
             for spec in changes.accepted
             if spec.id in workflow_ids
         }
+        started = {order.ref.workflow for order in changes.orders}
+        started &= workflow_ids
+        cancelled: set[str] = set()
         while True:
             operations = self._operations(changes, workflow_ids, inserts)
+            operations.extend(
+                CheckRow(tables.CANCELS, workflow_id, 0)
+                for workflow_id in sorted(started - cancelled)
+            )
             began_at = self._clock.now()
             result = await self._store.transact(operations)
             now = self._clock.now()
             if isinstance(result, Ok):
                 self._record_confirmation(began_at)
                 self._record_versions(operations, result.ok_value.revision)
-                return
+                return cancelled
             failure = result.err_value
             if isinstance(failure, TableConflict):
                 self._store_health.record_answer(now)
                 self._resolve_conflict(failure, inserts)
+                cancelled.update(
+                    key
+                    for table, key in failure.versions
+                    if table == tables.CANCELS
+                )
                 continue
             self._store_health.record_failure(failure.detail, now)
             self._log.line(
@@ -302,6 +322,8 @@
                 raise TermEnded
             if table in (tables.SUBMISSIONS, tables.ENDED):
                 inserts.pop(key, None)
+            elif table != tables.PROGRESS:
+                continue
             elif version:
                 self._progress_versions[key] = version
             else:
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -11,6 +11,8 @@
 from testtools import ExpectedException
 from testtools import TestCase
 
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.planner.changes import Changes
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.store_health import StoreHealth
@@ -23,6 +25,7 @@
 from carawaystep.store.table_commit import TableCommit
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableOutcomeUnknown
+from carawaystep.workflow.task_ref import TaskRef
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import new_planner
@@ -35,6 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from carawaystep.fleet.order import Order
     from carawaystep.planner.planner import Planner
     from carawaystep.store.operation import Operation
 
@@ -164,7 +168,7 @@
     ) -> None:
         """Guards against a batch that the store always refuses.
 
-        Workflows that are inserted with progress take the most entries of a
+        Workflows that are inserted with starts take the most entries of a
         transaction, then those that are settled.
         """
         workflow_ids = [f"{number:016x}" for number in range(90)]
@@ -175,9 +179,13 @@
             workflow_id: WorkflowRecord([]) for workflow_id in workflow_ids
         }
         settled = dict.fromkeys(workflow_ids, WorkflowState.CANCELLED)
+        orders: list[Order] = [
+            StartOrder(WorkerKey("w1", 1), TaskRef(i, 0, 0, 0), 1, "")
+            for i in workflow_ids
+        ]
         transactions = self._commit_all(
             [
-                Changes(accepted=accepted, progress=progress),
+                Changes(accepted=accepted, progress=progress, orders=orders),
                 Changes(progress=progress),
                 Changes(progress=progress, settled=settled),
             ],
@@ -218,6 +226,25 @@
         ]
         self.assertEqual([35], [operation.expected for operation in puts])
 
+    def test_placement_meets_a_stored_cancellation(self) -> None:
+        """Guards against starts while the feed of cancellations lags.
+
+        The placement is stored without the check, so that a later leader
+        knows of the run, and the cancellation is reported to the caller.
+        """
+        start = StartOrder(
+            WorkerKey("w1", 1), TaskRef(_SPEC.id, 0, 0, 0), 1, ""
+        )
+        store = _Store(_conflict(tables.CANCELS, _SPEC.id, 30), _OK)
+        changes = Changes(
+            progress={_SPEC.id: WorkflowRecord([])}, orders=[start]
+        )
+        cancelled = asyncio.run(_repository(store).commit(changes))
+        check = CheckRow(tables.CANCELS, _SPEC.id, 0)
+        self.assertIn(check, store.transactions[0])
+        self.assertNotIn(check, store.transactions[1])
+        self.assertEqual({_SPEC.id}, cancelled)
+
     def test_submission_stored_by_a_member_is_not_inserted(
         self,
     ) -> None:
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -26,10 +26,35 @@
 if TYPE_CHECKING:
     from tests.users_platform.deployment import Deployment
 
+_SPEC = workflow_spec(StepSpec(2, cpu_millis=500, memory_mb=10))
+
 
 class SystemTest(TestCase):
     """Submissions from their acceptance to their end."""
 
+    def _assert_never_starts(
+        self, values: dict[str, object], lagging_table: str
+    ) -> None:
+        """Store rows of a workflow in order and wait until it is cancelled.
+
+        :param values: values of the rows by table
+        :param lagging_table: table whose change feed lags
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            deployment.store.feed_delays_s[lagging_table] = 1.5
+            for table, value in values.items():
+                await deployment.store.put(
+                    table, _SPEC.id, encode_value(value), STORE_PARTITION
+                )
+            await asyncio.sleep(0.5)
+            await wait_for_state(deployment.nodes[0], "cancelled")
+
+        deployment = run_scenario(scenario, run_s=30.0)
+        self.assertEqual(
+            [], [w.started for w in deployment.workers if w.started]
+        )
+
     def _assert_each_ran_once(self, deployment: Deployment) -> None:
         runs = count_starts_by_task(deployment)
         self.assertEqual({1}, set(runs.values()))
@@ -190,24 +215,22 @@
         Members store both without the leader. Its feed of submissions may
         lag behind that of cancellations.
         """
-        spec = workflow_spec(StepSpec(2, cpu_millis=500, memory_mb=10))
-
-        async def scenario(deployment: Deployment) -> None:
-            store = deployment.store
-            store.feed_delays_s[tables.SUBMISSIONS] = 0.5
-            for table, value in (
-                (tables.SUBMISSIONS, msgspec.to_builtins(spec)),
-                (tables.CANCELS, {"cancelled": True}),
-            ):
-                await store.put(
-                    table, spec.id, encode_value(value), STORE_PARTITION
-                )
-            await asyncio.sleep(1.5)
-            await wait_for_state(deployment.nodes[0], "cancelled")
+        self._assert_never_starts(
+            {
+                tables.SUBMISSIONS: msgspec.to_builtins(_SPEC),
+                tables.CANCELS: {"cancelled": True},
+            },
+            tables.SUBMISSIONS,
+        )
 
-        deployment = run_scenario(scenario, run_s=30.0)
-        self.assertEqual(
-            [], [w.started for w in deployment.workers if w.started]
+    def test_cancellation_in_a_lagging_feed_takes_effect(self) -> None:
+        """Guards against starts while the feed of cancellations lags."""
+        self._assert_never_starts(
+            {
+                tables.CANCELS: {"cancelled": True},
+                tables.SUBMISSIONS: msgspec.to_builtins(_SPEC),
+            },
+            tables.CANCELS,
         )
 
     def test_submission_that_arrives_after_its_cancellation_never_runs(
