Log starts that expire or are withdrawn

The log did not tell a start that waited too long at a member from one that could not be sent for another reason: the leader has often given up waiting for its outcome by then. The member now writes start.expired, and a start that is held back is lost with the reason withdrawn. The random simulation withdraws such starts as the leader does.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -390,7 +390,7 @@
         """
         worker = self._workers.get(order.worker)
         if worker is not None:
-            self._lose_run(worker, order.ref, order.run, "not-sent")
+            self._lose_run(worker, order.ref, order.run, "withdrawn")
 
     def retry_stops(self) -> None:
         """Repeat the stops of runs that have not ended yet."""
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -242,7 +242,7 @@
             if key in self._proxies:
                 continue
             link = self._ports.open_worker_link(key, worker.address, lease_s)
-            proxy = WorkerProxy(worker, link, self)
+            proxy = WorkerProxy(worker, link, self, self._ports.log)
             self._proxies[key] = proxy
             self._proxy_tasks[key] = asyncio.create_task(
                 proxy.run(), name=f"worker proxy {key.id}"
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -20,6 +20,7 @@
     from carawaystep.cluster.messages import NumberedOrder
     from carawaystep.fleet.link_failure import LinkFailure
     from carawaystep.fleet.worker_link import WorkerLink
+    from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.scheduler.member_context import MemberContext
 
 # How long a worker may wait for a run to end before it reports. Progress is
@@ -65,14 +66,20 @@
     """
 
     def __init__(
-        self, worker: AssignedWorker, link: WorkerLink, context: MemberContext
+        self,
+        worker: AssignedWorker,
+        link: WorkerLink,
+        context: MemberContext,
+        log: DecisionLog,
     ) -> None:
         """Create a proxy; the worker is not called yet.
 
         :param worker: lifetime and address of the worker
         :param link: link to the worker
         :param context: clock, term and grant of the member
+        :param log: receives an event for each start that has expired
         """
+        self._log = log
         self._worker = worker
         self._link = link
         self._context = context
@@ -184,6 +191,12 @@
         if not self._context.holds_grant(self._term):
             return OrderOutcome.NOT_SENT
         if isinstance(order, StartOrder) and self._has_expired(queued):
+            self._log.line(
+                "start.expired",
+                str(order.ref),
+                run=order.run,
+                worker=order.worker.id,
+            )
             return OrderOutcome.NOT_SENT
         outcome = await self._link.execute_order(order, self._term)
         if isinstance(order, StopOrder):
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -10,7 +10,6 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.planner.interference_aware_placement import (
@@ -169,15 +168,13 @@
             self._replace_leader()
             return
         self._store(changes)
-        self._send(
-            [
-                order
-                for order in changes.orders
-                if not isinstance(order, StartOrder)
-                or planner.should_send(order)
-            ],
-            self._term,
-        )
+        to_send = []
+        for order in changes.orders:
+            if planner.should_send(order):
+                to_send.append(order)
+            else:
+                planner.withdraw_start(order)
+        self._send(to_send, self._term)
         for key, number in changes.acknowledged.items():
             self._acknowledged[key.id, key.started_at_ms] = number
 
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -20,6 +20,7 @@
 from carawaystep.scheduler.member_context import MemberContext
 from carawaystep.scheduler.worker_proxy import WorkerProxy
 from carawaystep.workflow.task_ref import TaskRef
+from tests.planner.planners import RecordingLog
 
 if TYPE_CHECKING:
     from result import Result
@@ -85,7 +86,7 @@
 
         async def run() -> None:
             worker = AssignedWorker(_WORKER, "127.0.0.1:1")
-            proxy = WorkerProxy(worker, link, member)
+            proxy = WorkerProxy(worker, link, member, RecordingLog())
             proxy.enqueue_order(NumberedOrder(1, order), _DECIDED_AT)
             task = asyncio.create_task(proxy.run())
             async with asyncio.timeout(5.0):
