Stop the rest of a gang when a task's worker is gone in a new term

Callers saw a gang whose remaining tasks held workers, waiting for a member that could not come back until their own wait ran out (work of gangs that wait is lost).

Cause: a run that is stored on a worker which the new term does not know was requeued by code of its own, which did not stop the other tasks of the gang as every other loss of a run does.

Change: both ways of losing a run share one method, which stops the gang.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -551,12 +551,10 @@
     ) -> None:
         worker.remove(ref, run)
         workflow = self._registry.get(ref.workflow)
-        if workflow is None or not workflow.lose_run(ref, run):
-            return
-        self._stop_gang(workflow, ref)
-        self._record_lost_run(workflow, ref, run, worker.key, reason)
+        if workflow is not None:
+            self._requeue_run(workflow, ref, run, worker.key, reason)
 
-    def _record_lost_run(
+    def _requeue_run(
         self,
         workflow: Workflow,
         ref: TaskRef,
@@ -564,6 +562,13 @@
         key: WorkerKey,
         reason: str,
     ) -> None:
+        """Requeue a task whose run can no longer exist, and stop its gang.
+
+        Does nothing when the run is not the current one.
+        """
+        if not workflow.lose_run(ref, run):
+            return
+        self._stop_gang(workflow, ref)
         self._registry.mark_changed(workflow)
         self._log.line(
             "task.lost", str(ref), run=run, worker=key.id, reason=reason
@@ -621,8 +626,6 @@
         for workflow in self._registry:
             for ref, task in list(workflow.placed_tasks()):
                 if task.worker == key:
-                    run = task.run
-                    workflow.lose_run(ref, run)
-                    self._record_lost_run(
-                        workflow, ref, run, key, "worker-gone"
+                    self._requeue_run(
+                        workflow, ref, task.run, key, "worker-gone"
                     )
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -25,6 +25,7 @@
 from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
+    from carawaystep.fleet.order import StartOrder
     from carawaystep.planner.planner import Planner
 
 _ONE_TASK = StepSpec(1, cpu_millis=1000, memory_mb=100)
@@ -318,6 +319,62 @@
             {order.ref for order in orders[1:]}, {s.ref for s in stops}
         )
 
+    def test_new_term_stops_the_rest_of_a_gang_of_a_vanished_worker(
+        self,
+    ) -> None:
+        """Guards against gang tasks that wait for a task of a gone worker."""
+        later = 10.1 + LIMITS.takeover_lost_after_s
+        planner, orders = self._new_term_without_the_first_worker(later)
+        planner.requeue_lost_runs(later)
+        self.assertEqual(
+            {(order.ref, order.run) for order in orders[1:]},
+            {(s.ref, s.run) for s in planner.take_immediate_orders()},
+        )
+
+    def test_new_term_stops_the_rest_of_a_gang_of_a_restarted_worker(
+        self,
+    ) -> None:
+        """Guards against gang tasks that wait for an earlier lifetime."""
+        planner, orders = self._new_term_without_the_first_worker(10.1)
+        planner.handle_report(
+            report(orders[0].worker.id, started_at_ms=2), 10.2
+        )
+        self.assertEqual(
+            {(order.ref, order.run) for order in orders[1:]},
+            {(s.ref, s.run) for s in planner.take_immediate_orders()},
+        )
+
+    def _new_term_without_the_first_worker(
+        self, reported_at: float
+    ) -> tuple[Planner, list[StartOrder]]:
+        """Return a new term in which two workers report a gang of three.
+
+        :param reported_at: time of their reports, seconds
+        :returns: the planner and the starts of the term before; the worker
+            of the first is listed in a later lifetime, without a report
+        """
+        first = _planner_with_workers("w1", "w2", "w3")
+        spec = workflow_spec(self._GANG)
+        first.admit(spec, False)
+        orders = plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        gone = orders[0].worker.id
+        planner.update_worker_list(
+            [
+                worker_record(order.worker.id)
+                for order in orders
+                if order.worker.id != gone
+            ]
+            + [worker_record(gone, started_at_ms=2)]
+        )
+        for order in orders[1:]:
+            planner.handle_report(
+                report(order.worker.id, [running(order)]), reported_at
+            )
+        self.assertEqual([], planner.take_immediate_orders())
+        return planner, orders
+
 
 class EvacuationTest(TestCase):
     """Long-running tasks on leaving workers."""
