Place long-running tasks before other work of their priority

Cause: a workflow's urgency follows from its deadline. A long-running workflow declares no run time, so that it counts as late once its queue's objective has passed. From then on each new booking of the same priority goes first, and a standing task whose run has failed or was evacuated waits until a worker has room that no booking wants.

Change: within a priority, long-running workflows are placed first.

The new test of the order failed before and passes; tests/planner 50 passed.

--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -82,12 +82,20 @@
     def awaiting_placement(self, wall_now: float) -> list[Workflow]:
         """Return the workflows with tasks to place, most urgent first.
 
+        Within a priority, long-running workflows come first. They have no
+        deadline to meet or to miss, so that their urgency, which follows
+        from the deadline, would put them behind all newer work.
+
         :param wall_now: current wall-clock time in seconds
         """
         workflow_ids = self._awaiting_placement & self._workflows.keys()
         return sorted(
             (self._workflows[workflow_id] for workflow_id in workflow_ids),
-            key=lambda workflow: workflow.spec.urgency(wall_now),
+            key=lambda workflow: (
+                workflow.spec.priority,
+                not workflow.spec.long_running,
+                workflow.spec.urgency(wall_now),
+            ),
         )
 
     def mark_placed(self, workflow: Workflow) -> None:
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -275,6 +275,41 @@
         plan_and_take_starts(planner, 0.25)
         self.assertEqual([], planner.take_immediate_orders())
 
+    def test_long_running_task_goes_before_newer_work_of_its_priority(
+        self,
+    ) -> None:
+        """Guards against a standing task that newer bookings keep away.
+
+        A long-running workflow has no deadline that it could miss, so its
+        age must not put it behind the work that can still be on time.
+        """
+        planner = _planner_with_workers("w1")
+        standing = StepSpec(
+            1, cpu_millis=3000, memory_mb=10, long_running=True
+        )
+        planner.admit(workflow_spec(standing, id="a" * 16), False)
+        (start,) = plan_and_take_starts(planner)
+        booking = StepSpec(1, cpu_millis=3000, memory_mb=10)
+        planner.admit(
+            workflow_spec(booking, id="b" * 16, accepted_at_s=2000.0), False
+        )
+        ended = EndedRun(1, start.ref, start.run, RunEnd.STOPPED, "")
+        planner.handle_report(report("w1", [], [ended]), 0.5)
+        self.assertEqual(
+            [start.ref],
+            [order.ref for order in plan_and_take_starts(planner, 0.5)],
+        )
+
+    def test_long_running_task_waits_for_more_urgent_priorities(self) -> None:
+        """Guards against standing tasks that displace urgent work."""
+        planner = _planner_with_workers("w1")
+        step = StepSpec(1, cpu_millis=3000, memory_mb=10)
+        standing = replace(step, long_running=True)
+        planner.admit(workflow_spec(standing, id="a" * 16, priority=1), False)
+        planner.admit(workflow_spec(step, id="b" * 16), False)
+        (start,) = plan_and_take_starts(planner)
+        self.assertEqual("b" * 16, start.ref.workflow)
+
     def test_a_worker_that_fails_several_workflows_is_suspended(self) -> None:
         """Guards against a faulty worker that uses up attempts.
 
