Log long-running tasks that wait for a worker

Callers of standing tasks that did not run could not be told why: over half of the lines task.placed are left out under load, and no line said that a task waited, or for what.

Cause: the decision log writes at most 200 lines of one event a second, and only placements were logged, not their absence.

Change: task.waiting, once for each wait of 3 s or more of a long-running task, with its needs and the number of workers that are usable, that have capacity and that may take it.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -17,6 +17,7 @@
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
 from carawaystep.planner.task_placer import TaskPlacer
 from carawaystep.planner.ticket_cache import TicketCache
+from carawaystep.planner.waiting_task_monitor import WaitingTaskMonitor
 from carawaystep.planner.workflow_registry import WorkflowRegistry
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task_state import TaskState
@@ -104,6 +105,7 @@
             self._immediate_orders,
             log,
         )
+        self._waiting_tasks = WaitingTaskMonitor(self._registry, log)
         self._workers: dict[WorkerKey, TrackedWorker] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
         # of the worker have been dropped.
@@ -358,7 +360,9 @@
         :param now: current time, seconds of a monotonic clock
         :param wall_now: current wall-clock time in seconds
         """
-        self._task_placer.place_ready_tasks(self._usable(now), now, wall_now)
+        usable = self._usable(now)
+        self._task_placer.place_ready_tasks(usable, now, wall_now)
+        self._waiting_tasks.check(usable, now, wall_now)
 
     def should_send(self, order: Order) -> bool:
         """Tell whether a stored start is still to be sent.
