Let a failed standing task return to its worker if no other fits

Cause: a task never returns to a worker on which it has failed, so that one faulty worker does not use up its attempts. The failures of a long-running task are not limited, and under load its own room is often the only one of its size.

Change: for a long-running task those workers are the last choice in place of none.

--- a/src/carawaystep/planner/eligibility.py
+++ b/src/carawaystep/planner/eligibility.py
@@ -11,6 +11,7 @@
 
     from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.workflow.step_spec import StepSpec
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
@@ -59,7 +60,8 @@
 
     A task avoids the workers on which it has failed, so that one faulty
     worker does not use up its attempts, unless it has failed on as many
-    workers as are usable.
+    workers as are usable. The failures of a long-running task are not
+    limited: those workers come last for it, if no other is eligible.
 
     :param candidates: workers that had capacity for a task of the step
     :param usable: all workers that may get new work
@@ -67,14 +69,28 @@
     step = workflow.step(ref)
     failed_on = workflow.task(ref).failed_on
     avoided = failed_on if len(failed_on) < len(usable) else set()
+    last_resorts: list[TrackedWorker] = []
+    found = False
     for worker in candidates:
-        if not worker.fits(step) or worker.key in avoided:
+        if not _may_take(step, ref, worker):
             continue
-        if step.max_per_worker:
-            same_step = sum(1 for _ in worker.tasks_of_step(ref))
-            if same_step >= step.max_per_worker:
-                continue
+        if worker.key in avoided:
+            last_resorts.append(worker)
+            continue
+        found = True
         yield worker
+    if step.long_running and not found:
+        yield from last_resorts
+
+
+def _may_take(step: StepSpec, ref: TaskRef, worker: TrackedWorker) -> bool:
+    """Tell whether a worker has capacity for one more task of a step."""
+    if not worker.fits(step):
+        return False
+    if step.max_per_worker:
+        same_step = sum(1 for _ in worker.tasks_of_step(ref))
+        return same_step < step.max_per_worker
+    return True
 
 
 def task_capacity(
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -300,6 +300,45 @@
             [order.ref for order in plan_and_take_starts(planner, 0.5)],
         )
 
+    def test_failed_long_running_task_may_return_if_no_other_worker_fits(
+        self,
+    ) -> None:
+        """Guards against a standing task that waits beside its own room.
+
+        Its failures are not limited, so that no attempt is lost there.
+        """
+        planner = _planner_with_workers("w1", "w2")
+        planner.admit(
+            workflow_spec(StepSpec(2, cpu_millis=3000), id="b" * 16), False
+        )
+        planner.update_worker_list(
+            [worker_record(name) for name in ("w1", "w2", "w3")]
+        )
+        plan_and_take_starts(planner)
+        planner.handle_report(report("w3"), 0.1)
+        standing = StepSpec(
+            1, cpu_millis=3000, memory_mb=10, long_running=True
+        )
+        planner.admit(workflow_spec(standing, id="a" * 16), False)
+        (start,) = plan_and_take_starts(planner, 0.1)
+        ended = EndedRun(1, start.ref, start.run, RunEnd.FAILED, "")
+        planner.handle_report(report("w3", [], [ended]), 0.5)
+        (again,) = plan_and_take_starts(planner, 0.5)
+        self.assertEqual((start.ref, start.worker), (again.ref, again.worker))
+
+    def test_failed_long_running_task_prefers_another_worker(self) -> None:
+        """Guards against standing tasks that stay on a faulty worker."""
+        planner = _planner_with_workers("w1", "w2")
+        standing = StepSpec(
+            1, cpu_millis=3000, memory_mb=10, long_running=True
+        )
+        planner.admit(workflow_spec(standing), False)
+        (start,) = plan_and_take_starts(planner)
+        ended = EndedRun(1, start.ref, start.run, RunEnd.FAILED, "")
+        planner.handle_report(report(start.worker.id, [], [ended]), 0.5)
+        (again,) = plan_and_take_starts(planner, 0.5)
+        self.assertNotEqual(start.worker, again.worker)
+
     def test_long_running_task_waits_for_more_urgent_priorities(self) -> None:
         """Guards against standing tasks that displace urgent work."""
         planner = _planner_with_workers("w1")
