Rank the runs of a worker only where a stop can make room

Cause: each waiting workflow, in each pass, ranked the runs of every worker to find what to stop, also where nothing is less urgent or a stop frees no processor.

Change: workers on which stopping all that may be stopped makes no room are left out first; without any other worker nothing is ranked.

--- a/src/carawaystep/planner/preemption.py
+++ b/src/carawaystep/planner/preemption.py
@@ -7,6 +7,7 @@
 from carawaystep.planner.eligibility import task_capacity
 
 if TYPE_CHECKING:
+    from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
@@ -27,18 +28,20 @@
     :param usable: workers that may get new work
     :returns: worker and task of each run to stop
     """
+    candidates = [w for w in usable if _may_gain(workflow, ref, w)]
+    if not candidates:
+        return []
     missing_count = sum(
         1
         for other in workflow.ready_tasks(float("inf"))
         if other[:3] == ref[:3]
     )
     for worker in usable:
-        stopping_runs = [
-            tracked for tracked in worker.runs.values() if tracked.stopping
-        ]
-        missing_count -= task_capacity(workflow, ref, worker, stopping_runs)
+        missing_count -= task_capacity(
+            workflow, ref, worker, _stopping_runs(worker)
+        )
     chosen: list[_Victim] = []
-    for worker in sorted(usable, key=lambda w: -w.best_effort_count):
+    for worker in sorted(candidates, key=lambda w: -w.best_effort_count):
         if missing_count <= 0:
             break
         gained, on_worker = _victims_on(workflow, ref, worker, missing_count)
@@ -47,27 +50,60 @@
     return chosen
 
 
+def _stopping_runs(worker: TrackedWorker) -> list[TrackedRun]:
+    return [run for run in worker.runs.values() if run.stopping]
+
+
+def _evictable_tasks(
+    workflow: Workflow, worker: TrackedWorker
+) -> list[TaskRef]:
+    """Return the tasks on a worker that may be stopped for a workflow.
+
+    Long-running tasks are never stopped.
+    """
+    priority = workflow.spec.priority
+    return [
+        ref
+        for ref, tracked in worker.runs.items()
+        if tracked.priority > priority
+        and not tracked.stopping
+        and not tracked.step.long_running
+    ]
+
+
+def _may_gain(workflow: Workflow, ref: TaskRef, worker: TrackedWorker) -> bool:
+    """Tell whether a task could fit if all evictable runs were stopped.
+
+    Most workers of a full service have none, or none that uses the
+    processor; this rules them out before the runs are ranked.
+    """
+    evictable = _evictable_tasks(workflow, worker)
+    if not evictable:
+        return False
+    ending_runs = _stopping_runs(worker)
+    ending_runs.extend(worker.runs[other] for other in evictable)
+    return task_capacity(workflow, ref, worker, ending_runs) > 0
+
+
 def _victims_on(
     workflow: Workflow, ref: TaskRef, worker: TrackedWorker, missing_count: int
 ) -> tuple[int, list[TaskRef]]:
     """Return the number of tasks that fit in addition, and the runs to stop.
 
     Runs that lose the least work are stopped first: those that can resume
-    from a checkpoint, then those with the least progress. Long-running tasks
-    are never stopped.
+    from a checkpoint, then those with the least progress.
 
     :param missing_count: number of tasks that still lack capacity
     """
-    stopping_runs = [
-        tracked for tracked in worker.runs.values() if tracked.stopping
-    ]
+    stopping_runs = _stopping_runs(worker)
     before = task_capacity(workflow, ref, worker, stopping_runs)
     evictable = sorted(
-        (not tracked.step.checkpointing, tracked.progress_percent, other)
-        for other, tracked in worker.runs.items()
-        if tracked.priority > workflow.spec.priority
-        and not tracked.stopping
-        and not tracked.step.long_running
+        (
+            not worker.runs[other].step.checkpointing,
+            worker.runs[other].progress_percent,
+            other,
+        )
+        for other in _evictable_tasks(workflow, worker)
     )
     chosen: list[TaskRef] = []
     gained = 0
