--- a/src/carawaystep/planner/waiting_task_monitor.py
+++ b/src/carawaystep/planner/waiting_task_monitor.py
@@ -70,12 +70,10 @@
                 self._write_line(workflow, wait, usable, waited_s, now)
 
     def _current_waits(self, wall_now: float) -> dict[_Wait, Workflow]:
+        waiting = self._registry.waiting_long_running_tasks(wall_now)
         return {
             (ref, workflow.task(ref).run): workflow
-            for workflow in self._registry.awaiting_placement(wall_now)
-            if workflow.spec.long_running
-            for ref in workflow.ready_tasks(wall_now)
-            if workflow.step(ref).long_running
+            for workflow, ref in waiting
         }
 
     def _write_line(
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -11,6 +11,7 @@
     from collections.abc import Mapping
 
     from carawaystep.planner.changes import Changes
+    from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from carawaystep.workflow.workflow_state import WorkflowState
 
@@ -98,6 +99,21 @@
             ),
         )
 
+    def waiting_long_running_tasks(
+        self, wall_now: float
+    ) -> list[tuple[Workflow, TaskRef]]:
+        """Return the long-running tasks that are ready and have no run.
+
+        :param wall_now: current wall-clock time in seconds
+        """
+        return [
+            (workflow, ref)
+            for workflow in self.awaiting_placement(wall_now)
+            if workflow.spec.long_running
+            for ref in workflow.ready_tasks(wall_now)
+            if workflow.step(ref).long_running
+        ]
+
     def mark_placed(self, workflow: Workflow) -> None:
         """Skip a workflow in placement until it changes again.
 
