Put only interrupted standing tasks before other work

Callers who hand in bookings could be kept waiting by each new standing workflow of up to 28 tasks, which went before every booking of its priority though nothing of it was running yet that could be interrupted.

Cause: the order, and the holds, made no difference between a long-running task that lost its run and one that never had one.

New standing work waits by its urgency as before.

--- a/src/carawaystep/planner/capacity_holds.py
+++ b/src/carawaystep/planner/capacity_holds.py
@@ -1,4 +1,4 @@
-"""Room on workers that is kept for long-running tasks."""
+"""Room on workers that is kept for interrupted long-running tasks."""
 
 from __future__ import annotations
 
@@ -12,13 +12,16 @@
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
-# At most one worker of this many is held, so that long-running workflows that
-# start together do not take all free capacity from the rest.
+# At most one worker of this many is held, so that tasks that are interrupted
+# together do not take all free capacity from the rest.
 _WORKERS_PER_HOLD = 16
 
 
 class CapacityHolds:
-    """Holds a worker for each long-running task that fits nowhere.
+    """Holds a worker for each interrupted task that fits nowhere.
+
+    Only long-running tasks that have been placed before get a hold. A new one
+    waits for its turn like other work.
 
     While a service is full, smaller tasks take each piece of capacity that
     becomes free, so that a larger task would never find enough of it on one
@@ -46,16 +49,19 @@
         for worker in self._held:
             worker.release_hold()
         self._held.clear()
-        waiting = self._registry.waiting_long_running_tasks(wall_now)
-        if not waiting:
+        interrupted = [
+            (workflow, ref)
+            for workflow, ref in self._registry.waiting_long_running_tasks(
+                wall_now
+            )
+            if workflow.was_placed(ref) and not workflow.spec.needs_tickets
+        ]
+        if not interrupted:
             return
         limit = max(1, len(usable) // _WORKERS_PER_HOLD)
         free_first = sorted(usable, key=lambda w: -w.free_cpu_millis)
-        for workflow, ref in waiting:
-            if len(self._held) >= limit:
-                return
-            if not workflow.spec.needs_tickets:
-                self._hold_one(workflow, ref, free_first)
+        for workflow, ref in interrupted[:limit]:
+            self._hold_one(workflow, ref, free_first)
 
     def _hold_one(
         self, workflow: Workflow, ref: TaskRef, workers: list[TrackedWorker]
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -101,6 +101,10 @@
         """Return the state of a task, for reading only."""
         return self._tasks[ref.occurrence, ref.step][ref.task]
 
+    def was_placed(self, ref: TaskRef) -> bool:
+        """Tell whether a task has or had a run."""
+        return self.task(ref).run > 0
+
     def find_task(self, ref: TaskRef) -> Task | None:
         """Return the state of a task, None when there is no such task."""
         tasks = self._tasks.get((ref.occurrence, ref.step), [])
