Keep started workflows going and hold room for their large tasks

Workflows now rank by what they can still achieve, with the remaining critical path taken into account: started ones first, the shortest remainder leading; then those that can still meet their deadline; late ones; and last those that can no longer end within three target durations. Long-running workflows keep the order by deadline. Up to half of the usable workers are held in a pass for tasks of started workflows that do not fit yet.

--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -8,8 +8,10 @@
 from carawaystep.fleet.tracked_run import TrackedRun
 from carawaystep.planner.eligibility import eligible_workers
 from carawaystep.planner.eligibility import workers_with_capacity
+from carawaystep.planner.held_workers import HeldWorkers
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
 from carawaystep.planner.preemption import select_victims
+from carawaystep.workflow.urgency import UrgencyStage
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -73,8 +75,13 @@
         :param now: current time, seconds of a monotonic clock
         :param wall_now: current wall-clock time in seconds
         """
+        held = HeldWorkers(usable)
         for workflow in self._registry.awaiting_placement(wall_now):
-            complete = self._place_workflow(workflow, usable, now, wall_now)
+            workers = held.open_to(workflow, usable)
+            unplaced = self._place_workflow(workflow, workers, now, wall_now)
+            complete = not unplaced
+            if workflow.urgency(wall_now).stage is UrgencyStage.STARTED:
+                _hold_workers(held, workflow, unplaced, workers)
             if complete and not workflow.spec.scheduled:
                 self._registry.mark_placed(workflow)
             if complete or workflow.has_placed_tasks:
@@ -92,13 +99,17 @@
         usable: list[TrackedWorker],
         now: float,
         wall_now: float,
-    ) -> bool:
-        """Place a workflow's ready tasks; tell whether all were placed."""
-        unplaced_steps: set[tuple[int, int]] = set()
+    ) -> dict[tuple[int, int], list[TaskRef]]:
+        """Place a workflow's ready tasks.
+
+        :returns: tasks that did not fit, by occurrence and step
+        """
+        unplaced: dict[tuple[int, int], list[TaskRef]] = {}
         shortlists: dict[tuple[int, int], list[TrackedWorker]] = {}
         for ref in list(workflow.ready_tasks(wall_now)):
             step_key = (ref.occurrence, ref.step)
-            if step_key in unplaced_steps:
+            if step_key in unplaced:
+                unplaced[step_key].append(ref)
                 continue
             if workflow.step(ref).gang:
                 placed = self._place_gang(workflow, ref, usable, now)
@@ -113,8 +124,8 @@
                     workflow, ref, shortlists[step_key], usable, now
                 )
             if not placed:
-                unplaced_steps.add(step_key)
-        return not unplaced_steps
+                unplaced[step_key] = [ref]
+        return unplaced
 
     def _place_task(
         self,
@@ -284,3 +295,23 @@
             estimated_s=step.estimated_s,
             image=step.image,
         )
+
+
+def _hold_workers(
+    held: HeldWorkers,
+    workflow: Workflow,
+    unplaced: dict[tuple[int, int], list[TaskRef]],
+    workers: list[TrackedWorker],
+) -> None:
+    """Hold workers for the tasks of a workflow that did not fit.
+
+    Gangs and best-effort tasks get none: a gang would need all at once, and
+    best-effort tasks need no unreserved CPU.
+
+    :param unplaced: tasks that did not fit, by occurrence and step
+    :param workers: workers that the workflow may use
+    """
+    for refs in unplaced.values():
+        step = workflow.step(refs[0])
+        if not step.gang and not step.fills:
+            held.hold_for(workflow, refs[0], workers, len(refs))
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -87,7 +87,7 @@
         workflow_ids = self._awaiting_placement & self._workflows.keys()
         return sorted(
             (self._workflows[workflow_id] for workflow_id in workflow_ids),
-            key=lambda workflow: workflow.spec.urgency(wall_now),
+            key=lambda workflow: workflow.urgency(wall_now),
         )
 
     def mark_placed(self, workflow: Workflow) -> None:
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -10,6 +10,8 @@
 from carawaystep.workflow.task import Task
 from carawaystep.workflow.task_ref import TaskRef
 from carawaystep.workflow.task_state import TaskState
+from carawaystep.workflow.urgency import Urgency
+from carawaystep.workflow.urgency import UrgencyStage
 from carawaystep.workflow.workflow_record import TaskRecord
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -22,6 +24,9 @@
 
 _StepKey = tuple[int, int]
 
+# An end later than this multiple of the target duration is of no use.
+_USEFUL_TARGET_DURATIONS = 3.0
+
 
 class Workflow:
     """One accepted workflow: the state of its tasks, and its end.
@@ -93,6 +98,34 @@
         """Tell whether a run of a task may exist."""
         return self._placed_count > 0
 
+    def urgency(self, wall_now: float) -> Urgency:
+        """Return how urgent the waiting tasks are.
+
+        The occurrence that became due last counts. A long-running workflow
+        keeps its use however late it starts, and holds its resources for
+        long, so that it gains no rank by having started.
+
+        :param wall_now: current wall-clock time in seconds
+        """
+        spec = self._spec
+        occurrence = self._last_due_occurrence(wall_now)
+        begin = spec.due_at_s(occurrence) or spec.accepted_at_s
+        remaining_s = spec.critical_path_s(self._done_steps(occurrence))
+        deadline = begin + spec.target_duration_s
+        useful_until = begin + (
+            _USEFUL_TARGET_DURATIONS * spec.target_duration_s
+        )
+        on_time = wall_now + remaining_s <= deadline
+        stage = UrgencyStage.ON_TIME if on_time else UrgencyStage.LATE
+        if not spec.long_running:
+            if wall_now + remaining_s > useful_until:
+                stage = UrgencyStage.EXPIRED
+            elif self._started:
+                return Urgency(
+                    spec.priority, UrgencyStage.STARTED, remaining_s
+                )
+        return Urgency(spec.priority, stage, deadline)
+
     def step(self, ref: TaskRef) -> StepSpec:
         """Return the step of a task."""
         return self._spec.steps[ref.step]
@@ -301,6 +334,24 @@
         self._cancelled = record.cancelled
         self._failed = record.failed
 
+    def _last_due_occurrence(self, wall_now: float) -> int:
+        """Return the unfinished occurrence that became due last.
+
+        :returns: the next one when none is due, 0 when all are finished
+        """
+        unfinished = sorted(
+            {key[0] for key, count in self._unfinished.items() if count}
+        )
+        due = [o for o in unfinished if self._spec.due_at_s(o) <= wall_now]
+        return due[-1] if due else next(iter(unfinished), 0)
+
+    def _done_steps(self, occurrence: int) -> set[int]:
+        return {
+            step_number
+            for step_number in range(len(self._spec.steps))
+            if not self._unfinished[occurrence, step_number]
+        }
+
     def _next_run_number(self, ref: TaskRef, task: Task) -> int:
         """Return the number of a task's next run.
 
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 # The codecs read the annotations at run time.
 from carawaystep.workflow.step_spec import StepSpec  # noqa: TC001
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 
 @dataclass(frozen=True, slots=True)
 class WorkflowSpec:
@@ -20,7 +24,7 @@
     :param priority: lower values go first and may preempt higher ones
     :param max_attempts: number of failures of a task that fail the workflow
     :param stretch: factor on the critical path in the deadline, see
-        :meth:`urgency`
+        :attr:`target_duration_s`
     :param objective_s: constant part of the deadline in seconds
     :param accepted_at_s: wall-clock time of the acceptance in seconds
     :param occurrences: number of times that the steps run
@@ -70,24 +74,24 @@
             return 0.0
         return self.first_due_s + occurrence * self.interval_s
 
-    def critical_path_s(self) -> float:
-        """Return the declared run time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in self.steps:
-            begin = max((ends[number] for number in step.after), default=0.0)
-            ends.append(begin + step.estimated_s)
-        return max(ends, default=0.0)
+    @property
+    def target_duration_s(self) -> float:
+        """Return the time in which an occurrence is to end, in seconds.
 
-    def urgency(self, wall_now: float) -> tuple[int, bool, float]:
-        """Return a sort key that puts the most urgent workflow first.
+        It is ``objective_s`` plus ``stretch`` times the critical path.
+        """
+        return self.objective_s + self.stretch * self.critical_path_s()
 
-        The deadline is ``accepted_at_s`` plus ``objective_s`` plus
-        ``stretch`` times the critical path. Within a priority, workflows
-        that have missed their deadlines come after those that can still meet
-        them.
+    def critical_path_s(
+        self, done_steps: Collection[int] = frozenset()
+    ) -> float:
+        """Return the declared run time of the longest chain of steps.
 
-        :param wall_now: current wall-clock time in seconds
+        :param done_steps: numbers of steps that take no more time
         """
-        deadline = self.accepted_at_s + self.objective_s
-        deadline += self.stretch * self.critical_path_s()
-        return self.priority, deadline < wall_now, deadline
+        ends: list[float] = []
+        for number, step in enumerate(self.steps):
+            begin = max((ends[earlier] for earlier in step.after), default=0.0)
+            run_s = 0.0 if number in done_steps else step.estimated_s
+            ends.append(begin + run_s)
+        return max(ends, default=0.0)
--- /dev/null
+++ b/tests/planner/test_overload.py
@@ -0,0 +1,81 @@
+"""Who is served while more work arrives than the workers can do."""
+
+from __future__ import annotations
+
+from random import Random
+from statistics import fmean
+
+from testtools import TestCase
+
+from tests.planner.overload_simulation import OverloadSettings
+from tests.planner.overload_simulation import OverloadSimulation
+from tests.planner.overload_simulation import ServedShares
+
+_SEEDS = (1, 2, 3)
+
+# A size is starved when it is served less than this share as often as all.
+_MIN_SHARE_OF_ALL = 0.5
+
+
+def _equal_tasks(burst_load: float, load: float) -> OverloadSettings:
+    """Return workers of ten slots and tasks that each take one slot."""
+    return OverloadSettings(
+        cpu_millis=(10_000,) * 10,
+        mean_task_cpu_millis=1000,
+        task_cpu_spread=0.0,
+        burst_load=burst_load,
+        load=load,
+    )
+
+
+def _small_gaps(burst_load: float, load: float) -> OverloadSettings:
+    """Return workers that long-running tasks have filled but for a gap."""
+    random = Random(5)
+    return OverloadSettings(
+        cpu_millis=tuple(random.randrange(1500, 9000, 50) for _ in range(40)),
+        mean_task_cpu_millis=4100,
+        task_cpu_spread=0.45,
+        burst_load=burst_load,
+        load=load,
+    )
+
+
+class OverloadTest(TestCase):
+    """Order of work under overload."""
+
+    def test_overload_starves_no_size(self) -> None:
+        """Guards against large workflows that small ones pass for good."""
+        self._check_each_seed(_equal_tasks(1.6, 0.95), min_served=0.69)
+
+    def test_light_overload_starves_no_size(self) -> None:
+        """Guards against large workflows that a short burst starves."""
+        self._check_each_seed(_equal_tasks(1.3, 0.9), min_served=0.82)
+
+    def test_small_gaps_starve_no_size(self) -> None:
+        """Guards against tasks that wait for CPU which small tasks use up.
+
+        A single seed has about 20 workflows in its largest tenth, so that
+        the mean over the seeds is checked.
+        """
+        settings = _small_gaps(1.6, 0.95)
+        runs = [OverloadSimulation(settings, seed).run() for seed in _SEEDS]
+        mean = ServedShares(
+            fmean(shares.all for shares in runs),
+            fmean(shares.largest_tenth for shares in runs),
+            fmean(shares.fifth_below for shares in runs),
+        )
+        self._check_sizes(mean, str(runs))
+
+    def _check_each_seed(
+        self, settings: OverloadSettings, min_served: float
+    ) -> None:
+        for seed in _SEEDS:
+            shares = OverloadSimulation(settings, seed).run()
+            message = f"seed {seed}: {shares}"
+            self._check_sizes(shares, message)
+            self.assertGreaterEqual(shares.all, min_served, message)
+
+    def _check_sizes(self, shares: ServedShares, message: str) -> None:
+        required = _MIN_SHARE_OF_ALL * shares.all
+        self.assertGreaterEqual(shares.largest_tenth, required, message)
+        self.assertGreaterEqual(shares.fifth_below, required, message)
--- a/tests/workflow/test_workflow.py
+++ b/tests/workflow/test_workflow.py
@@ -10,6 +10,7 @@
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.step_spec import StepSpec
+from carawaystep.workflow.urgency import UrgencyStage
 from carawaystep.workflow.workflow import Workflow
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -129,3 +130,60 @@
         self.assertEqual(
             list(flow.ready_tasks(0.0)), list(restored.ready_tasks(0.0))
         )
+
+
+class UrgencyTest(TestCase):
+    """Order of workflows that wait for workers.
+
+    A workflow of one step of 2 s, accepted at 1000 s, is to end by 1003.25 s,
+    and is of use until 1009.75 s.
+    """
+
+    _STEP = StepSpec(2, estimated_s=2.0)
+
+    def test_workflow_is_late_before_its_deadline(self) -> None:
+        """Guards against starts that can only miss the deadline."""
+        flow = workflow(self._STEP)
+        self.assertIs(UrgencyStage.ON_TIME, flow.urgency(1001.2).stage)
+        self.assertIs(UrgencyStage.LATE, flow.urgency(1001.3).stage)
+
+    def test_started_workflow_keeps_its_rank_when_late(self) -> None:
+        """Guards against a started workflow that newer ones pass for good."""
+        started = workflow(self._STEP)
+        started.place(next(started.ready_tasks(1000.0)), _WORKER)
+        newer = workflow(self._STEP, accepted_at_s=1005.0)
+        self.assertLess(started.urgency(1005.0), newer.urgency(1005.0))
+
+    def test_workflow_that_is_of_no_more_use_goes_last(self) -> None:
+        """Guards against work on results that come too late for callers."""
+        expired = workflow(self._STEP)
+        expired.place(next(expired.ready_tasks(1000.0)), _WORKER)
+        late = workflow(self._STEP, accepted_at_s=1005.0)
+        self.assertGreater(expired.urgency(1007.8), late.urgency(1007.8))
+
+    def test_started_workflow_with_less_to_do_goes_first(self) -> None:
+        """Guards against an order that ignores finished steps."""
+        second = StepSpec(1, estimated_s=2.0, after=(0,))
+        begun = workflow(self._STEP, second)
+        nearly_done = workflow(self._STEP, second)
+        for flow in (begun, nearly_done):
+            first, other = flow.ready_tasks(1000.0)
+            run = flow.place(first, _WORKER)
+            if flow is nearly_done:
+                flow.end_run(first, run, RunEnd.DONE, "")
+                run = flow.place(other, _WORKER)
+                flow.end_run(other, run, RunEnd.DONE, "")
+        self.assertLess(nearly_done.urgency(1000.5), begun.urgency(1000.5))
+
+    def test_long_running_workflow_never_expires(self) -> None:
+        """Guards against a service that is not restarted after a while."""
+        flow = workflow(StepSpec(1, long_running=True))
+        self.assertIs(UrgencyStage.LATE, flow.urgency(9000.0).stage)
+
+    def test_occurrence_is_urgent_when_it_becomes_due(self) -> None:
+        """Guards against schedules that count as late from the second time."""
+        flow = workflow(
+            self._STEP, occurrences=2, first_due_s=2000.0, interval_s=100.0
+        )
+        self.assertIs(UrgencyStage.ON_TIME, flow.urgency(2100.0).stage)
+        self.assertIs(UrgencyStage.EXPIRED, flow.urgency(2200.0).stage)
