--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -95,7 +95,7 @@
             key=lambda workflow: (
                 workflow.spec.priority,
                 not _is_interrupted(workflow, wall_now),
-                workflow.spec.urgency(wall_now),
+                workflow.urgency(wall_now),
             ),
         )
 
