Hold workers for interrupted and started workflows by one rule

Workflows of equal urgency were taken in the order of a set, so that test_overload depended on the hash seed.

Change: UrgencyStage has INTERRUPTED as its first stage and an urgency ends with deadline and id; HeldWorkers holds up to a sixteenth of the workers for interrupted tasks and up to half for started ones. CapacityHolds is removed.

--- a/src/carawaystep/fleet/tracked_worker.py
+++ b/src/carawaystep/fleet/tracked_worker.py
@@ -53,8 +53,6 @@
         self._last_report_at: float | None = None
         self._leaving = False
         self._best_effort_blocked_until = 0.0
-        self._held_for: str | None = None
-        self._held_priority = 0
         self.health = WorkerHealth()
 
     @property
@@ -133,11 +131,6 @@
         """Return the number of serving tasks by image, for reading only."""
         return self._serving_images
 
-    @property
-    def held(self) -> bool:
-        """Tell whether its capacity is kept for a workflow."""
-        return self._held_for is not None
-
     def update_record(self, record: WorkerRecord) -> None:
         """Apply a newer entry of the platform's list."""
         self._record = record
@@ -164,31 +157,6 @@
         """Tell whether it may get best-effort tasks."""
         return now >= self._best_effort_blocked_until
 
-    def hold(self, workflow: str, priority: int) -> None:
-        """Keep the capacity for a workflow.
-
-        :param workflow: id of the workflow
-        :param priority: its priority; higher ones may use the capacity too
-        """
-        self._held_for = workflow
-        self._held_priority = priority
-
-    def release_hold(self) -> None:
-        """Make the capacity available to all workflows again."""
-        self._held_for = None
-
-    def accepts_workflow(self, workflow: str, priority: int) -> bool:
-        """Tell whether its capacity is not kept for another workflow.
-
-        :param workflow: id of the workflow
-        :param priority: its priority, 0 is the highest
-        """
-        return (
-            self._held_for is None
-            or self._held_for == workflow
-            or priority < self._held_priority
-        )
-
     def usable(self, now: float) -> bool:
         """Tell whether it may get new work.
 
--- a/src/carawaystep/planner/eligibility.py
+++ b/src/carawaystep/planner/eligibility.py
@@ -17,13 +17,11 @@
 
 
 def may_run(workflow: Workflow, ref: TaskRef, worker: TrackedWorker) -> bool:
-    """Tell whether a worker suits a task and is not held for another."""
+    """Tell whether a worker's service and labels suit a task."""
     label = workflow.step(ref).label
     record = worker.record
-    return (
-        record.service == workflow.spec.service
-        and (not label or label in record.labels)
-        and worker.accepts_workflow(workflow.id, workflow.spec.priority)
+    return record.service == workflow.spec.service and (
+        not label or label in record.labels
     )
 
 
--- a/src/carawaystep/planner/held_workers.py
+++ b/src/carawaystep/planner/held_workers.py
@@ -1,10 +1,11 @@
-"""Workers held free for started workflows during one placement pass."""
+"""Workers held free for large tasks during one placement pass."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from carawaystep.planner.eligibility import task_capacity
+from carawaystep.workflow.urgency import UrgencyStage
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -16,7 +17,11 @@
     from carawaystep.workflow.workflow import Workflow
 
 # Workers held at most, as a share of the usable ones; held CPU stays idle.
-_MAX_HELD_SHARE = 0.5
+# Long-running tasks may not fit for long, so that they hold few.
+_MAX_HELD_SHARES = {
+    UrgencyStage.INTERRUPTED: 1 / 16,
+    UrgencyStage.STARTED: 1 / 2,
+}
 
 
 class HeldWorkers:
@@ -31,7 +36,7 @@
 
         :param usable: workers that may get new work
         """
-        self._max_held = int(_MAX_HELD_SHARE * len(usable))
+        self._usable_count = len(usable)
         self._keys: set[WorkerKey] = set()
 
     def open_to(
@@ -50,19 +55,21 @@
     def hold_for(
         self,
         workflow: Workflow,
-        ref: TaskRef,
+        stage: UrgencyStage,
+        refs: list[TaskRef],
         open_workers: list[TrackedWorker],
-        count: int,
     ) -> None:
         """Hold the workers on which tasks of a step fit soonest.
 
-        :param ref: a task of the step that did not fit
+        :param stage: stage of the workflow; only interrupted and started
+            ones hold workers
+        :param refs: tasks of one step that did not fit
         :param open_workers: workers that the workflow may use
-        :param count: number of tasks that did not fit
         """
-        count = min(count, self._max_held - len(self._keys))
+        count = min(len(refs), self._limit(stage) - len(self._keys))
         if count <= 0:
             return
+        ref = refs[0]
         suitable = [
             worker
             for worker in open_workers
@@ -71,7 +78,18 @@
         suitable.sort(key=lambda worker: -worker.free_cpu_millis)
         self._keys.update(worker.key for worker in suitable[:count])
 
+    def _limit(self, stage: UrgencyStage) -> int:
+        """Return how many workers may be held up to a stage."""
+        share = _MAX_HELD_SHARES.get(stage)
+        if share is None:
+            return 0
+        return max(1, int(share * self._usable_count))
+
 
 def _ending_runs(worker: TrackedWorker) -> list[TrackedRun]:
-    """Return the runs that end by themselves."""
-    return [run for run in worker.runs.values() if not run.step.long_running]
+    """Return the runs that are being stopped or end by themselves."""
+    return [
+        run
+        for run in worker.runs.values()
+        if run.stopping or not run.step.long_running
+    ]
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -9,7 +9,6 @@
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.fleet.tracked_run import TrackedRun
 from carawaystep.fleet.tracked_worker import TrackedWorker
-from carawaystep.planner.capacity_holds import CapacityHolds
 from carawaystep.planner.changes import Changes
 from carawaystep.planner.eligibility import eligible_workers
 from carawaystep.planner.eligibility import workers_with_capacity
@@ -106,7 +105,6 @@
             self._immediate_orders,
             log,
         )
-        self._capacity_holds = CapacityHolds(self._registry)
         self._waiting_tasks = WaitingTaskMonitor(self._registry, log)
         self._workers: dict[WorkerKey, TrackedWorker] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
@@ -377,7 +375,6 @@
         """
         usable = self._usable(now)
         self._task_placer.place_ready_tasks(usable, now, wall_now)
-        self._capacity_holds.update(usable, wall_now)
         self._waiting_tasks.check(usable, now, wall_now)
 
     def should_send(self, order: Order) -> bool:
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -80,8 +80,9 @@
             workers = held.open_to(workflow, usable)
             unplaced = self._place_workflow(workflow, workers, now, wall_now)
             complete = not unplaced
-            if workflow.urgency(wall_now).stage is UrgencyStage.STARTED:
-                _hold_workers(held, workflow, unplaced, workers)
+            if unplaced:
+                stage = workflow.urgency(wall_now).stage
+                _hold_workers(held, workflow, stage, unplaced, workers)
             if complete and not workflow.spec.scheduled:
                 self._registry.mark_placed(workflow)
             if complete or workflow.has_placed_tasks:
@@ -300,18 +301,27 @@
 def _hold_workers(
     held: HeldWorkers,
     workflow: Workflow,
+    stage: UrgencyStage,
     unplaced: dict[tuple[int, int], list[TaskRef]],
     workers: list[TrackedWorker],
 ) -> None:
     """Hold workers for the tasks of a workflow that did not fit.
 
     Gangs and best-effort tasks get none: a gang would need all at once, and
-    best-effort tasks need no unreserved CPU.
+    best-effort tasks need no unreserved CPU. Neither do tasks that wait for
+    a ticket, nor the new tasks of an interrupted workflow.
 
+    :param stage: stage of the workflow after its placement
     :param unplaced: tasks that did not fit, by occurrence and step
     :param workers: workers that the workflow may use
     """
+    if workflow.spec.needs_tickets:
+        return
     for refs in unplaced.values():
         step = workflow.step(refs[0])
-        if not step.gang and not step.fills:
-            held.hold_for(workflow, refs[0], workers, len(refs))
+        if step.gang or step.fills:
+            continue
+        if stage is UrgencyStage.INTERRUPTED:
+            refs = [ref for ref in refs if workflow.task(ref).run]
+        if refs:
+            held.hold_for(workflow, stage, refs, workers)
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -83,20 +83,12 @@
     def awaiting_placement(self, wall_now: float) -> list[Workflow]:
         """Return the workflows with tasks to place, most urgent first.
 
-        Within a priority, interrupted long-running workflows come first.
-        They have no deadline to meet or to miss, so that their urgency,
-        which follows from the deadline, would put them behind all newer work.
-
         :param wall_now: current wall-clock time in seconds
         """
         workflow_ids = self._awaiting_placement & self._workflows.keys()
         return sorted(
             (self._workflows[workflow_id] for workflow_id in workflow_ids),
-            key=lambda workflow: (
-                workflow.spec.priority,
-                not _is_interrupted(workflow, wall_now),
-                workflow.urgency(wall_now),
-            ),
+            key=lambda workflow: workflow.urgency(wall_now),
         )
 
     def waiting_long_running_tasks(
@@ -109,7 +101,9 @@
         return [
             (workflow, ref)
             for workflow in self.awaiting_placement(wall_now)
-            for ref in _ready_long_running_tasks(workflow, wall_now)
+            if workflow.spec.long_running
+            for ref in workflow.ready_tasks(wall_now)
+            if workflow.step(ref).long_running
         ]
 
     def mark_placed(self, workflow: Workflow) -> None:
@@ -131,20 +125,3 @@
                 del self._workflows[workflow_id]
         self._awaiting_placement &= self._workflows.keys()
         self._changed.clear()
-
-
-def _ready_long_running_tasks(
-    workflow: Workflow, wall_now: float
-) -> Iterator[TaskRef]:
-    if workflow.spec.long_running:
-        for ref in workflow.ready_tasks(wall_now):
-            if workflow.step(ref).long_running:
-                yield ref
-
-
-def _is_interrupted(workflow: Workflow, wall_now: float) -> bool:
-    """Tell whether a long-running task has to be started again."""
-    return any(
-        workflow.was_placed(ref)
-        for ref in _ready_long_running_tasks(workflow, wall_now)
-    )
--- a/src/carawaystep/workflow/urgency.py
+++ b/src/carawaystep/workflow/urgency.py
@@ -9,25 +9,32 @@
 class UrgencyStage(IntEnum):
     """What a workflow can still achieve; lower values go first."""
 
-    STARTED = 0
-    ON_TIME = 1
-    LATE = 2
-    EXPIRED = 3
+    INTERRUPTED = 0
+    STARTED = 1
+    ON_TIME = 2
+    LATE = 3
+    EXPIRED = 4
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Urgency:
     """Sort key of a workflow; the lowest one is the most urgent.
 
-    A started workflow goes before those that have not started, so that the
-    work already done for it is not lost while newer ones pass it.
+    A long-running workflow whose tasks lost their runs comes first, as it
+    has no deadline to meet or to miss. A started workflow goes before those
+    that have not started, so that the work already done for it is not lost
+    while newer ones pass it.
 
     :param priority: priority of the workflow, 0 is the highest
     :param stage: what the workflow can still achieve
-    :param seconds: remaining critical path of a started workflow, which lets
-        short ones leave soon; else the wall-clock time of the deadline
+    :param remaining_s: remaining critical path of a started workflow, so
+        that short ones leave soon; 0 in other stages
+    :param deadline: wall-clock time in seconds
+    :param workflow_id: makes the order of equal workflows definite
     """
 
     priority: int
     stage: UrgencyStage
-    seconds: float
+    remaining_s: float
+    deadline: float
+    workflow_id: str
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -110,21 +110,27 @@
         spec = self._spec
         occurrence = self._last_due_occurrence(wall_now)
         begin = spec.due_at_s(occurrence) or spec.accepted_at_s
-        remaining_s = spec.critical_path_s(self._done_steps(occurrence))
         deadline = begin + spec.target_duration_s
-        useful_until = begin + (
-            _USEFUL_TARGET_DURATIONS * spec.target_duration_s
+        remaining_s = spec.critical_path_s(self._done_steps(occurrence))
+        stage = self._urgency_stage(begin, remaining_s, wall_now)
+        return Urgency(
+            spec.priority,
+            stage,
+            remaining_s if stage is UrgencyStage.STARTED else 0.0,
+            deadline,
+            spec.id,
         )
-        on_time = wall_now + remaining_s <= deadline
-        stage = UrgencyStage.ON_TIME if on_time else UrgencyStage.LATE
-        if not spec.long_running:
-            if wall_now + remaining_s > useful_until:
-                stage = UrgencyStage.EXPIRED
-            elif self._started:
-                return Urgency(
-                    spec.priority, UrgencyStage.STARTED, remaining_s
-                )
-        return Urgency(spec.priority, stage, deadline)
+
+    def interrupted_tasks(self, wall_now: float) -> Iterator[TaskRef]:
+        """Iterate over long-running tasks that had a run and may start again.
+
+        :param wall_now: current wall-clock time in seconds
+        """
+        if not self._spec.long_running:
+            return
+        for ref in self.ready_tasks(wall_now):
+            if self.step(ref).long_running and self.task(ref).run > 0:
+                yield ref
 
     def step(self, ref: TaskRef) -> StepSpec:
         """Return the step of a task."""
@@ -134,10 +140,6 @@
         """Return the state of a task, for reading only."""
         return self._tasks[ref.occurrence, ref.step][ref.task]
 
-    def was_placed(self, ref: TaskRef) -> bool:
-        """Tell whether a task has or had a run."""
-        return self.task(ref).run > 0
-
     def find_task(self, ref: TaskRef) -> Task | None:
         """Return the state of a task, None when there is no such task."""
         tasks = self._tasks.get((ref.occurrence, ref.step), [])
@@ -338,6 +340,26 @@
         self._cancelled = record.cancelled
         self._failed = record.failed
 
+    def _urgency_stage(
+        self, begin: float, remaining_s: float, wall_now: float
+    ) -> UrgencyStage:
+        """Return what the workflow can still achieve.
+
+        :param begin: wall-clock time from which its durations count
+        :param remaining_s: remaining critical path in seconds
+        """
+        target_s = self._spec.target_duration_s
+        ends_at = wall_now + remaining_s
+        if self._spec.long_running:
+            if any(self.interrupted_tasks(wall_now)):
+                return UrgencyStage.INTERRUPTED
+        elif ends_at > begin + _USEFUL_TARGET_DURATIONS * target_s:
+            return UrgencyStage.EXPIRED
+        elif self._started:
+            return UrgencyStage.STARTED
+        on_time = ends_at <= begin + target_s
+        return UrgencyStage.ON_TIME if on_time else UrgencyStage.LATE
+
     def _last_due_occurrence(self, wall_now: float) -> int:
         """Return the unfinished occurrence that became due last.
 
