Log how long each step waits and how each workflow settles

`step.placed` is written once a step, when none of its tasks waits any more; `workflow.settled` gives the runs by cause of end; `workflow.admitted` gains the number of tasks and the target duration.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -173,7 +173,13 @@
         if not stored:
             self._changes.accepted.append(spec)
         self._changes.states[spec.id] = workflow.state
-        self._log.line("workflow.admitted", spec.id, queue=spec.queue)
+        self._log.line(
+            "workflow.admitted",
+            spec.id,
+            queue=spec.queue,
+            tasks=workflow.task_count,
+            target_s=spec.target_duration_s,
+        )
         return True
 
     def cancel(self, workflow_id: str) -> bool:
@@ -408,11 +414,26 @@
         """Return the changes since the last call."""
         changes, self._changes = self._changes, Changes()
         changes.orders.extend(self._task_placer.take_starts())
+        for workflow in self._registry.settled_changes():
+            self._log_settled(workflow)
         self._registry.move_changes_to(changes)
         for workflow_id in changes.settled:
             self._ticket_cache.forget_workflow(workflow_id)
         return changes
 
+    def _log_settled(self, workflow: Workflow) -> None:
+        counts = workflow.run_end_counts
+        self._log.line(
+            "workflow.settled",
+            workflow.id,
+            state=workflow.state,
+            tasks=workflow.task_count,
+            done=counts.get(RunEnd.DONE, 0),
+            failed=counts.get(RunEnd.FAILED, 0),
+            stopped=counts.get(RunEnd.STOPPED, 0),
+            lost=workflow.lost_run_count,
+        )
+
     def _usable(self, now: float) -> list[TrackedWorker]:
         return [w for w in self._workers.values() if w.usable(now)]
 
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -11,6 +11,7 @@
 from carawaystep.planner.held_workers import HeldWorkers
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
 from carawaystep.planner.preemption import select_victims
+from carawaystep.planner.step_waits import StepWaits
 from carawaystep.workflow.urgency import UrgencyStage
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self._ticket_cache = ticket_cache
         self._immediate_orders = immediate_orders
         self._log = log
+        self._step_waits = StepWaits(log)
         self._unplaced_since: dict[str, float] = {}
         self._starts: list[StartOrder] = []
 
@@ -88,6 +90,7 @@
                 self._unplaced_since.pop(workflow.id, None)
             else:
                 self._unplaced_since.setdefault(workflow.id, now)
+        self._step_waits.forget_settled(self._registry.workflows.keys())
         for workflow_id in (
             self._unplaced_since.keys() - self._registry.workflows.keys()
         ):
@@ -105,6 +108,7 @@
         :returns: tasks that did not fit, by occurrence and step
         """
         unplaced: dict[tuple[int, int], list[TaskRef]] = {}
+        last_placed: dict[tuple[int, int], TaskRef] = {}
         shortlists: dict[tuple[int, int], list[TrackedWorker]] = {}
         for ref in list(workflow.ready_tasks(wall_now)):
             step_key = (ref.occurrence, ref.step)
@@ -123,8 +127,14 @@
                 placed = self._place_task(
                     workflow, ref, shortlists[step_key], usable, now
                 )
-            if not placed:
+            if placed:
+                last_placed[step_key] = ref
+                self._step_waits.record_placement(workflow, ref, wall_now)
+            else:
                 unplaced[step_key] = [ref]
+        for step_key, ref in last_placed.items():
+            if step_key not in unplaced:
+                self._step_waits.record_complete(workflow, ref, wall_now)
         return unplaced
 
     def _place_task(
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -97,6 +97,11 @@
         """
         self._awaiting_placement.discard(workflow.id)
 
+    def settled_changes(self) -> list[Workflow]:
+        """Return the settled workflows that the next batch will drop."""
+        changed = (self._workflows[key] for key in self._changed)
+        return [workflow for workflow in changed if workflow.settled]
+
     def move_changes_to(self, changes: Changes) -> None:
         """Move changed workflows to a batch to store; drop settled ones."""
         for workflow_id in self._changed:
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from carawaystep.errors.broken_invariant import BrokenInvariant
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from carawaystep.workflow.step_spec import StepSpec
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -54,6 +56,8 @@
         self._started = False
         self._cancelled = False
         self._failed = False
+        self._run_end_counts: Counter[RunEnd] = Counter()
+        self._lost_run_count = 0
 
     @property
     def spec(self) -> WorkflowSpec:
@@ -98,6 +102,21 @@
         """Tell whether a run of a task may exist."""
         return self._placed_count > 0
 
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        return sum(len(tasks) for tasks in self._tasks.values())
+
+    @property
+    def run_end_counts(self) -> Mapping[RunEnd, int]:
+        """Return the number of runs that ended in this term, by end."""
+        return self._run_end_counts
+
+    @property
+    def lost_run_count(self) -> int:
+        """Return the number of runs that were lost in this term."""
+        return self._lost_run_count
+
     def urgency(self, wall_now: float) -> Urgency:
         """Return how urgent the waiting tasks are.
 
@@ -109,7 +128,7 @@
         """
         spec = self._spec
         occurrence = self._last_due_occurrence(wall_now)
-        begin = spec.due_at_s(occurrence) or spec.accepted_at_s
+        begin = spec.begin_at_s(occurrence)
         remaining_s = spec.critical_path_s(self._done_steps(occurrence))
         deadline = begin + spec.target_duration_s
         useful_until = begin + (
@@ -254,6 +273,7 @@
         """
         if not self.is_current_run(ref, run):
             return False
+        self._run_end_counts[end] += 1
         step = self.step(ref)
         if end is RunEnd.DONE and not step.long_running:
             if step.gang:
@@ -281,6 +301,7 @@
         """
         if not self.is_current_run(ref, run):
             return False
+        self._lost_run_count += 1
         self._release(self.task(ref))
         return True
 
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -74,6 +74,13 @@
             return 0.0
         return self.first_due_s + occurrence * self.interval_s
 
+    def begin_at_s(self, occurrence: int) -> float:
+        """Return the wall-clock time from which an occurrence's time counts.
+
+        :returns: time in seconds, when it is due or was accepted
+        """
+        return self.due_at_s(occurrence) or self.accepted_at_s
+
     @property
     def target_duration_s(self) -> float:
         """Return the time in which an occurrence is to end, in seconds.
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -24,24 +24,32 @@
     """Keeps the events in memory."""
 
     def __init__(self) -> None:
-        """Create an empty log."""
+        """Create an empty log.
+
+        ``fields`` has those of the last line of each event.
+        """
         self.events: list[tuple[str, str]] = []
+        self.fields: dict[str, dict[str, str | int | float]] = {}
 
     def line(
         self, event: str, subject: str, **inputs: str | int | float
     ) -> None:
         """Keep an event."""
         self.events.append((event, subject))
+        self.fields[event] = inputs
+
 
+def new_planner(now: float = 0.0, log: DecisionLog | None = None) -> Planner:
+    """Return a planner without workflows and workers.
 
-def new_planner(now: float = 0.0) -> Planner:
-    """Return a planner without workflows and workers."""
+    :param log: receives its lines, by default none that is kept
+    """
     interference = InterferenceModel()
     return Planner(
         LIMITS,
         InterferenceAwarePlacement(interference),
         interference,
-        RecordingLog(),
+        log or RecordingLog(),
         now,
     )
 
