--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -176,7 +176,13 @@
         workflow = self._registry.add(spec)
         if not stored:
             self._changes.accepted.append(spec)
-        self._log.line("workflow.admitted", spec.id, queue=spec.queue)
+        self._log.line(
+            "workflow.admitted",
+            spec.id,
+            queue=spec.queue,
+            tasks=workflow.task_count,
+            target_s=spec.target_duration_s,
+        )
         if spec.id in self._early_cancellations:
             self._early_cancellations.discard(spec.id)
             self._cancel_workflow(workflow, "stored-before-submission")
@@ -434,6 +440,8 @@
         """Return the changes since the last call."""
         changes, self._changes = self._changes, Changes()
         changes.orders.extend(self._task_placer.take_starts())
+        for workflow in self._registry.settled_changes():
+            self._log_settled(workflow)
         self._registry.move_changes_to(changes)
         for workflow_id in changes.settled:
             self._ticket_cache.forget_workflow(workflow_id)
@@ -459,6 +467,19 @@
         self._registry.mark_changed(workflow)
         self._stop_workflow(workflow, "cancelled")
 
+    def _log_settled(self, workflow: Workflow) -> None:
+        counts = workflow.run_end_counts
+        self._log.line(
+            "workflow.settled",
+            workflow.id,
+            state=workflow.state,
+            tasks=workflow.task_count,
+            done=counts.get(RunEnd.DONE, 0),
+            failed=counts.get(RunEnd.FAILED, 0),
+            stopped=counts.get(RunEnd.STOPPED, 0),
+            lost=workflow.lost_run_count,
+        )
+
     def _usable(self, now: float) -> list[TrackedWorker]:
         return [w for w in self._workers.values() if w.usable(now)]
 
