Reach the members before a term's tables are read

Cause: a new leader read four tables before it opened a connection to a member. Other candidates wait some 0.8 s for its first heartbeat. Found in the review of the incident; the time of the read grows with the tables.

Change: members are followed and the term is confirmed while the tables are read. Messages of members wait until they are.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -55,6 +55,7 @@
     from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.scheduler.store_health import StoreHealth
+    from carawaystep.scheduler.workflow_repository import LoadedRevisions
     from carawaystep.store.row import Row
     from carawaystep.workflow.workflow_state import WorkflowState
 
@@ -134,6 +135,7 @@
         self._waiting_calls = WaitingCalls()
         self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
+        self._loaded = asyncio.Event()
         self._stopping = False
         self._resigned = asyncio.Event()
         self._session_errors: asyncio.Queue[Exception] = asyncio.Queue()
@@ -175,23 +177,21 @@
         The term ends when another process was elected or this one resigned.
         """
         try:
-            revisions = await self._repository.load(self._planner)
-            self._interference.restore(
-                await self._repository.load_interference()
-            )
-            self._publish_restored_states()
             async with asyncio.TaskGroup() as group:
+                # Members hear of the term before its tables are read, which
+                # may take longer than they wait for a new leader.
                 group.create_task(self._follow_members())
+                group.create_task(self._confirm_term())
+                group.create_task(self._end_when_resigned())
+                group.create_task(self._raise_session_errors())
+                revisions = await self._load()
                 group.create_task(self._follow_workers())
                 group.create_task(
                     self._follow_submissions(revisions.submissions)
                 )
                 group.create_task(self._follow_cancels(revisions.cancels))
-                group.create_task(self._confirm_term())
                 group.create_task(self._run_periodic_work())
                 group.create_task(self._run_planner())
-                group.create_task(self._end_when_resigned())
-                group.create_task(self._raise_session_errors())
                 group.create_task(self._save_interference())
         except* TermEnded:
             self._ports.log.line("leader.deposed", self.name, term=self._term)
@@ -199,6 +199,14 @@
             for task in self._session_tasks.values():
                 task.cancel()
 
+    async def _load(self) -> LoadedRevisions:
+        """Restore the stored state and let members' messages in."""
+        revisions = await self._repository.load(self._planner)
+        self._interference.restore(await self._repository.load_interference())
+        self._publish_restored_states()
+        self._loaded.set()
+        return revisions
+
     async def resign(self) -> None:
         """End the term and announce the resignation to all members."""
         self._stopping = True
@@ -209,7 +217,8 @@
     async def handle_message(
         self, session: MemberSession, message: Message
     ) -> None:
-        """Handle a message from a member."""
+        """Handle a message from a member once the stored state is read."""
+        await self._loaded.wait()
         if isinstance(message, Report):
             if message.term == self._term:
                 self._planner.handle_report(message.report, self.now)
