Pause before a commit is repeated after a conflict without rows

Cause: a conflict that names no row was resolved with nothing and the commit repeated at once; 23,181 writes in 0.3 s against a fake store (review). That the store answers so was not seen.

Change: such a conflict counts as a failure, which is followed by a pause.

Result: the extended test loops for ever on the code before and passes now.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -235,7 +235,8 @@
                 self._record_versions(operations, result.ok_value.revision)
                 return cancelled
             failure = result.err_value
-            if isinstance(failure, TableConflict):
+            # A conflict that names no row leaves nothing to resolve.
+            if isinstance(failure, TableConflict) and failure.versions:
                 self._store_health.record_answer(now)
                 self._resolve_conflict(failure, inserts)
                 cancelled.update(
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -244,7 +244,11 @@
 
     def test_retry_after_a_failure_waits(self) -> None:
         """Guards against retries without a pause when the store is down."""
-        for failure in (TableOutcomeUnknown("reset"), TableRefused("busy")):
+        for failure in (
+            TableOutcomeUnknown("reset"),
+            TableRefused("busy"),
+            TableConflict("rows: ", {}),
+        ):
             with patch("asyncio.sleep", AsyncMock()) as sleep:
                 self._commit(Err(failure), Err(failure), _OK)
             self.assertEqual(2, sleep.await_count)
