--- a/src/carawaystep/fleet/order_outcome.py
+++ b/src/carawaystep/fleet/order_outcome.py
@@ -27,3 +27,8 @@
     OTHER_LIFETIME = "other-lifetime"
     NOT_SENT = "not-sent"
     UNKNOWN = "unknown"
+
+    @property
+    def not_executed(self) -> bool:
+        """Tell whether the order was certainly not executed."""
+        return self not in (OrderOutcome.DONE, OrderOutcome.UNKNOWN)
--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -8,6 +8,10 @@
 if TYPE_CHECKING:
     from carawaystep.workflow.step_spec import StepSpec
 
+# Consecutive reports without a run, after its stop was confirmed, that prove
+# that it never started.
+_REPORTS_TO_RULE_OUT_START = 2
+
 
 @dataclass(slots=True)
 class TrackedRun:
@@ -46,3 +50,41 @@
     pace_percent: int = 100
     pace_set_at: float = 0.0
     over_target_since: float | None = None
+
+    @property
+    def start_ruled_out(self) -> bool:
+        """Tell whether reports prove that a run in doubt never started.
+
+        The first report after the confirmation of its stop may have been
+        generated before it. The second was requested after the first had
+        arrived, so that it is conclusive.
+        """
+        return (
+            self.reports_without_run is not None
+            and self.reports_without_run >= _REPORTS_TO_RULE_OUT_START
+        )
+
+    def confirm_stop(self) -> None:
+        """Count reports without a run in doubt once its stop is confirmed.
+
+        If the run had started, the worker reports its end. If not, the
+        worker now refuses the start.
+        """
+        if self.in_doubt:
+            self.reports_without_run = self.reports_without_run or 0
+
+    def discard_stop_confirmation(self) -> None:
+        """Stop counting reports until a stop is confirmed again."""
+        self.reports_without_run = None
+
+    def record_report(self, listed: bool) -> None:
+        """Record a report of its worker.
+
+        :param listed: whether the report lists the run
+        """
+        if self.reports_without_run is None:
+            return
+        if listed:
+            self.reports_without_run = 0
+        else:
+            self.reports_without_run += 1
--- /dev/null
+++ b/src/carawaystep/planner/lost_runs.py
@@ -0,0 +1,101 @@
+"""Runs that can no longer exist although no worker has reported their end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.planner.run_stopper import RunStopper
+    from carawaystep.planner.worker_registry import WorkerRegistry
+    from carawaystep.planner.workflow_registry import WorkflowRegistry
+    from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow import Workflow
+
+
+class LostRuns:
+    """Requeues the tasks of lost runs and releases their resources."""
+
+    def __init__(
+        self,
+        registry: WorkflowRegistry,
+        workers: WorkerRegistry,
+        stopper: RunStopper,
+        log: DecisionLog,
+    ) -> None:
+        """Create the rules of lost runs.
+
+        :param registry: the workflows
+        :param workers: the workers
+        :param stopper: stops the gangs of lost runs
+        :param log: receives a line for each lost run
+        """
+        self._registry = registry
+        self._workers = workers
+        self._stopper = stopper
+        self._log = log
+
+    def lose(
+        self, worker: TrackedWorker, ref: TaskRef, run: int, reason: str
+    ) -> None:
+        """Give up a run that never started or can no longer exist.
+
+        :param run: number of the run
+        :param reason: reason for the log
+        """
+        worker.remove(ref, run)
+        workflow = self._registry.get(ref.workflow)
+        if workflow is not None:
+            self._requeue(workflow, ref, run, worker.key, reason)
+
+    def lose_expired(self, now: float) -> None:
+        """Give up the runs of workers whose leases must have expired.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        for key in self._workers.take_overdue_unlisted(now):
+            self._requeue_unlisted(key)
+        for worker in self._workers.without_lease(now):
+            self._lose_all(worker, "lease-passed")
+
+    def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
+        """Give up the runs of earlier lifetimes of a worker that reported."""
+        if not self._workers.record_lifetime(key):
+            return
+        for worker in self._workers.earlier_lifetimes(key):
+            self._workers.remove(worker)
+            self._lose_all(worker, "worker-restarted")
+        for earlier in self._workers.take_unlisted_before(key):
+            self._requeue_unlisted(earlier)
+
+    def _lose_all(self, worker: TrackedWorker, reason: str) -> None:
+        for ref, tracked in list(worker.runs.items()):
+            self.lose(worker, ref, tracked.run, reason)
+
+    def _requeue_unlisted(self, key: WorkerKey) -> None:
+        for workflow in self._registry:
+            for ref, task in list(workflow.placed_tasks()):
+                if task.worker == key:
+                    self._requeue(workflow, ref, task.run, key, "worker-gone")
+
+    def _requeue(
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        run: int,
+        key: WorkerKey,
+        reason: str,
+    ) -> None:
+        """Requeue a task whose run can no longer exist, and stop its gang.
+
+        Does nothing when the run is not the current one.
+        """
+        if not workflow.lose_run(ref, run):
+            return
+        self._stopper.stop_gang(workflow, ref)
+        self._registry.mark_changed(workflow)
+        self._log.line(
+            "task.lost", str(ref), run=run, worker=key.id, reason=reason
+        )
--- /dev/null
+++ b/src/carawaystep/planner/reported_runs.py
@@ -0,0 +1,181 @@
+"""What reports of workers say about runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.workflow.run_end import RunEnd
+from carawaystep.workflow.task_state import TaskState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.fleet.worker_report import EndedRun
+    from carawaystep.fleet.worker_report import ReportedRun
+    from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.planner.immediate_orders import ImmediateOrders
+    from carawaystep.planner.lost_runs import LostRuns
+    from carawaystep.planner.run_stopper import RunStopper
+    from carawaystep.planner.worker_registry import WorkerRegistry
+    from carawaystep.planner.workflow_registry import WorkflowRegistry
+    from carawaystep.workflow.step_spec import StepSpec
+    from carawaystep.workflow.task_ref import TaskRef
+
+
+class ReportedRuns:
+    """Applies ended, running and missing runs to workflows and workers.
+
+    A run that a report does not list is lost only when the report proves
+    that it will never start.
+    """
+
+    def __init__(
+        self,
+        registry: WorkflowRegistry,
+        workers: WorkerRegistry,
+        stopper: RunStopper,
+        lost_runs: LostRuns,
+        immediate_orders: ImmediateOrders,
+        log: DecisionLog,
+    ) -> None:
+        """Create the rules of reported runs.
+
+        :param registry: the workflows
+        :param workers: the workers
+        :param stopper: stops the runs of gangs and of ended workflows
+        :param lost_runs: requeues runs that will never start
+        :param immediate_orders: receives the stops of unexpected runs
+        :param log: receives a line for each end
+        """
+        self._registry = registry
+        self._workers = workers
+        self._stopper = stopper
+        self._lost_runs = lost_runs
+        self._immediate_orders = immediate_orders
+        self._log = log
+
+    def apply_end(
+        self, worker: TrackedWorker, ended: EndedRun, now: float
+    ) -> None:
+        """Apply the end of a run.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        ref, run, end = ended.ref, ended.run, ended.end
+        tracked = worker.remove(ref, run)
+        seconds = 0.0 if tracked is None else now - tracked.placed_at
+        workflow = self._registry.get(ref.workflow)
+        if workflow is None:
+            return
+        if not workflow.is_current_run(ref, run):
+            return
+        if workflow.task(ref).worker != worker.key:
+            return
+        gang_tasks = (
+            workflow.step_tasks(ref) if workflow.step(ref).gang else []
+        )
+        workflow.end_run(ref, run, end, ended.checkpoint)
+        if end is RunEnd.DONE:
+            worker.health.record_success()
+        elif end is RunEnd.FAILED and worker.health.record_failure(
+            ref.workflow, now
+        ):
+            self._log.line("worker.suspended", worker.key.id, task=str(ref))
+        for gang_task in gang_tasks:
+            if workflow.task(gang_task).state is TaskState.DONE:
+                self._remove_from_all_workers(gang_task, run)
+        self._stopper.stop_gang(workflow, ref)
+        self._registry.mark_changed(workflow)
+        self._log.line(
+            "task.ended",
+            str(ref),
+            run=run,
+            worker=worker.key.id,
+            end=end,
+            seconds=seconds,
+        )
+        if workflow.ended:
+            self._stopper.stop_workflow(workflow, "workflow-ended")
+
+    def apply_running(
+        self, worker: TrackedWorker, running: list[ReportedRun]
+    ) -> None:
+        """Apply the runs that a report lists, and those that it does not.
+
+        :param running: all runs on the worker
+        """
+        unexpected = [
+            item for item in running if not self._update(worker, item)
+        ]
+        worker.set_unexpected_runs(self._known_steps(unexpected))
+        self._resolve_in_doubt(worker, running)
+
+    def lose_unreported(
+        self, worker: TrackedWorker, running: list[ReportedRun]
+    ) -> None:
+        """Requeue the runs that a worker's first report does not list.
+
+        The worker now refuses starts with older tokens, so that a run that
+        it does not list will never start.
+
+        :param running: all runs on the worker
+        """
+        listed = _listed_runs(running)
+        for ref, tracked in list(worker.runs.items()):
+            if (ref, tracked.run) not in listed:
+                self._lost_runs.lose(worker, ref, tracked.run, "not-started")
+
+    def _update(self, worker: TrackedWorker, item: ReportedRun) -> bool:
+        """Apply the reported state of a run, and stop an unexpected one.
+
+        An unexpected run was started by a late order after the planner had
+        given it up.
+
+        :returns: False when the run is unexpected
+        """
+        tracked = worker.runs.get(item.ref)
+        workflow = self._registry.get(item.ref.workflow)
+        if tracked is None or tracked.run != item.run or workflow is None:
+            self._immediate_orders.stop_unexpected(worker, item.ref, item.run)
+            return False
+        tracked.progress_percent = item.progress_percent
+        tracked.tail_ms_or_cpu_millis = item.tail_ms_or_cpu_millis
+        workflow.record_running(item.ref, item.run, item.checkpoint)
+        if workflow.ended:
+            self._immediate_orders.stop(
+                worker, item.ref, item.run, "workflow-ended"
+            )
+        return True
+
+    def _known_steps(self, items: Iterable[ReportedRun]) -> list[StepSpec]:
+        """Return the steps of those runs whose workflows are known."""
+        found = []
+        for item in items:
+            workflow = self._registry.get(item.ref.workflow)
+            if (
+                workflow is not None
+                and workflow.find_task(item.ref) is not None
+            ):
+                found.append(workflow.step(item.ref))
+        return found
+
+    def _resolve_in_doubt(
+        self, worker: TrackedWorker, running: list[ReportedRun]
+    ) -> None:
+        """Requeue runs that a confirmed stop has kept from starting."""
+        listed = _listed_runs(running)
+        for ref, tracked in list(worker.runs.items()):
+            tracked.record_report((ref, tracked.run) in listed)
+            if tracked.start_ruled_out:
+                self._lost_runs.lose(
+                    worker, ref, tracked.run, "stopped-before-start"
+                )
+
+    def _remove_from_all_workers(self, ref: TaskRef, run: int) -> None:
+        for worker in self._workers:
+            worker.remove(ref, run)
+
+
+def _listed_runs(running: list[ReportedRun]) -> set[tuple[TaskRef, int]]:
+    return {(item.ref, item.run) for item in running}
--- /dev/null
+++ b/src/carawaystep/planner/worker_registry.py
@@ -0,0 +1,184 @@
+"""The workers of one term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaystep.fleet.tracked_run import TrackedRun
+from carawaystep.fleet.tracked_worker import TrackedWorker
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_record import WorkerRecord
+    from carawaystep.planner.planner_limits import PlannerLimits
+    from carawaystep.planner.workflow_registry import WorkflowRegistry
+
+
+class WorkerRegistry:
+    """Holds the workers by the key of their lifetime.
+
+    Invariants: a worker stays while it is listed or may have runs, and one
+    that is added has all runs that may exist on it.
+    """
+
+    def __init__(
+        self, workflows: WorkflowRegistry, limits: PlannerLimits, now: float
+    ) -> None:
+        """Create a registry without workers at the start of a term.
+
+        :param workflows: the workflows, whose tasks may be placed on workers
+            that are not listed yet
+        :param limits: times after which a silent worker has no runs
+        :param now: current time, seconds of a monotonic clock
+        """
+        self._workflows = workflows
+        self._limits = limits
+        self._term_started_at = now
+        self._workers: dict[WorkerKey, TrackedWorker] = {}
+        # Lifetime that sent the last report, by worker id; earlier lifetimes
+        # of the worker have been dropped.
+        self._last_reported_lifetimes: dict[str, WorkerKey] = {}
+        # Workers that have stored runs but have not been listed in this term,
+        # with the time at which the wait for them began. A report of a later
+        # lifetime of the same worker also ends the wait.
+        self._unlisted: dict[WorkerKey, float] = {}
+
+    def __iter__(self) -> Iterator[TrackedWorker]:
+        """Iterate over the workers."""
+        return iter(self._workers.values())
+
+    @property
+    def workers(self) -> Mapping[WorkerKey, TrackedWorker]:
+        """Return the workers that are listed or may still have runs."""
+        return self._workers
+
+    def get(self, key: WorkerKey) -> TrackedWorker | None:
+        """Return a worker, None when it is unknown."""
+        return self._workers.get(key)
+
+    def usable(self, now: float) -> list[TrackedWorker]:
+        """Return the workers that may get new work.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        return [w for w in self._workers.values() if w.usable(now)]
+
+    def await_listing(self, key: WorkerKey) -> None:
+        """Wait for a worker with stored runs from the start of the term on."""
+        self._unlisted.setdefault(key, self._term_started_at)
+
+    def update_list(self, records: Iterable[WorkerRecord]) -> list[WorkerKey]:
+        """Apply the current list of workers.
+
+        :returns: workers that were removed because they have no runs
+        """
+        listed = {record.key: record for record in records}
+        for key, record in listed.items():
+            worker = self._workers.get(key)
+            if worker is None:
+                self._add(record)
+            else:
+                worker.update_record(record)
+        removed = []
+        for key, worker in list(self._workers.items()):
+            if key not in listed:
+                worker.mark_unlisted()
+                if not worker.runs:
+                    del self._workers[key]
+                    removed.append(key)
+        return removed
+
+    def record_lifetime(self, key: WorkerKey) -> bool:
+        """Record which lifetime of a worker has sent a report.
+
+        :returns: whether earlier lifetimes may still have to be dropped
+        """
+        if self._last_reported_lifetimes.get(key.id) == key:
+            return False
+        self._last_reported_lifetimes[key.id] = key
+        return True
+
+    def earlier_lifetimes(self, key: WorkerKey) -> list[TrackedWorker]:
+        """Return the earlier lifetimes of a worker."""
+        return [
+            worker
+            for earlier, worker in self._workers.items()
+            if _precedes(earlier, key)
+        ]
+
+    def remove(self, worker: TrackedWorker) -> None:
+        """Remove a worker, whose runs can no longer exist."""
+        del self._workers[worker.key]
+
+    def take_unlisted_before(self, key: WorkerKey) -> list[WorkerKey]:
+        """Stop waiting for earlier lifetimes of a worker, and return them."""
+        return self._take_unlisted(
+            [earlier for earlier in self._unlisted if _precedes(earlier, key)]
+        )
+
+    def take_overdue_unlisted(self, now: float) -> list[WorkerKey]:
+        """Stop waiting for workers without a lease, and return them.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        return self._take_unlisted(
+            [
+                key
+                for key, since in self._unlisted.items()
+                if now - since > self._limits.takeover_lost_after_s
+            ]
+        )
+
+    def without_lease(self, now: float) -> list[TrackedWorker]:
+        """Return the workers whose leases must have expired.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        return [
+            worker
+            for worker in self._workers.values()
+            if now > self._lease_deadline(worker)
+        ]
+
+    def _lease_deadline(self, worker: TrackedWorker) -> float:
+        last_report_at = worker.last_report_at
+        if last_report_at is None:
+            return self._term_started_at + self._limits.takeover_lost_after_s
+        return last_report_at + self._limits.lost_after_s
+
+    def _take_unlisted(self, keys: list[WorkerKey]) -> list[WorkerKey]:
+        for key in keys:
+            del self._unlisted[key]
+        return keys
+
+    def _add(self, record: WorkerRecord) -> None:
+        worker = TrackedWorker(record)
+        self._workers[record.key] = worker
+        # Without an entry, the next report checks again for earlier lifetimes
+        # to drop; the added worker may be one.
+        self._last_reported_lifetimes.pop(record.key.id, None)
+        self._unlisted.pop(record.key, None)
+        for workflow in self._workflows:
+            for ref, task in workflow.placed_tasks():
+                if task.worker == record.key:
+                    step = workflow.step(ref)
+                    worker.add(
+                        ref,
+                        TrackedRun(
+                            task.run,
+                            step,
+                            workflow.spec.priority,
+                            self._term_started_at,
+                        ),
+                    )
+
+
+def _precedes(earlier: WorkerKey, later: WorkerKey) -> bool:
+    """Tell whether two lifetimes of one worker are in this order."""
+    return (
+        earlier.id == later.id and earlier.started_at_ms < later.started_at_ms
+    )
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -42,7 +42,9 @@
             and tracked is not None
             and tracked.reports_without_run is not None
         ):
-            self._lose_run(worker, order.ref, order.run, "stop-confirmed")
+            self._lost_runs.lose(
+                worker, order.ref, order.run, "stop-confirmed"
+            )
 
 
 class _RequeuesUnansweredStarts(Planner):
