Split members' sessions, assignments and orders off the leader's term

The sessions, the assignments and the orders on the way each had state of their own among the loops of the term.

Change: a refactoring without a change of behaviour or of log lines. - MemberSessions opens and ends the sessions and reports their errors. - WorkerAssignments knows which member calls which worker. - OrderDispatcher numbers orders, sends them, withdraws obsolete starts and passes on one outcome for each order. The time is an argument, so that orders that time out or cannot be sent in one pass share one time. LeaderTerm composes them and keeps the loops.

Lint is clean; tests/scheduler and tests/users_platform/test_system.py pass.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -3,31 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from itertools import count
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from carawaystep.cluster.messages import Acknowledge
 from carawaystep.cluster.messages import AdviceReply
-from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
-from carawaystep.cluster.messages import NumberedOrder
 from carawaystep.cluster.messages import OrderResult
-from carawaystep.cluster.messages import Orders
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.cluster.messages import QueryState
 from carawaystep.cluster.messages import Report
 from carawaystep.cluster.messages import ReportPollRejected
 from carawaystep.cluster.messages import Resignation
 from carawaystep.cluster.messages import Submit
-from carawaystep.fleet.order import StartOrder
-from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
-from carawaystep.leadership.member_record import MemberRecord
-from carawaystep.leadership.worker_assignment import assign_workers
 from carawaystep.planner.interference_aware_placement import (
     InterferenceAwarePlacement,
 )
@@ -39,24 +29,24 @@
 from carawaystep.scheduler.change_feed import ChangeFeed
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import WORKER_LEASE_S
-from carawaystep.scheduler.member_session import MemberSession
+from carawaystep.scheduler.member_sessions import MemberSessions
+from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.waiting_calls import WaitingCall
 from carawaystep.scheduler.waiting_calls import WaitingCalls
+from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.workflow_repository import parse_spec
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
-    from carawaystep.fleet.order import Order
-    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.planner.changes import Changes
+    from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.scheduler.store_health import StoreHealth
     from carawaystep.scheduler.workflow_repository import LoadedRevisions
-    from carawaystep.store.row import Row
     from carawaystep.workflow.workflow_state import WorkflowState
 
 # A worker's clock may be slow by this factor, which prolongs its leases.
@@ -69,7 +59,6 @@
 _BATCH_WINDOW_S = 0.015
 _QUEUE_COUNT_INTERVAL_S = 0.5
 _STOP_RETRY_INTERVAL_S = 0.5
-_ORDER_TIMEOUT_S = 1.5
 # With an older confirmation the store is probably unavailable; submissions
 # are then refused at once instead of waiting for a commit.
 _MAX_ADMISSION_CONFIRMATION_AGE_S = 0.8
@@ -124,21 +113,27 @@
             ports.log,
             self.now,
         )
-        self._sessions: dict[str, MemberSession] = {}
-        self._session_tasks: dict[str, asyncio.Task[None]] = {}
-        self._member_by_worker: dict[WorkerKey, str] = {}
-        self._worker_records: dict[str, WorkerRecord] = {}
+        self._plan_requested = asyncio.Event()
+        self._sessions = MemberSessions(ports, self)
+        self._assignments = WorkerAssignments(
+            self._planner, self._sessions, self.name
+        )
+        self._order_dispatcher = OrderDispatcher(
+            term,
+            self._planner,
+            self._sessions,
+            self._assignments,
+            self._plan_requested,
+            ports.log,
+        )
         self._advice_dispatcher = AdviceDispatcher(term)
-        self._order_numbers = count(1)
-        self._pending_orders: dict[int, tuple[Order, float]] = {}
+        self._worker_records: dict[str, WorkerRecord] = {}
         self._published_states: dict[str, WorkflowState] = {}
         self._waiting_calls = WaitingCalls()
-        self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
         self._loaded = asyncio.Event()
         self._stopping = False
         self._resigned = asyncio.Event()
-        self._session_errors: asyncio.Queue[Exception] = asyncio.Queue()
         self._queue_counts_sent_at = 0.0
         self._stops_retried_at = 0.0
 
@@ -183,7 +178,7 @@
                 group.create_task(self._follow_members())
                 group.create_task(self._confirm_term())
                 group.create_task(self._end_when_resigned())
-                group.create_task(self._raise_session_errors())
+                group.create_task(self._sessions.raise_error())
                 revisions = await self._load()
                 group.create_task(self._follow_workers())
                 group.create_task(
@@ -196,8 +191,7 @@
         except* TermEnded:
             self._ports.log.line("leader.deposed", self.name, term=self._term)
         finally:
-            for task in self._session_tasks.values():
-                task.cancel()
+            self._sessions.cancel()
 
     async def _load(self) -> LoadedRevisions:
         """Restore the stored state and let members' messages in."""
@@ -210,8 +204,7 @@
     async def resign(self) -> None:
         """End the term and announce the resignation to all members."""
         self._stopping = True
-        for session in self._sessions.values():
-            await session.send(Resignation(self._term))
+        await self._sessions.broadcast(Resignation(self._term))
         self._resigned.set()
 
     async def handle_message(
@@ -225,7 +218,9 @@
                 self._plan_requested.set()
         elif isinstance(message, OrderResult):
             if message.term == self._term:
-                self._apply_order_result(message)
+                self._order_dispatcher.apply_result(
+                    message.number, message.outcome, self.now
+                )
         elif isinstance(message, Submit):
             await self._submit(session, message)
         elif isinstance(message, Cancel):
@@ -281,25 +276,6 @@
         )
         self._plan_requested.set()
 
-    def _apply_order_result(self, message: OrderResult) -> None:
-        pending = self._pending_orders.pop(message.number, None)
-        if pending is None:
-            return
-        self._planner.handle_order_outcome(
-            pending[0], message.outcome, self.now
-        )
-        if message.outcome is not OrderOutcome.DONE:
-            order = pending[0]
-            self._ports.log.line(
-                "order.failed",
-                str(order.ref),
-                run=order.run,
-                worker=order.worker.id,
-                order=type(order).__name__,
-                outcome=message.outcome,
-            )
-        self._plan_requested.set()
-
     async def _save_interference(self) -> None:
         saved: list[tuple[str, str, float]] = []
         while True:
@@ -323,18 +299,17 @@
         await self._resigned.wait()
         raise TermEnded
 
-    async def _raise_session_errors(self) -> None:
-        raise await self._session_errors.get()
-
     async def _run_planner(self) -> None:
         """Plan whenever requested, then commit and publish the changes."""
         while True:
             await self._plan_requested.wait()
             self._plan_requested.clear()
             self._planner.plan(self.now, self._ports.clock.wall_now())
-            await self._dispatch_orders(self._planner.take_immediate_orders())
+            await self._dispatch_immediate_orders()
             await self._advice_dispatcher.dispatch(
-                self._planner.take_advice_requests(), self._sessions, self.now
+                self._planner.take_advice_requests(),
+                self._sessions.sessions,
+                self.now,
             )
             changes = self._planner.take_changes()
             if changes.is_empty:
@@ -348,141 +323,53 @@
 
     async def _publish_changes(self, changes: Changes) -> None:
         """Send the orders, acknowledgements and states of stored changes."""
-        await self._dispatch_orders(self._withdraw_starts(changes.orders))
+        await self._order_dispatcher.dispatch_stored(changes.orders, self.now)
         for key, number in changes.acknowledged.items():
-            session = self._sessions.get(self._member_by_worker.get(key, ""))
+            session = self._assignments.session_for(key)
             if session is not None:
                 await session.send(Acknowledge(self._term, key, number))
         if changes.states:
             self._published_states.update(changes.states)
-            for session in self._sessions.values():
-                await session.send(PublishedStates(self._term, changes.states))
+            await self._sessions.broadcast(
+                PublishedStates(self._term, changes.states)
+            )
         for workflow_id, state in changes.states.items():
             for call in self._waiting_calls.take_answered(workflow_id, state):
                 await call.session.send(CallReply(call.number, True, state))
 
-    def _withdraw_starts(self, orders: list[Order]) -> list[Order]:
-        """Withdraw the starts that must not be sent; return the others."""
-        remaining: list[Order] = []
-        for order in orders:
-            is_start = isinstance(order, StartOrder)
-            if is_start and not self._planner.should_send(order):
-                self._planner.withdraw_start(order)
-                self._plan_requested.set()
-            else:
-                remaining.append(order)
-        return remaining
-
-    async def _dispatch_orders(self, orders: list[Order]) -> None:
-        by_member: dict[str, list[NumberedOrder]] = {}
-        now = self.now
-        for order in orders:
-            number = next(self._order_numbers)
-            self._pending_orders[number] = (order, now)
-            member = self._member_by_worker.get(order.worker, "")
-            by_member.setdefault(member, []).append(
-                NumberedOrder(number, order)  # type: ignore[arg-type]
-            )
-        for member, numbered in by_member.items():
-            session = self._sessions.get(member)
-            if session is not None and await session.send(
-                Orders(self._term, numbered, session.member_timestamp)
-            ):
-                continue
-            for item in numbered:
-                self._apply_order_result(
-                    OrderResult(self._term, item.number, OrderOutcome.NOT_SENT)
-                )
+    async def _dispatch_immediate_orders(self) -> None:
+        await self._order_dispatcher.dispatch(
+            self._planner.take_immediate_orders(), self.now
+        )
 
     async def _run_periodic_work(self) -> None:
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
             now = self.now
-            for number, (_, sent_at) in list(self._pending_orders.items()):
-                if now - sent_at > _ORDER_TIMEOUT_S:
-                    self._apply_order_result(
-                        OrderResult(self._term, number, OrderOutcome.UNKNOWN)
-                    )
+            self._order_dispatcher.expire(now)
             self._planner.requeue_lost_runs(now)
             self._planner.evacuate(now)
             if now - self._stops_retried_at > _STOP_RETRY_INTERVAL_S:
                 self._stops_retried_at = now
                 self._planner.retry_stops()
-            await self._dispatch_orders(self._planner.take_immediate_orders())
-            await self._update_assignments(now)
+            await self._dispatch_immediate_orders()
+            await self._assignments.update(now)
             if now - self._queue_counts_sent_at > _QUEUE_COUNT_INTERVAL_S:
                 self._queue_counts_sent_at = now
-                message = PublishedStates(
-                    self._term, {}, self._planner.count_queued()
+                await self._sessions.broadcast(
+                    PublishedStates(
+                        self._term, {}, self._planner.count_queued()
+                    )
                 )
-                for session in self._sessions.values():
-                    await session.send(message)
             self._plan_requested.set()
 
-    async def _update_assignments(self, now: float) -> None:
-        """Assign each worker to one of the available members."""
-        available = {
-            name: session.record
-            for name, session in self._sessions.items()
-            if session.available(now)
-        }
-        if not available:
-            return
-        worker_records = {
-            key: worker.record for key, worker in self._planner.workers.items()
-        }
-        member_by_worker = assign_workers(
-            worker_records.values(), available, self.name
-        )
-        assignments: dict[str, list[AssignedWorker]] = {
-            n: [] for n in available
-        }
-        for key, name in member_by_worker.items():
-            assignments[name].append(
-                AssignedWorker(key, worker_records[key].address)
-            )
-        for key, name in member_by_worker.items():
-            if self._member_by_worker.get(key) != name:
-                self._planner.handle_reassignment(key)
-        self._member_by_worker = member_by_worker
-        for name, workers in assignments.items():
-            await self._sessions[name].assign(workers)
-
     async def _follow_members(self) -> None:
         feed = ChangeFeed(
             self._ports, self._store_health, tables.MEMBERS, _FEED_LONG_POLL_S
         )
         while True:
             for row in await feed.read():
-                self._open_session(row)
-
-    def _open_session(self, row: Row) -> None:
-        try:
-            record = msgspec.convert(row.value, MemberRecord)
-        except msgspec.ValidationError:
-            return
-        known = self._sessions.get(record.name)
-        if known is not None and known.record == record:
-            return
-        if known is not None:
-            self._session_tasks.pop(record.name).cancel()
-        session = MemberSession(
-            record, self._ports.open_member_channel(record.address), self
-        )
-        self._sessions[record.name] = session
-        self._session_tasks[record.name] = asyncio.create_task(
-            self._run_session(session), name=f"member {record.name}"
-        )
-
-    async def _run_session(self, session: MemberSession) -> None:
-        """Run a member's session and report an error that ends it.
-
-        The error ends the term; the next leader restarts from stored state.
-        """
-        try:
-            await session.run()
-        except Exception as error:
-            self._session_errors.put_nowait(error)
+                self._sessions.open(row)
 
     async def _follow_workers(self) -> None:
         source = self._ports.worker_list
--- /dev/null
+++ b/src/carawaystep/scheduler/member_sessions.py
@@ -0,0 +1,107 @@
+"""The leader's sessions with all members."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from carawaystep.leadership.member_record import MemberRecord
+from carawaystep.scheduler.member_session import MemberSession
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from carawaystep.cluster.messages import Message
+    from carawaystep.scheduler.leader_context import LeaderContext
+    from carawaystep.scheduler.ports import SchedulerPorts
+    from carawaystep.store.row import Row
+
+
+class MemberSessions:
+    """Runs one session for each member, in a task of its own.
+
+    Invariant: a member has one session, opened with its last stored record.
+    """
+
+    def __init__(self, ports: SchedulerPorts, context: LeaderContext) -> None:
+        """Create a collection without sessions.
+
+        :param ports: connections to members
+        :param context: the leader's term, which handles their messages
+        """
+        self._ports = ports
+        self._context = context
+        self._sessions: dict[str, MemberSession] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._errors: asyncio.Queue[Exception] = asyncio.Queue()
+
+    @property
+    def sessions(self) -> Mapping[str, MemberSession]:
+        """Return the sessions by the name of the member."""
+        return self._sessions
+
+    def get(self, name: str) -> MemberSession | None:
+        """Return the session with a member, None when there is none."""
+        return self._sessions.get(name)
+
+    def available(self, now: float) -> dict[str, MemberRecord]:
+        """Return the members that can be assigned workers, by name.
+
+        :param now: current time in seconds, monotonic
+        """
+        return {
+            name: session.record
+            for name, session in self._sessions.items()
+            if session.available(now)
+        }
+
+    def open(self, row: Row) -> None:
+        """Open a session with a member that is new or has changed.
+
+        :param row: stored row of the member; a malformed or deleted one is
+            ignored
+        """
+        try:
+            record = msgspec.convert(row.value, MemberRecord)
+        except msgspec.ValidationError:
+            return
+        known = self._sessions.get(record.name)
+        if known is not None and known.record == record:
+            return
+        if known is not None:
+            self._tasks.pop(record.name).cancel()
+        session = MemberSession(
+            record,
+            self._ports.open_member_channel(record.address),
+            self._context,
+        )
+        self._sessions[record.name] = session
+        self._tasks[record.name] = asyncio.create_task(
+            self._run(session), name=f"member {record.name}"
+        )
+
+    async def broadcast(self, message: Message) -> None:
+        """Send a message to all members."""
+        for session in self._sessions.values():
+            await session.send(message)
+
+    async def raise_error(self) -> None:
+        """Wait for an error that ends a session, and raise it.
+
+        The error ends the term; the next leader restarts from stored state.
+        """
+        raise await self._errors.get()
+
+    def cancel(self) -> None:
+        """Cancel the tasks of all sessions."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _run(self, session: MemberSession) -> None:
+        """Run a member's session and report an error that ends it."""
+        try:
+            await session.run()
+        except Exception as error:
+            self._errors.put_nowait(error)
