Split the calls of members off the leader's term

Change: a refactoring without a change of behaviour or of log lines. The four feeds of a term are made in one place.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -7,7 +7,6 @@
 
 from carawaystep.cluster.messages import Acknowledge
 from carawaystep.cluster.messages import AdviceReply
-from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import OrderResult
 from carawaystep.cluster.messages import PublishedStates
@@ -29,10 +28,9 @@
 from carawaystep.scheduler.change_feed import ChangeFeed
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import WORKER_LEASE_S
+from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
-from carawaystep.scheduler.waiting_calls import WaitingCall
-from carawaystep.scheduler.waiting_calls import WaitingCalls
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.workflow_repository import parse_spec
 from carawaystep.scheduler.workflow_repository import TermEnded
@@ -47,7 +45,6 @@
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.scheduler.store_health import StoreHealth
     from carawaystep.scheduler.workflow_repository import LoadedRevisions
-    from carawaystep.workflow.workflow_state import WorkflowState
 
 # A worker's clock may be slow by this factor, which prolongs its leases.
 _MAX_CLOCK_DRIFT_FACTOR = 1.02
@@ -59,9 +56,6 @@
 _BATCH_WINDOW_S = 0.015
 _QUEUE_COUNT_INTERVAL_S = 0.5
 _STOP_RETRY_INTERVAL_S = 0.5
-# With an older confirmation the store is probably unavailable; submissions
-# are then refused at once instead of waiting for a commit.
-_MAX_ADMISSION_CONFIRMATION_AGE_S = 0.8
 _FEED_LONG_POLL_S = 2.0
 _WORKER_LIST_MIN_INTERVAL_S = 0.3
 _INTERFERENCE_SAVE_INTERVAL_S = 4.0
@@ -128,8 +122,7 @@
         )
         self._advice_dispatcher = AdviceDispatcher(term)
         self._worker_records: dict[str, WorkerRecord] = {}
-        self._published_states: dict[str, WorkflowState] = {}
-        self._waiting_calls = WaitingCalls()
+        self._calls = MemberCalls(self._planner, self, self._plan_requested)
         self._term_check_requested = asyncio.Event()
         self._loaded = asyncio.Event()
         self._stopping = False
@@ -222,14 +215,11 @@
                     message.number, message.outcome, self.now
                 )
         elif isinstance(message, Submit):
-            await self._submit(session, message)
+            await self._calls.submit(session, message, self.now)
         elif isinstance(message, Cancel):
-            await self._cancel(session, message)
+            await self._calls.cancel(session, message)
         elif isinstance(message, QueryState):
-            state = self._published_states.get(message.workflow_id)
-            await session.send(
-                CallReply(message.call, state is not None, state)
-            )
+            await self._calls.query(session, message)
         elif isinstance(message, AdviceReply):
             self._advice_dispatcher.record_answer(session.record.name)
             if message.term == self._term:
@@ -240,42 +230,6 @@
         elif isinstance(message, ReportPollRejected) and message.fenced:
             self.request_term_check()
 
-    async def _submit(self, session: MemberSession, message: Submit) -> None:
-        workflow_id = message.spec.id
-        if workflow_id in self._published_states:
-            reply = CallReply(
-                message.call, True, self._published_states[workflow_id]
-            )
-            await session.send(reply)
-            return
-        if self.confirmation_age(self.now) > _MAX_ADMISSION_CONFIRMATION_AGE_S:
-            # A workflow that is waiting for its commit may still be stored,
-            # so only a new one can be refused for certain.
-            new = self._planner.state(workflow_id) is None
-            await session.send(CallReply(message.call, False, refused=new))
-            return
-        self._planner.admit(message.spec, stored=False)
-        self._waiting_calls.add(
-            workflow_id,
-            WaitingCall(session, message.call, is_cancellation=False),
-        )
-        self._plan_requested.set()
-
-    async def _cancel(self, session: MemberSession, message: Cancel) -> None:
-        workflow_id = message.workflow_id
-        if not self._planner.cancel(workflow_id):
-            await session.send(CallReply(message.call, False))
-            return
-        published = self._published_states.get(workflow_id)
-        if published is not None and published.final:
-            await session.send(CallReply(message.call, True, published))
-            return
-        self._waiting_calls.add(
-            workflow_id,
-            WaitingCall(session, message.call, is_cancellation=True),
-        )
-        self._plan_requested.set()
-
     async def _save_interference(self) -> None:
         saved: list[tuple[str, str, float]] = []
         while True:
@@ -329,13 +283,11 @@
             if session is not None:
                 await session.send(Acknowledge(self._term, key, number))
         if changes.states:
-            self._published_states.update(changes.states)
+            self._calls.record_published(changes.states)
             await self._sessions.broadcast(
                 PublishedStates(self._term, changes.states)
             )
-        for workflow_id, state in changes.states.items():
-            for call in self._waiting_calls.take_answered(workflow_id, state):
-                await call.session.send(CallReply(call.number, True, state))
+            await self._calls.reply_to_waiting(changes.states)
 
     async def _dispatch_immediate_orders(self) -> None:
         await self._order_dispatcher.dispatch(
@@ -363,19 +315,25 @@
                 )
             self._plan_requested.set()
 
-    async def _follow_members(self) -> None:
-        feed = ChangeFeed(
-            self._ports, self._store_health, tables.MEMBERS, _FEED_LONG_POLL_S
+    def _open_feed(self, table: str, since: int = 0) -> ChangeFeed:
+        """Return a feed of a table.
+
+        :param since: revision after which changes are read, 0 to start with
+            a full read
+        """
+        return ChangeFeed(
+            self._ports, self._store_health, table, _FEED_LONG_POLL_S, since
         )
+
+    async def _follow_members(self) -> None:
+        feed = self._open_feed(tables.MEMBERS)
         while True:
             for row in await feed.read():
                 self._sessions.open(row)
 
     async def _follow_workers(self) -> None:
         source = self._ports.worker_list
-        feed = ChangeFeed(
-            self._ports, self._store_health, source.table, _FEED_LONG_POLL_S
-        )
+        feed = self._open_feed(source.table)
         while True:
             rows = await feed.read()
             if feed.is_full_read:
@@ -391,13 +349,7 @@
             await asyncio.sleep(_WORKER_LIST_MIN_INTERVAL_S)
 
     async def _follow_submissions(self, revision: int) -> None:
-        feed = ChangeFeed(
-            self._ports,
-            self._store_health,
-            tables.SUBMISSIONS,
-            _FEED_LONG_POLL_S,
-            revision,
-        )
+        feed = self._open_feed(tables.SUBMISSIONS, revision)
         while True:
             for row in await feed.read():
                 if not row.value or self._planner.state(row.key) is not None:
@@ -408,13 +360,7 @@
                     self._plan_requested.set()
 
     async def _follow_cancels(self, revision: int) -> None:
-        feed = ChangeFeed(
-            self._ports,
-            self._store_health,
-            tables.CANCELS,
-            _FEED_LONG_POLL_S,
-            revision,
-        )
+        feed = self._open_feed(tables.CANCELS, revision)
         while True:
             for row in await feed.read():
                 if row.value is None:
@@ -439,7 +385,11 @@
             await self._repository.confirm()
 
     def _publish_restored_states(self) -> None:
-        for workflow_id, workflow in self._planner.workflows.items():
-            self._published_states[workflow_id] = workflow.state
-        self._published_states.update(self._planner.final_states)
+        self._calls.record_published(
+            {
+                workflow_id: workflow.state
+                for workflow_id, workflow in self._planner.workflows.items()
+            }
+        )
+        self._calls.record_published(self._planner.final_states)
         self._plan_requested.set()
