Show no state of which an update may be missing

Callers saw a workflow that had been settled, or cancelled with a confirmed cancellation, as running or pending for as long as they asked the same node. A leader publishes only the changes of its own term, and publishes each once. When it failed between the commit of a final state and its publication, or when a message was lost with a replaced connection, the members kept the earlier state and returned it while any leader was reachable.

The members now drop the states that are not final when they follow another leader, and when the number in a message shows that one before it is missing. A dropped state is asked of the leader once and then cached; a state that is published meanwhile stays.

Evidence: both tests of missing messages in test_member.py failed before (the state was "running" where none is expected).

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -97,11 +97,14 @@
     :param states: changed states by workflow id
     :param queued: number of workflows that have not started, by queue; None
         if the message carries no counts
+    :param number: number of messages with states that the leader has sent to
+        all members in this term, including this one; shows lost messages
     """
 
     term: int
     states: dict[str, WorkflowState]
     queued: dict[str, int] | None = None
+    number: int = 0
 
 
 class Resignation(
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -132,6 +132,7 @@
         self._order_numbers = count(1)
         self._pending_orders: dict[int, tuple[Order, float]] = {}
         self._published_states: dict[str, WorkflowState] = {}
+        self._published_count = 0
         self._waiting_calls = WaitingCalls()
         self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
@@ -355,8 +356,12 @@
                 await session.send(Acknowledge(self._term, key, number))
         if changes.states:
             self._published_states.update(changes.states)
+            self._published_count += 1
+            message = PublishedStates(
+                self._term, changes.states, number=self._published_count
+            )
             for session in self._sessions.values():
-                await session.send(PublishedStates(self._term, changes.states))
+                await session.send(message)
         for workflow_id, state in changes.states.items():
             for call in self._waiting_calls.take_answered(workflow_id, state):
                 await call.session.send(CallReply(call.number, True, state))
@@ -413,7 +418,10 @@
             if now - self._queue_counts_sent_at > _QUEUE_COUNT_INTERVAL_S:
                 self._queue_counts_sent_at = now
                 message = PublishedStates(
-                    self._term, {}, self._planner.count_queued()
+                    self._term,
+                    {},
+                    self._planner.count_queued(),
+                    self._published_count,
                 )
                 for session in self._sessions.values():
                     await session.send(message)
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -177,7 +177,7 @@
             if proxy is not None:
                 proxy.acknowledge(message.number)
         elif isinstance(message, PublishedStates):
-            self.published_states.update_states(message.states)
+            self.published_states.update_states(message.states, message.number)
             if message.queued is not None:
                 self.published_states.replace_queue_counts(
                     message.queued, self.now
@@ -203,6 +203,7 @@
         if followed:
             if message.term > previous_term:
                 self._stop_proxies()
+                self.published_states.start_term()
                 self._ports.log.line(
                     "leader.followed", message.leader, term=message.term
                 )
--- a/src/carawaystep/scheduler/published_state_cache.py
+++ b/src/carawaystep/scheduler/published_state_cache.py
@@ -21,17 +21,37 @@
     """Published states by workflow and counts of queued workflows by queue.
 
     A final state is never overwritten, so messages that arrive out of order
-    do no harm.
+    do no harm. Other states are dropped when an update of them may have been
+    missed, because the leader does not publish it again.
     """
 
     def __init__(self) -> None:
         """Create an empty cache."""
         self._states: dict[str, WorkflowState] = {}
+        self._message_number = 0
         self._queue_counts: Mapping[str, int] | None = None
         self._queue_counts_at = 0.0
 
-    def update_states(self, states: Mapping[str, WorkflowState]) -> None:
-        """Merge states by workflow id into the cache."""
+    def start_term(self) -> None:
+        """Prepare for the messages of another leader.
+
+        The earlier one may have stored states that it did not publish.
+        """
+        self._message_number = 0
+        self._drop_unfinished()
+
+    def update_states(
+        self, states: Mapping[str, WorkflowState], message_number: int
+    ) -> None:
+        """Merge published states by workflow id into the cache.
+
+        :param message_number: number of messages with states that the leader
+            has published in its term, including this one
+        """
+        expected = self._message_number + (1 if states else 0)
+        if message_number > expected:
+            self._drop_unfinished()
+        self._message_number = max(self._message_number, message_number)
         for workflow_id, state in states.items():
             cached = self._states.pop(workflow_id, None)
             if cached is not None and cached.final:
@@ -40,6 +60,13 @@
         while len(self._states) > _MAX_WORKFLOWS:
             del self._states[next(iter(self._states))]
 
+    def add_missing(self, workflow_id: str, state: WorkflowState) -> None:
+        """Cache a state that the leader was asked for.
+
+        A state that was published meanwhile is newer and stays.
+        """
+        self._states.setdefault(workflow_id, state)
+
     def replace_queue_counts(
         self, counts: Mapping[str, int], now: float
     ) -> None:
@@ -66,3 +93,10 @@
         ):
             return None
         return self._queue_counts.get(queue, 0)
+
+    def _drop_unfinished(self) -> None:
+        self._states = {
+            workflow_id: state
+            for workflow_id, state in self._states.items()
+            if state.final
+        }
--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -103,6 +103,9 @@
                 workflow_id, _QUERY_CALL_TIMEOUT_S
             )
             if reply is not None and reply.state is not None:
+                self._member.published_states.add_missing(
+                    workflow_id, reply.state
+                )
                 return Ok(reply.state)
         return await self._stored_state(workflow_id)
 
--- a/tests/scheduler/test_leader_term.py
+++ b/tests/scheduler/test_leader_term.py
@@ -10,12 +10,15 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.cluster.messages import PublishedStates
+from carawaystep.planner.changes import Changes
 from carawaystep.scheduler import leader_term
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.scheduler.store_health import StoreHealth
 from carawaystep.store.table_commit import TableCommit
 from carawaystep.store.table_failure import TableOutcomeUnknown
+from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import RecordingLog
 
 _SETTINGS = NodeSettings("edge-1", "zone", 1.0, "tcp://127.0.0.1:1", 6.0, 0.1)
@@ -71,3 +74,35 @@
         self.assertEqual(3, store.writes)
         stored = [e for e, _ in log.events if e == "interference.stored"]
         self.assertEqual(["interference.stored"], stored)
+
+    def test_messages_with_states_are_numbered(self) -> None:
+        """Guards against a lost message that a member cannot notice."""
+        log = RecordingLog()
+        sent: list[object] = []
+
+        async def send(message: object) -> bool:
+            sent.append(message)
+            return False
+
+        async def publish() -> None:
+            term = LeaderTerm(
+                _SETTINGS,
+                SimpleNamespace(  # type: ignore[arg-type]
+                    store=_Store(0), clock=_Clock(), log=log
+                ),
+                StoreHealth(log, 0.0),
+                7,
+            )
+            session = SimpleNamespace(send=send)
+            term._sessions["edge-2"] = session  # type: ignore[assignment]
+            for state in (WorkflowState.RUNNING, WorkflowState.DONE):
+                await term._publish_changes(Changes(states={"a": state}))
+
+        asyncio.run(publish())
+        self.assertEqual(
+            [
+                PublishedStates(7, {"a": WorkflowState.RUNNING}, number=1),
+                PublishedStates(7, {"a": WorkflowState.DONE}, number=2),
+            ],
+            sent,
+        )
--- /dev/null
+++ b/tests/scheduler/test_member.py
@@ -0,0 +1,135 @@
+"""Tests of the messages that a member gets from leaders."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.cluster.messages import LeaderHeartbeat
+from carawaystep.cluster.messages import PublishedStates
+from carawaystep.leadership.leadership import Leadership
+from carawaystep.scheduler.member import Member
+from carawaystep.scheduler.node_settings import NodeSettings
+from carawaystep.workflow.workflow_state import WorkflowState
+from tests.planner.planners import RecordingLog
+
+if TYPE_CHECKING:
+    from carawaystep.cluster.messages import FromLeader
+
+_SETTINGS = NodeSettings("edge-1", "zone", 1.0, "tcp://127.0.0.1:1", 6.0, 0.1)
+_RUNNING = "5c0e7a21d94b36f8"
+_DONE = "6c0e7a21d94b36f8"
+_OTHER = "7c0e7a21d94b36f8"
+_STATES = {_RUNNING: WorkflowState.RUNNING, _DONE: WorkflowState.DONE}
+_OTHER_STATES = {_OTHER: WorkflowState.RUNNING}
+
+
+class _LeaderPort:
+    """Delivers messages in order and reports when all are handled."""
+
+    def __init__(self, messages: list[FromLeader]) -> None:
+        self._messages = messages
+        self.all_handled = asyncio.Event()
+
+    async def receive(self) -> tuple[bytes, FromLeader]:
+        if not self._messages:
+            self.all_handled.set()
+            await asyncio.Event().wait()
+        return b"leader", self._messages.pop(0)
+
+    async def send(self, leader: bytes, message: object) -> bool:
+        return True
+
+
+class PublishedStatesTest(TestCase):
+    """States of which the member may have missed an update."""
+
+    def _receive(
+        self, messages: list[FromLeader]
+    ) -> dict[str, WorkflowState | None]:
+        """Return the states that the member knows after the messages."""
+
+        async def run() -> Member:
+            port = _LeaderPort(messages)
+            ports = SimpleNamespace(
+                clock=SimpleNamespace(now=lambda: 10.0),
+                leader_port=port,
+                advisor=None,
+                log=RecordingLog(),
+            )
+            member = Member(
+                _SETTINGS,
+                ports,  # type: ignore[arg-type]
+                Leadership("edge-1", 1.0, 10.0),
+            )
+            task = asyncio.create_task(member.run())
+            async with asyncio.timeout(5.0):
+                await port.all_handled.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return member
+
+        states = asyncio.run(run()).published_states
+        return {key: states.get(key) for key in (_RUNNING, _DONE, _OTHER)}
+
+    def test_new_leader_ends_the_use_of_states_that_are_not_final(
+        self,
+    ) -> None:
+        """Guards against a settled workflow that is shown as running.
+
+        The earlier leader failed between the commit of the final state and
+        its publication; a leader publishes only the changes of its own term.
+        """
+        known = self._receive(
+            [
+                LeaderHeartbeat(5, "edge-2", 9.9, 0.1),
+                PublishedStates(5, _STATES, number=1),
+                LeaderHeartbeat(6, "edge-3", 9.9, 0.1),
+            ]
+        )
+        self.assertEqual(
+            {_RUNNING: None, _DONE: WorkflowState.DONE, _OTHER: None}, known
+        )
+
+    def test_lost_message_ends_the_use_of_states_that_are_not_final(
+        self,
+    ) -> None:
+        """Guards against a cancelled workflow that is shown as running.
+
+        Messages to a member are lost when its connection is replaced. The
+        next states show it, and so do the queue counts, which follow even
+        if no state changes any more.
+        """
+        for later in (
+            PublishedStates(5, {}, {}, number=2),
+            PublishedStates(5, _OTHER_STATES, number=3),
+        ):
+            known = self._receive(
+                [
+                    LeaderHeartbeat(5, "edge-2", 9.9, 0.1),
+                    PublishedStates(5, _STATES, number=1),
+                    later,
+                ]
+            )
+            self.assertEqual(
+                (None, WorkflowState.DONE, later.states.get(_OTHER)),
+                (known[_RUNNING], known[_DONE], known[_OTHER]),
+            )
+
+    def test_complete_messages_keep_the_states(self) -> None:
+        """Guards against asking the leader for states that are up to date."""
+        known = self._receive(
+            [
+                LeaderHeartbeat(5, "edge-2", 9.9, 0.1),
+                PublishedStates(5, {}, {}, number=0),
+                PublishedStates(5, _STATES, number=1),
+                LeaderHeartbeat(5, "edge-2", 9.9, 0.1),
+                PublishedStates(5, {}, {}, number=1),
+                PublishedStates(5, _OTHER_STATES, number=2),
+                PublishedStates(5, {}, {}, number=1),
+            ]
+        )
+        self.assertEqual({**_STATES, **_OTHER_STATES}, known)
