Accept no grant from the timestamp of a replaced VM

A member that replaces a VM under the same name and address could call workers, extend leases and send old starts for a leader that is cut off, for as long as the clock of the replaced VM was ahead of its own: up to the whole uptime of that VM instead of 2 s.

The leader echoes the last timestamp that it has of a node. Until the new process has answered a heartbeat, that is a time of the clock of the VM before. Grants and the ages of starts are measured from it, and a time in the future never becomes old.

A timestamp later than the own clock gives no grant now, and a start with one is not sent. The next heartbeat of the leader carries an own timestamp.

--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -83,7 +83,8 @@
         :param term: term of the leader
         :param leader: name of the leader's node
         :param echoed_timestamp: timestamp of the last heartbeat of this
-            process that the leader received, 0 if none
+            node that the leader received, 0 if none; a later one than
+            ``now`` is that of a replaced VM and is ignored
         :param confirmation_age_s: seconds since the store confirmed the term
         :param now: current time in seconds, monotonic
         :returns: False if a higher term is known
@@ -97,7 +98,10 @@
         self._leader = leader
         self._waiting_since = now
         self._leader_timeout_s = _LEADER_TIMEOUT_S
-        self._echoed_timestamp = max(self._echoed_timestamp, echoed_timestamp)
+        if echoed_timestamp <= now:
+            self._echoed_timestamp = max(
+                self._echoed_timestamp, echoed_timestamp
+            )
         self._confirmation_age_s = confirmation_age_s
         return True
 
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -204,7 +204,8 @@
         return outcome
 
     def _has_expired(self, queued: _QueuedOrder) -> bool:
-        return (
-            queued.decided_at is not None
-            and self._context.now - queued.decided_at > _START_VALIDITY_S
-        )
+        if queued.decided_at is None:
+            return False
+        age_s = self._context.now - queued.decided_at
+        # A negative age comes from the clock of a VM that was replaced.
+        return not 0.0 <= age_s <= _START_VALIDITY_S
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -23,6 +23,19 @@
         leadership.record_heartbeat(5, "edge-2", 9.9, 0.1, 9.9 + GRANT_S)
         self.assertFalse(leadership.holds_grant(5, 9.9 + GRANT_S))
 
+    def test_timestamp_of_a_replaced_vm_gives_no_grant(self) -> None:
+        """Guards against a grant that lasts as long as another VM ran.
+
+        The leader echoes the last timestamp that it has of a node, also to
+        a VM that has just replaced the node's and whose clock is lower.
+        """
+        leadership = Leadership("edge-1", 1.0, 0.0)
+        leadership.record_heartbeat(5, "edge-2", 900.0, 0.1, 10.0)
+        self.assertFalse(leadership.holds_grant(5, 10.0))
+        leadership.record_heartbeat(5, "edge-2", 10.0, 0.1, 10.1)
+        self.assertTrue(leadership.holds_grant(5, 10.1))
+        self.assertFalse(leadership.holds_grant(5, 10.0 + GRANT_S))
+
     def test_heartbeat_of_lower_term_is_ignored(self) -> None:
         """Guards against accepting heartbeats of a deposed leader."""
         leadership = self._with_leader()
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -108,6 +108,19 @@
             ([], [OrderOutcome.NOT_SENT]), self._execute(start, 2.5)
         )
 
+    def test_start_with_the_timestamp_of_a_replaced_vm_is_not_sent(
+        self,
+    ) -> None:
+        """Guards against a start that never expires.
+
+        The leader may send it with the timestamp of the VM that this one
+        replaced, whose clock was higher.
+        """
+        start = StartOrder(_WORKER, _REF, 1, "text")
+        self.assertEqual(
+            ([], [OrderOutcome.NOT_SENT]), self._execute(start, -50.0)
+        )
+
     def test_recent_start_is_sent(self) -> None:
         """Guards against a limit that refuses starts without a delay."""
         start = StartOrder(_WORKER, _REF, 1, "text")
