Answer calls while the tables of a term are read

Callers waited 1.2 s for each submission and cancellation, and 0.5 s for each state, that reached a new leader before it had read its tables. Since the members are reached before that, a call of a member waited at the leader until the tables were read. The heartbeats of the member follow its calls on the same connection and waited too, so that the leader replaced the connection each second and dropped what was queued on it.

Calls that arrive so early are answered with "not stored", after which the member reads or writes the store itself, as without a leader. The leader reads such rows through its feeds. Nothing else can arrive, because workers are assigned after the load.

Evidence: the new test timed out before.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -136,7 +136,7 @@
         self._waiting_calls = WaitingCalls()
         self._plan_requested = asyncio.Event()
         self._term_check_requested = asyncio.Event()
-        self._loaded = asyncio.Event()
+        self._loaded = False
         self._stopping = False
         self._resigned = asyncio.Event()
         self._session_errors: asyncio.Queue[Exception] = asyncio.Queue()
@@ -201,11 +201,11 @@
                 task.cancel()
 
     async def _load(self) -> LoadedRevisions:
-        """Restore the stored state and let members' messages in."""
+        """Restore the stored state and let the members' messages in."""
         revisions = await self._repository.load(self._planner)
         self._interference.restore(await self._repository.load_interference())
         self._publish_restored_states()
-        self._loaded.set()
+        self._loaded = True
         return revisions
 
     async def resign(self) -> None:
@@ -218,8 +218,15 @@
     async def handle_message(
         self, session: MemberSession, message: Message
     ) -> None:
-        """Handle a message from a member once the stored state is read."""
-        await self._loaded.wait()
+        """Handle a message from a member.
+
+        Until the stored state is read, calls are answered with "not stored":
+        the member then uses the store itself.
+        """
+        if not self._loaded:
+            if isinstance(message, Submit | Cancel | QueryState):
+                await session.send(CallReply(message.call, False))
+            return
         if isinstance(message, Report):
             if message.term == self._term:
                 self._planner.handle_report(message.report, self.now)
--- a/tests/scheduler/test_leader_term_start.py
+++ b/tests/scheduler/test_leader_term_start.py
@@ -9,6 +9,10 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.cluster.messages import CallReply
+from carawaystep.cluster.messages import Cancel
+from carawaystep.cluster.messages import QueryState
+from carawaystep.cluster.messages import Submit
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.leader_term import LeaderTerm
@@ -17,6 +21,7 @@
 from carawaystep.store.row import Row
 from carawaystep.store.table_changes import TableChanges
 from tests.planner.planners import RecordingLog
+from tests.workflow.workflows import workflow_spec
 
 _SETTINGS = NodeSettings("edge-1", "zone", 1.0, "tcp://127.0.0.1:1", 6.0, 0.1)
 _TERM = 7
@@ -61,6 +66,43 @@
         """Guards against deposing each leader that reads its tables slowly."""
         self.assertTrue(asyncio.run(self._reaches_member()))
 
+    def test_calls_are_answered_while_the_tables_are_read(self) -> None:
+        """Guards against callers and heartbeats that wait for the tables.
+
+        A member handles a call itself when the leader does not. Heartbeats
+        of the member follow its calls on the same connection.
+        """
+        spec = workflow_spec()
+        replies: list[object] = []
+
+        async def send(message: object) -> bool:
+            replies.append(message)
+            return True
+
+        async def call() -> None:
+            log = RecordingLog()
+            term = LeaderTerm(
+                _SETTINGS,
+                SimpleNamespace(  # type: ignore[arg-type]
+                    store=_Store(), clock=_Clock(), log=log
+                ),
+                StoreHealth(log, 0.0),
+                _TERM,
+            )
+            session = SimpleNamespace(send=send)
+            calls = (Submit(1, spec), Cancel(2, spec.id), QueryState(3, "b"))
+            async with asyncio.timeout(0.5):
+                for message in calls:
+                    await term.handle_message(
+                        session,  # type: ignore[arg-type]
+                        message,
+                    )
+
+        asyncio.run(call())
+        self.assertEqual(
+            [CallReply(number, False) for number in (1, 2, 3)], replies
+        )
+
     async def _reaches_member(self) -> bool:
         sent = asyncio.Event()
 
