Skip progress of tasks that the stored submission lacks

No leader could start any more, and nothing was scheduled, after a caller had submitted different steps under one id at two nodes at about the same time.

A member stored the one submission directly; the leader admitted the other before its feed showed the first, and took the conflict of its insert for an earlier attempt of its own. It stored progress of tasks that the stored submission does not have. Each later term read both rows and failed.

Such tasks are skipped when a term is loaded. A worker that runs one reports a run that the planner does not expect, which is stopped. That the leader plans the other submission until its term ends stays open.

Evidence: the new test failed before with KeyError: (0, 1).

--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -342,10 +342,16 @@
         return WorkflowRecord(tasks, self._cancelled, self._failed)
 
     def restore(self, record: WorkflowRecord) -> None:
-        """Load stored progress into a workflow that was just created."""
+        """Load stored progress into a workflow that was just created.
+
+        Tasks that the workflow does not have are skipped: they are of another
+        submission under the same id, of which the store kept only one.
+        """
         for stored in record.tasks:
             step_key = (stored.occurrence, stored.step)
-            task = self._tasks[step_key][stored.index]
+            task = self.find_task(TaskRef(self.id, *step_key, stored.index))
+            if task is None:
+                continue
             task.state = TaskState(stored.state)
             task.run = stored.run
             task.checkpoint = stored.checkpoint
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -28,7 +28,9 @@
 from carawaystep.store.table_failure import TableConflict
 from carawaystep.store.table_failure import TableOutcomeUnknown
 from carawaystep.store.table_failure import TableRefused
+from carawaystep.workflow.step_spec import StepSpec
 from carawaystep.workflow.task_ref import TaskRef
+from carawaystep.workflow.workflow import Workflow
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import new_planner
@@ -119,6 +121,29 @@
         self.assertEqual([], plan_and_take_starts(planner))
         self.assertEqual(WorkflowState.CANCELLED, planner.state(_SPEC.id))
 
+    def test_progress_of_another_submission_with_the_id_is_skipped(
+        self,
+    ) -> None:
+        """Guards against stored rows with which no term can start.
+
+        A caller may submit different steps under one id at two nodes; one
+        is stored, and the leader may have placed tasks of the other.
+        """
+        other = workflow_spec(StepSpec(1), StepSpec(3))
+        placed = Workflow(other)
+        for step, index in ((0, 0), (1, 2)):
+            ref = TaskRef(other.id, 0, step, index)
+            placed.place(ref, WorkerKey("w1", 1))
+        record = msgspec.to_builtins(placed.record())
+        planner = self._load(
+            {
+                tables.SUBMISSIONS: {_SPEC.id: msgspec.to_builtins(_SPEC)},
+                tables.PROGRESS: {_SPEC.id: record},
+            }
+        )
+        refs = [r for r, _ in planner.workflows[_SPEC.id].placed_tasks()]
+        self.assertEqual([TaskRef(_SPEC.id, 0, 0, 0)], refs)
+
     def test_settled_workflow_with_a_submission_row_is_not_started(
         self,
     ) -> None:
