Repeat stops on workers that are not listed

A run of a cancelled workflow went on while its worker was missing in the list, if the first stop was lost. Stops were repeated on listed workers only, but a worker stays assigned while it may have runs, and each report extends its lease. A worker drops out of the list also while it works, such as after an outage of the store.

Stops are now repeated on every worker that has reported in the term. On one that is gone they end when its runs count as lost.

Evidence: the new test failed before (no order instead of the stop).

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -403,9 +403,13 @@
             self._lose_run(worker, order.ref, order.run, "withdrawn")
 
     def retry_stops(self) -> None:
-        """Repeat the stops of runs that have not ended yet."""
+        """Repeat the stops of runs that have not ended yet.
+
+        A worker that is not listed may still work; its runs count as lost
+        once it has not reported for long enough.
+        """
         for worker in self._workers.values():
-            if worker.last_report_at is None or not worker.listed:
+            if worker.last_report_at is None:
                 continue
             for ref, tracked in worker.runs.items():
                 if tracked.stopping:
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -261,6 +261,25 @@
         self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.settled)
         self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.states)
 
+    def test_stop_is_repeated_on_a_worker_that_is_not_listed(self) -> None:
+        """Guards against a run that outlives its workflow's cancellation.
+
+        A worker may be missing in the list while it works, and as long as it
+        reports, its lease is extended.
+        """
+        planner = _planner_with_workers("w1")
+        spec = workflow_spec(_ONE_TASK)
+        planner.admit(spec, False)
+        (start,) = plan_and_take_starts(planner)
+        planner.handle_report(report("w1", [running(start)]), 0.1)
+        planner.update_worker_list([])
+        planner.cancel(spec.id)
+        (stop,) = planner.take_immediate_orders()
+        planner.handle_order_outcome(stop, OrderOutcome.NOT_SENT, 0.2)
+        planner.handle_report(report("w1", [running(start)]), 0.3)
+        planner.retry_stops()
+        self.assertEqual([stop], planner.take_immediate_orders())
+
     def test_unexpected_run_is_stopped(self) -> None:
         """Guards against a run that a late order starts after its loss."""
         planner = _planner_with_workers("w1")
