--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -7,6 +7,7 @@
 
 from carawaystep.cluster.messages import Acknowledge
 from carawaystep.cluster.messages import AdviceReply
+from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import OrderResult
 from carawaystep.cluster.messages import PublishedStates
@@ -124,9 +125,11 @@
         self._worker_records: dict[str, WorkerRecord] = {}
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
         self._term_check_requested = asyncio.Event()
-        self._loaded = asyncio.Event()
+        self._loaded = False
         self._stopping = False
         self._resigned = asyncio.Event()
+        # Messages with states that were sent to all members.
+        self._published_count = 0
         self._queue_counts_sent_at = 0.0
         self._stops_retried_at = 0.0
 
@@ -187,11 +190,11 @@
             self._sessions.cancel()
 
     async def _load(self) -> LoadedRevisions:
-        """Restore the stored state and let members' messages in."""
+        """Restore the stored state and let the members' messages in."""
         revisions = await self._repository.load(self._planner)
         self._interference.restore(await self._repository.load_interference())
         self._publish_restored_states()
-        self._loaded.set()
+        self._loaded = True
         return revisions
 
     async def resign(self) -> None:
@@ -203,8 +206,15 @@
     async def handle_message(
         self, session: MemberSession, message: Message
     ) -> None:
-        """Handle a message from a member once the stored state is read."""
-        await self._loaded.wait()
+        """Handle a message from a member.
+
+        Until the stored state is read, calls are answered with "not stored":
+        the member then uses the store itself.
+        """
+        if not self._loaded:
+            if isinstance(message, Submit | Cancel | QueryState):
+                await session.send(CallReply(message.call, False))
+            return
         if isinstance(message, Report):
             if message.term == self._term:
                 self._planner.handle_report(message.report, self.now)
@@ -284,8 +294,11 @@
                 await session.send(Acknowledge(self._term, key, number))
         if changes.states:
             self._calls.record_published(changes.states)
+            self._published_count += 1
             await self._sessions.broadcast(
-                PublishedStates(self._term, changes.states)
+                PublishedStates(
+                    self._term, changes.states, number=self._published_count
+                )
             )
             await self._calls.reply_to_waiting(changes.states)
 
@@ -310,7 +323,10 @@
                 self._queue_counts_sent_at = now
                 await self._sessions.broadcast(
                     PublishedStates(
-                        self._term, {}, self._planner.count_queued()
+                        self._term,
+                        {},
+                        self._planner.count_queued(),
+                        self._published_count,
                     )
                 )
             self._plan_requested.set()
