Draw the traffic of an overload simulation without the planner

Cause: arrivals, sizes and run times came from one random sequence, and each start took a value from it. Another order of work therefore gave a seed other workflows, so that two policies could not be compared on it.

Change: the run time of a task follows from seed, task and run. A test compares the workflows of a seed on two sets of workers; it fails with shared draws. Bounds and seeds of the other tests stay.

The planner is unchanged.

--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -79,14 +79,19 @@
 
 
 class OverloadSimulation:
-    """One simulation, which is reproducible by its seed."""
+    """One simulation, which is reproducible by its seed.
+
+    A seed gives the same workflows and run times whatever the planner does,
+    so that two policies can be compared on it.
+    """
 
     def __init__(self, settings: OverloadSettings, seed: int) -> None:
         """Create a simulation at time 0.
 
-        :param seed: seed of all random choices
+        :param seed: seed of the workflows and of the run times
         """
         self._settings = settings
+        self._seed = seed
         self._random = Random(seed)
         self._planner = new_planner()
         self._names = [f"w{n}" for n in range(len(settings.cpu_millis))]
@@ -104,6 +109,11 @@
         self._settled_at: dict[str, float] = {}
         self._next_arrival = 0.0
 
+    @property
+    def specs(self) -> tuple[WorkflowSpec, ...]:
+        """Return the workflows that have arrived."""
+        return tuple(self._specs.values())
+
     def run(self) -> ServedShares:
         """Simulate all arrivals and return who was served."""
         for tick in range(round(_END_S / _TICK_S)):
@@ -188,12 +198,15 @@
         changes = self._planner.take_changes()
         for order in changes.orders:
             if isinstance(order, StartOrder):
-                run_s = _TASK_S + self._random.uniform(
-                    -_TASK_SPREAD_S, _TASK_SPREAD_S
-                )
+                run_s = self._run_s(order)
                 self._end_times[order.worker.id][order] = now + run_s
         self._settled_at.update(dict.fromkeys(changes.settled, now))
 
+    def _run_s(self, order: StartOrder) -> float:
+        """Return the run time of a task, independent of other starts."""
+        draws = Random(f"{self._seed}/{order.ref}/{order.run}")
+        return _TASK_S + draws.uniform(-_TASK_SPREAD_S, _TASK_SPREAD_S)
+
     def _share_served(self, specs: Iterable[WorkflowSpec]) -> float:
         served = [self._served(spec) for spec in specs]
         return sum(served) / len(served)
--- a/tests/planner/test_overload.py
+++ b/tests/planner/test_overload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 from statistics import fmean
 
@@ -66,6 +67,18 @@
         )
         self._check_sizes(mean, str(runs))
 
+    def test_a_seed_gives_the_same_workflows_to_any_workers(self) -> None:
+        """Guards against comparisons of policies on different traffic."""
+        settings = _equal_tasks(1.6, 0.95)
+        fewer_slots = replace(settings, cpu_millis=(9_900,) * 10 + (1_000,))
+        runs = [
+            OverloadSimulation(workers, seed=1)
+            for workers in (settings, fewer_slots)
+        ]
+        for simulation in runs:
+            simulation.run()
+        self.assertEqual(runs[0].specs, runs[1].specs)
+
     def _check_each_seed(
         self, settings: OverloadSettings, min_served: float
     ) -> None:
