Confirm no call by the reply to one from before a restart

A caller could be told that a submission is accepted, or a cancellation stored, although it is not. Each member numbered its calls from 1 after each start. The leader keeps its connection to a node whose process restarts, and the replies that it sends late, such as after an outage of the store, reach the new process, whose call of the same number they answered.

Numbers now begin at a random one in each process.

Evidence: the new test failed before: the reply to the first call of an earlier process confirmed the first one of the new process.

--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from itertools import count
+from secrets import randbits
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import Acknowledge
@@ -36,6 +37,7 @@
 
 # Longest lease that is requested from a worker.
 WORKER_LEASE_S = 6.0
+_CALL_NUMBER_BITS = 48
 
 
 class Member(MemberContext):
@@ -64,7 +66,9 @@
         self._proxies: dict[WorkerKey, WorkerProxy] = {}
         self._proxy_tasks: dict[WorkerKey, asyncio.Task[None]] = {}
         self._open_calls: dict[int, asyncio.Future[CallReply]] = {}
-        self._call_numbers = count(1)
+        # A leader may reply to the calls of an earlier process on this node,
+        # whose numbers must not be those of calls of this process.
+        self._call_numbers = count(randbits(_CALL_NUMBER_BITS))
         self._draining = False
         self._advice_proxy = AdviceProxy(ports.advisor, self, ports.log)
         self.published_states = PublishedStateCache()
--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -8,6 +8,7 @@
 
 from testtools import TestCase
 
+from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import LeaderHeartbeat
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.leadership.leadership import Leadership
@@ -15,9 +16,11 @@
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import RecordingLog
+from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import FromLeader
+    from carawaystep.cluster.messages import Submit
 
 _SETTINGS = NodeSettings("edge-1", "zone", 1.0, "tcp://127.0.0.1:1", 6.0, 0.1)
 _RUNNING = "5c0e7a21d94b36f8"
@@ -44,6 +47,65 @@
         return True
 
 
+class _LateLeaderPort:
+    """Delivers a reply as soon as the member has sent a call."""
+
+    def __init__(self, reply: CallReply | None = None) -> None:
+        self._reply = reply
+        self._call_sent = asyncio.Event()
+        self.sent: list[Submit] = []
+
+    async def receive(self) -> tuple[bytes, FromLeader]:
+        await self._call_sent.wait()
+        reply, self._reply = self._reply, None
+        if reply is None:
+            await asyncio.Event().wait()
+        return b"leader", reply  # type: ignore[return-value]
+
+    async def send(self, leader: bytes, message: Submit) -> bool:
+        self.sent.append(message)
+        self._call_sent.set()
+        return True
+
+
+def _new_member(port: _LeaderPort | _LateLeaderPort) -> Member:
+    ports = SimpleNamespace(
+        clock=SimpleNamespace(now=lambda: 10.0),
+        leader_port=port,
+        advisor=None,
+        log=RecordingLog(),
+    )
+    return Member(
+        _SETTINGS,
+        ports,  # type: ignore[arg-type]
+        Leadership("edge-1", 1.0, 10.0),
+    )
+
+
+class CallTest(TestCase):
+    """Calls to the leader."""
+
+    def test_reply_to_a_call_before_a_restart_confirms_nothing(self) -> None:
+        """Guards against a confirmed submission that is not stored.
+
+        The leader keeps its connection to a node whose process restarts, so
+        that the new process gets the replies to the calls of the old one.
+        """
+
+        async def submit(port: _LateLeaderPort) -> CallReply | None:
+            member = _new_member(port)
+            task = asyncio.create_task(member.run())
+            reply = await member.submit(workflow_spec(), timeout_s=0.05)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return reply
+
+        earlier = _LateLeaderPort()
+        self.assertIsNone(asyncio.run(submit(earlier)))
+        late_reply = CallReply(earlier.sent[0].call, True)
+        self.assertIsNone(asyncio.run(submit(_LateLeaderPort(late_reply))))
+
+
 class PublishedStatesTest(TestCase):
     """States of which the member may have missed an update."""
 
@@ -54,17 +116,7 @@
 
         async def run() -> Member:
             port = _LeaderPort(messages)
-            ports = SimpleNamespace(
-                clock=SimpleNamespace(now=lambda: 10.0),
-                leader_port=port,
-                advisor=None,
-                log=RecordingLog(),
-            )
-            member = Member(
-                _SETTINGS,
-                ports,  # type: ignore[arg-type]
-                Leadership("edge-1", 1.0, 10.0),
-            )
+            member = _new_member(port)
             task = asyncio.create_task(member.run())
             async with asyncio.timeout(5.0):
                 await port.all_handled.wait()
