Install the build tool of the package from the pinned requirements

Cause: the first `make test` in a fresh checkout printed the traceback of a failed installation. The setuptools that a new environment has needs the package wheel, which is not installed; a second attempt with another setuptools then worked.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,7 @@
 $(VENV)/.installed: requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.txt -c constraints.txt
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e . \
-		|| $(BIN)/pip install --quiet --no-deps -e .
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: install
