Order the pace of runs again that a worker may not have

A best-effort task could stay halted for good, or go on harming a serving task for good. The leader believes the pace that it ordered last. It threw the outcome of pace orders away, and a new term believed that each run it found was at full pace, although the earlier leader may have halted it: reports do not tell the pace, and no leader stores it. Nothing ever ordered it again, and the model of harm learned from paces that were not real.

A run now has its pace in doubt after an order without a confirmation, and best-effort runs at the start of a term. The next report orders it again, at most once a second: as believed, or reduced if the image likely harms a serving task there. The runs that a worker's first report does not list are dropped before, so that they get no order.

An order without an answer that a worker carries out seconds later, after a newer one, is not covered.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -33,6 +33,8 @@
         task, CPU use of any other task
     :param pace_percent: share of full speed that was last ordered
     :param pace_set_at: when the pace was last ordered
+    :param pace_in_doubt: whether the worker may run it at another pace than
+        the one last ordered
     :param over_target_since: when the tail of a serving task was first
         reported over its target, None while it is within the target
     """
@@ -49,6 +51,7 @@
     tail_ms_or_cpu_millis: float = 0.0
     pace_percent: int = 100
     pace_set_at: float = 0.0
+    pace_in_doubt: bool = False
     over_target_since: float | None = None
 
     @property
--- a/src/carawaystep/fleet/tracked_worker.py
+++ b/src/carawaystep/fleet/tracked_worker.py
@@ -251,6 +251,7 @@
         self._add_to_totals(tracked, -1)
         tracked.pace_percent = pace_percent
         tracked.pace_set_at = now
+        tracked.pace_in_doubt = False
         self._add_to_totals(tracked, 1)
 
     def set_unexpected_runs(self, steps: Iterable[StepSpec]) -> None:
--- a/src/carawaystep/planner/interference_guard.py
+++ b/src/carawaystep/planner/interference_guard.py
@@ -65,7 +65,8 @@
         for tracked in worker.runs.values():
             self._track_harm(worker, tracked, now)
         self._interference.observe(worker, now)
-        return [*self._protect(worker, now), *self._resume(worker, now)]
+        actions = [*self._protect(worker, now), *self._resume(worker, now)]
+        return [*actions, *self._repeat_paces(worker, actions, now)]
 
     def _track_harm(
         self, worker: TrackedWorker, tracked: TrackedRun, now: float
@@ -132,6 +133,29 @@
                 actions.append(GuardAction(ref, REDUCED_PACE_PERCENT))
         return actions
 
+    def _repeat_paces(
+        self, worker: TrackedWorker, actions: list[GuardAction], now: float
+    ) -> list[GuardAction]:
+        """Order the paces that workers may not have applied.
+
+        :param actions: actions already chosen, whose tasks are left out
+        """
+        acted_on = {action.ref for action in actions}
+        return [
+            GuardAction(ref, self._safe_pace(worker, tracked))
+            for ref, tracked in worker.runs.items()
+            if tracked.pace_in_doubt
+            and not tracked.stopping
+            and ref not in acted_on
+            and now - tracked.pace_set_at >= _MIN_PACE_INTERVAL_S
+        ]
+
+    def _safe_pace(self, worker: TrackedWorker, tracked: TrackedRun) -> int:
+        """Return the pace of a run, reduced if it likely harms others."""
+        if self._interference.likely_harms(tracked.step.image, worker):
+            return min(tracked.pace_percent, REDUCED_PACE_PERCENT)
+        return tracked.pace_percent
+
     @staticmethod
     def _is_active_best_effort(tracked: TrackedRun, images: set[str]) -> bool:
         return (
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from carawaystep.fleet.order import PaceOrder
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
@@ -209,9 +210,9 @@
         if report.ended:
             self._changes.acknowledged[report.worker] = report.ended[-1].number
         self._reported_runs.apply_running(worker, report.running)
-        self._protect_serving_tasks(worker, now)
         if first:
             self._reported_runs.lose_unreported(worker, report.running)
+        self._protect_serving_tasks(worker, now)
 
     def handle_order_outcome(
         self, order: Order, outcome: OrderOutcome, now: float
@@ -220,6 +221,7 @@
 
         A start whose outcome is unknown may still be executed: it is stopped
         first, and requeued once the run has ended or cannot start any more.
+        A pace is ordered again after an order that was not confirmed.
 
         :param now: current time, seconds of a monotonic clock
         """
@@ -233,6 +235,10 @@
             if outcome is OrderOutcome.DONE:
                 tracked.confirm_stop()
             return
+        if isinstance(order, PaceOrder):
+            if outcome is not OrderOutcome.DONE:
+                tracked.pace_in_doubt = True
+            return
         if not isinstance(order, StartOrder):
             return
         if outcome is OrderOutcome.DONE:
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -173,6 +173,8 @@
                             step,
                             workflow.spec.priority,
                             self._term_started_at,
+                            # An earlier leader may have slowed it.
+                            pace_in_doubt=step.fills,
                         ),
                     )
 
