Send nothing meant for an earlier lifetime of a worker

A worker may start again under the id that it had, and the header of a call names only that id. A member went on sending the orders that it had queued for the earlier lifetime after the later one had reported, with a deadline on the new clock. The leader drops the runs of the earlier lifetime with that report and requeues their tasks, so that such a start is a second run of the task, or one of a workflow whose cancellation is confirmed. Its polls also acknowledged the ends of the later lifetime up to a number of the earlier one, and extended its lease: each lifetime numbers its ends from 1, so that ends could be forgotten before they were stored.

Change: once a report is of another lifetime, queued orders get the outcome "other lifetime", and further polls acknowledge and extend nothing.

A start that is already on its way when the worker comes back is not covered.

--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -89,6 +89,9 @@
         self._first_report_received = asyncio.Event()
         self._orders: asyncio.Queue[_QueuedOrder] = asyncio.Queue()
         self._answered_at = 0.0
+        # Whether another lifetime of the worker sent the last report. Calls
+        # name the worker's id, which a later lifetime may have too.
+        self._replaced = False
         self._prompt_reports_left = 0
 
     def acknowledge(self, number: int) -> None:
@@ -122,10 +125,7 @@
             if not self._context.holds_grant(self._term):
                 await asyncio.sleep(_REPORT_RETRY_INTERVAL_S)
                 continue
-            now = self._context.now
-            answered_recently = (
-                now - self._answered_at < _LEASE_EXTENSION_WINDOW_S
-            )
+            answered_recently = self._has_answered_recently()
             prompt = (
                 not self._first_report_received.is_set()
                 or self._prompt_reports_left > 0
@@ -133,7 +133,7 @@
             self._prompt_reports_left = max(0, self._prompt_reports_left - 1)
             result = await self._link.fetch_report(
                 self._term,
-                self._acknowledged_end,
+                0 if self._replaced else self._acknowledged_end,
                 answered_recently,
                 0.0
                 if prompt or not answered_recently
@@ -144,6 +144,7 @@
                 continue
             report = result.ok_value
             self._answered_at = self._context.now
+            self._replaced = report.worker != self._worker.key
             self._first_report_received.set()
             self._acknowledgement_received.clear()
             await self._context.send(Report(self._term, report))
@@ -151,6 +152,11 @@
                 await self._wait_until_acknowledged(report.ended[-1].number)
             await asyncio.sleep(_BATCH_WINDOW_S)
 
+    def _has_answered_recently(self) -> bool:
+        """Tell whether the worker's leases may be extended."""
+        silent_s = self._context.now - self._answered_at
+        return not self._replaced and silent_s < _LEASE_EXTENSION_WINDOW_S
+
     async def _handle_link_failure(self, failure: LinkFailure) -> None:
         if failure.fenced or failure.other_lifetime:
             await self._context.send(
@@ -190,6 +196,8 @@
             return OrderOutcome.NOT_SENT
         if not self._context.holds_grant(self._term):
             return OrderOutcome.NOT_SENT
+        if self._replaced:
+            return OrderOutcome.OTHER_LIFETIME
         if isinstance(order, StartOrder) and self._has_expired(queued):
             self._log.line(
                 "start.expired",
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -58,13 +58,26 @@
 class _Link(WorkerLink):
     """Records the orders that reach the worker."""
 
-    def __init__(self) -> None:
+    def __init__(self, worker: WorkerKey = _WORKER) -> None:
+        """Create a link to a worker.
+
+        :param worker: lifetime of the worker that answers
+        """
+        self._worker = worker
         self.orders: list[Order] = []
+        self.acknowledged: list[int] = []
+        self.extensions: list[bool] = []
+        self.polled_again = asyncio.Event()
 
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
-        return Ok(WorkerReport(_WORKER, [], []))
+        self.acknowledged.append(acknowledged)
+        self.extensions.append(extend_lease)
+        if len(self.acknowledged) > 1:
+            self.polled_again.set()
+        await asyncio.sleep(0)
+        return Ok(WorkerReport(self._worker, [], []))
 
     async def execute_order(self, order: Order, token: int) -> OrderOutcome:
         self.orders.append(order)
@@ -134,3 +147,72 @@
         self.assertEqual(
             ([stop], [OrderOutcome.DONE]), self._execute(stop, 60.0)
         )
+
+
+class ReplacedLifetimeTest(TestCase):
+    """A worker that has started again under its id.
+
+    Its calls name the id, which both lifetimes have.
+    """
+
+    def _run(
+        self, worker: WorkerKey, order: StartOrder | StopOrder
+    ) -> tuple[_Link, list[OrderOutcome]]:
+        """Execute an order once the worker has answered twice.
+
+        :param worker: lifetime of the worker that answers
+        """
+        member = _Member()
+        link = _Link(worker)
+
+        async def run() -> None:
+            assigned = AssignedWorker(_WORKER, "127.0.0.1:1")
+            proxy = WorkerProxy(assigned, link, member, RecordingLog())
+            proxy.acknowledge(57)
+            task = asyncio.create_task(proxy.run())
+            async with asyncio.timeout(5.0):
+                await link.polled_again.wait()
+                proxy.enqueue_order(NumberedOrder(1, order), _DECIDED_AT)
+                await member.order_answered.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        return link, member.outcomes
+
+    def test_order_for_an_earlier_lifetime_is_not_sent(self) -> None:
+        """Guards against a run that the leader has already requeued.
+
+        It drops all runs of the earlier lifetime with the first report of
+        the later one.
+        """
+        link, outcomes = self._run(
+            WorkerKey("w1", 2), StartOrder(_WORKER, _REF, 1, "text")
+        )
+        self.assertEqual(
+            ([], [OrderOutcome.OTHER_LIFETIME]), (link.orders, outcomes)
+        )
+
+    def test_ends_of_a_later_lifetime_are_not_acknowledged(self) -> None:
+        """Guards against ends that are forgotten before they are stored.
+
+        Each lifetime numbers them from 1.
+        """
+        link, _ = self._run(WorkerKey("w1", 2), StopOrder(_WORKER, _REF, 1))
+        self.assertEqual((57, {0}), (link.acknowledged[0], _later(link)))
+        self.assertFalse(any(link.extensions))
+
+    def test_expected_lifetime_is_served(self) -> None:
+        """Guards against a worker that is taken for another lifetime."""
+        start = StartOrder(_WORKER, _REF, 1, "text")
+        link, outcomes = self._run(_WORKER, start)
+        self.assertEqual(
+            ([start], [OrderOutcome.DONE]), (link.orders, outcomes)
+        )
+        self.assertEqual({57}, set(link.acknowledged))
+        self.assertTrue(all(link.extensions[1:]))
+
+
+def _later(link: _Link) -> set[int]:
+    """Return what all polls but the first have acknowledged."""
+    return set(link.acknowledged[1:])
