Accept no submission on a conflict that names no row

A member without a leader tells the caller that a submission is accepted when its insert conflicts, because the conflicting row is the submission itself or its end. A conflict that names no such row shows neither, and was told as accepted too: the caller would never send the submission again. The leader's commits already treat such a conflict as a failure. The caller is now told that the outcome is unknown, and repeats the call.

Evidence: the new test failed before.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -363,7 +363,8 @@
 ) -> Result[None, TableFailure]:
     """Store a submission without the leader.
 
-    :returns: Ok if the submission is stored now or was before
+    :returns: Ok if the submission is stored now or was before; a conflict
+        that names no row is a failure, as nothing shows that it was
     """
     result = await store.transact(
         [
@@ -371,8 +372,9 @@
             PutRow(tables.SUBMISSIONS, spec.id, 0, msgspec.to_builtins(spec)),
         ]
     )
-    if isinstance(result, Err) and not isinstance(
-        result.err_value, TableConflict
-    ):
-        return result
-    return Ok(None)
+    if isinstance(result, Ok):
+        return Ok(None)
+    failure = result.err_value
+    if isinstance(failure, TableConflict) and failure.versions:
+        return Ok(None)
+    return Err(failure)
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -18,6 +18,7 @@
 from carawaystep.planner.changes import Changes
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.store_health import StoreHealth
+from carawaystep.scheduler.workflow_repository import insert_submission
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 from carawaystep.store.operation import CheckRow
@@ -98,6 +99,27 @@
     )
 
 
+class InsertSubmissionTest(TestCase):
+    """A submission that a member stores without the leader."""
+
+    def _insert(self, answer: object) -> object:
+        store = _Store(answer)
+        return asyncio.run(
+            insert_submission(store, _SPEC)  # type: ignore[arg-type]
+        )
+
+    def test_submission_that_the_store_has_is_stored(self) -> None:
+        """Guards against an error for a repeated submission."""
+        for table in (tables.SUBMISSIONS, tables.ENDED):
+            answer = _conflict(table, _SPEC.id, 3)
+            self.assertEqual(Ok(None), self._insert(answer))
+
+    def test_conflict_without_rows_proves_nothing(self) -> None:
+        """Guards against accepting a submission that is not stored."""
+        result = self._insert(Err(TableConflict("no rows", {})))
+        self.assertIsInstance(result, Err)
+
+
 class LoadTest(TestCase):
     """The stored state from which a term starts."""
 
