Call a worker again after an unexpected error

An unexpected error in the calls to a worker ended its proxy without a line in the log. The member kept the dead proxy: orders went into its queue for ever, nobody fetched reports or extended leases, and the leader did not assign the worker anew, because the assignment was as it was. The worker's runs lapsed and it got nothing for the rest of the term.

Such errors exist: a report with a row that is too short raises IndexError, and a run number above 64 bits OverflowError when it is sent to the leader.

The member now logs the error (proxy.failed) and opens another proxy after a second. The outcomes of orders in the old queue are unknown to the leader, which stops those runs first, as for any lost result.

Evidence: the new test waited for a second connection in vain before.

--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -7,6 +7,8 @@
 from secrets import randbits
 from typing import TYPE_CHECKING
 
+from absl import logging
+
 from carawaystep.cluster.messages import Acknowledge
 from carawaystep.cluster.messages import Assign
 from carawaystep.cluster.messages import CallReply
@@ -27,6 +29,7 @@
 from carawaystep.scheduler.worker_proxy import WorkerProxy
 
 if TYPE_CHECKING:
+    from carawaystep.cluster.messages import AssignedWorker
     from carawaystep.cluster.messages import FromLeader
     from carawaystep.cluster.messages import FromMember
     from carawaystep.fleet.worker_key import WorkerKey
@@ -38,6 +41,7 @@
 # Longest lease that is requested from a worker.
 WORKER_LEASE_S = 6.0
 _CALL_NUMBER_BITS = 48
+_PROXY_RESTART_DELAY_S = 1.0
 
 
 class Member(MemberContext):
@@ -242,16 +246,41 @@
             if key not in assigned:
                 del self._proxies[key]
                 self._proxy_tasks.pop(key).cancel()
-        lease_s = min(WORKER_LEASE_S, self._settings.max_lease_s)
         for key, worker in assigned.items():
-            if key in self._proxies:
-                continue
-            link = self._ports.open_worker_link(key, worker.address, lease_s)
-            proxy = WorkerProxy(worker, link, self, self._ports.log)
-            self._proxies[key] = proxy
-            self._proxy_tasks[key] = asyncio.create_task(
-                proxy.run(), name=f"worker proxy {key.id}"
+            if key not in self._proxies:
+                self._open_proxy(worker)
+
+    def _open_proxy(self, worker: AssignedWorker) -> None:
+        lease_s = min(WORKER_LEASE_S, self._settings.max_lease_s)
+        link = self._ports.open_worker_link(
+            worker.key, worker.address, lease_s
+        )
+        proxy = WorkerProxy(worker, link, self, self._ports.log)
+        self._proxies[worker.key] = proxy
+        self._proxy_tasks[worker.key] = asyncio.create_task(
+            self._run_proxy(worker, proxy),
+            name=f"worker proxy {worker.key.id}",
+        )
+
+    async def _run_proxy(
+        self, worker: AssignedWorker, proxy: WorkerProxy
+    ) -> None:
+        """Run a proxy, and open another one after an unexpected error.
+
+        The outcomes of its orders are then unknown to the leader.
+        """
+        try:
+            await proxy.run()
+        except Exception as error:
+            logging.exception("Proxy of worker %s failed", worker.key.id)
+            cause = error
+            while isinstance(cause, ExceptionGroup):
+                cause = cause.exceptions[0]
+            self._ports.log.line(
+                "proxy.failed", worker.key.id, detail=repr(cause)
             )
+            await asyncio.sleep(_PROXY_RESTART_DELAY_S)
+            self._open_proxy(worker)
 
     def _stop_proxies(self) -> None:
         for task in self._proxy_tasks.values():
--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -5,12 +5,16 @@
 import asyncio
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from testtools import TestCase
 
+from carawaystep.cluster.messages import Assign
+from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import LeaderHeartbeat
 from carawaystep.cluster.messages import PublishedStates
+from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.scheduler.member import Member
 from carawaystep.scheduler.node_settings import NodeSettings
@@ -68,12 +72,17 @@
         return True
 
 
-def _new_member(port: _LeaderPort | _LateLeaderPort) -> Member:
+def _new_member(
+    port: _LeaderPort | _LateLeaderPort,
+    open_worker_link: object = None,
+    log: RecordingLog | None = None,
+) -> Member:
     ports = SimpleNamespace(
         clock=SimpleNamespace(now=lambda: 10.0),
         leader_port=port,
         advisor=None,
-        log=RecordingLog(),
+        open_worker_link=open_worker_link,
+        log=log or RecordingLog(),
     )
     return Member(
         _SETTINGS,
@@ -185,3 +194,67 @@
             ]
         )
         self.assertEqual({**_STATES, **_OTHER_STATES}, known)
+
+
+class _BrokenLink:
+    """Link on which a poll raises an unexpected error."""
+
+    async def fetch_report(self, *_: object) -> None:
+        raise IndexError("list index out of range")
+
+    async def close(self) -> None:
+        return
+
+
+class _SilentLink:
+    """Link to a worker that does not answer."""
+
+    async def fetch_report(self, *_: object) -> None:
+        await asyncio.Event().wait()
+
+    async def close(self) -> None:
+        return
+
+
+class ProxyFailureTest(TestCase):
+    """An unexpected error in the calls to a worker."""
+
+    def test_proxy_that_failed_is_replaced(self) -> None:
+        """Guards against a worker that nobody calls for the rest of a term.
+
+        The leader does not assign it anew, because the assignment is as it
+        was.
+        """
+        key = WorkerKey("w1", 1)
+        links: list[_BrokenLink | _SilentLink] = []
+        log = RecordingLog()
+
+        async def run() -> None:
+            reopened = asyncio.Event()
+
+            def open_link(*_: object) -> _BrokenLink | _SilentLink:
+                links.append(_SilentLink() if links else _BrokenLink())
+                if len(links) > 1:
+                    reopened.set()
+                return links[-1]
+
+            port = _LeaderPort(
+                [
+                    LeaderHeartbeat(5, "edge-2", 9.9, 0.1),
+                    Assign(5, 1, [AssignedWorker(key, "127.0.0.1:1")]),
+                ]
+            )
+            member = _new_member(port, open_link, log)
+            task = asyncio.create_task(member.run())
+            async with asyncio.timeout(2.0):
+                await reopened.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        with patch(
+            "carawaystep.scheduler.member._PROXY_RESTART_DELAY_S", 0.01
+        ):
+            asyncio.run(run())
+        self.assertEqual(2, len(links))
+        self.assertIn(("proxy.failed", "w1"), log.events)
+        self.assertIn("IndexError", str(log.fields["proxy.failed"]["detail"]))
