Repeat a pace while an unanswered order may still be carried out

A worker may carry out an order without an answer seconds later, after newer ones. A halt that arrives after the resumption halts a best-effort task for good, because the leader believes that it runs at full pace; a resumption that arrives after the halt harms serving tasks.

A pace is now ordered again every 3 s until 15 s after an order of the run without an answer.

Evidence: the new test failed before.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -35,6 +35,8 @@
     :param pace_set_at: when the pace was last ordered
     :param pace_in_doubt: whether the worker may run it at another pace than
         the one last ordered
+    :param pace_unanswered_at: when a pace was last ordered without an answer,
+        None if all orders had one; the worker may carry it out late
     :param over_target_since: when the tail of a serving task was first
         reported over its target, None while it is within the target
     """
@@ -52,6 +54,7 @@
     pace_percent: int = 100
     pace_set_at: float = 0.0
     pace_in_doubt: bool = False
+    pace_unanswered_at: float | None = None
     over_target_since: float | None = None
 
     @property
--- a/src/carawaystep/planner/interference_guard.py
+++ b/src/carawaystep/planner/interference_guard.py
@@ -25,6 +25,10 @@
 # A worker gets no best-effort tasks for this time after a report of harm.
 _BLOCK_AFTER_HARM_S = 1.5
 _MIN_PACE_INTERVAL_S = 1.0
+# A worker may carry out an order without an answer up to this much later, and
+# after newer ones. Meanwhile the pace is ordered again at an interval.
+_MAX_ORDER_DELAY_S = 15.0
+_LATE_ORDER_INTERVAL_S = 3.0
 _FULL_PACE_PERCENT = 100
 # Pace of a best-effort task that has to run beside tasks that it likely harms,
 # whether it was placed there or resumes after a halt.
@@ -144,12 +148,22 @@
         return [
             GuardAction(ref, self._safe_pace(worker, tracked))
             for ref, tracked in worker.runs.items()
-            if tracked.pace_in_doubt
-            and not tracked.stopping
+            if not tracked.stopping
             and ref not in acted_on
-            and now - tracked.pace_set_at >= _MIN_PACE_INTERVAL_S
+            and self._is_repeat_due(tracked, now)
         ]
 
+    @staticmethod
+    def _is_repeat_due(tracked: TrackedRun, now: float) -> bool:
+        since_order_s = now - tracked.pace_set_at
+        if tracked.pace_in_doubt:
+            return since_order_s >= _MIN_PACE_INTERVAL_S
+        return (
+            tracked.pace_unanswered_at is not None
+            and now - tracked.pace_unanswered_at < _MAX_ORDER_DELAY_S
+            and since_order_s >= _LATE_ORDER_INTERVAL_S
+        )
+
     def _safe_pace(self, worker: TrackedWorker, tracked: TrackedRun) -> int:
         """Return the pace of a run, reduced if it likely harms others."""
         if self._interference.likely_harms(tracked.step.image, worker):
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -238,6 +238,8 @@
         if isinstance(order, PaceOrder):
             if outcome is not OrderOutcome.DONE:
                 tracked.pace_in_doubt = True
+            if outcome is OrderOutcome.UNKNOWN:
+                tracked.pace_unanswered_at = now
             return
         if not isinstance(order, StartOrder):
             return
--- a/tests/planner/test_pace_orders.py
+++ b/tests/planner/test_pace_orders.py
@@ -122,6 +122,28 @@
             self._report(4.2, _HARMED_TAIL_MS)
             self.assertEqual([0], self._take_paces())
 
+    def test_pace_is_ordered_again_after_a_late_order(self) -> None:
+        """Guards against an older halt that a worker carries out late.
+
+        A worker may carry out an order without an answer seconds later,
+        after newer ones.
+        """
+        halt = self._halt()
+        self.planner.handle_order_outcome(halt, OrderOutcome.UNKNOWN, 4.0)
+        ordered: list[int] = []
+        for now in range(9, 40):
+            self._report(float(now), _GOOD_TAIL_MS)
+            orders = self._take_pace_orders()
+            for order in orders:
+                self.planner.handle_order_outcome(
+                    order, OrderOutcome.DONE, now + 0.1
+                )
+            if orders:
+                ordered.append(now)
+        self.assertLessEqual(16, ordered[-1])
+        self.assertGreater(25, ordered[-1])
+        self.assertGreaterEqual(6, len(ordered))
+
     def test_resumption_that_failed_is_repeated(self) -> None:
         """Guards against a task that stays halted for good."""
         self._halt()
