--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -185,7 +185,8 @@
                 group.create_task(self._run_planner())
                 group.create_task(self._save_interference())
         except* TermEnded:
-            self._ports.log.line("leader.deposed", self.name, term=self._term)
+            event = "leader.resigned" if self._stopping else "leader.deposed"
+            self._ports.log.line(event, self.name, term=self._term)
         finally:
             self._sessions.cancel()
 
--- a/tests/scheduler/test_leader_term_start.py
+++ b/tests/scheduler/test_leader_term_start.py
@@ -59,6 +59,39 @@
         )
 
 
+def _new_term(log: RecordingLog, sent: asyncio.Event) -> LeaderTerm:
+    """Return a term with one member.
+
+    :param sent: set when a message was sent to the member
+    """
+
+    async def send(message: object) -> bool:
+        sent.set()
+        return True
+
+    async def wait(*_: object) -> None:
+        await asyncio.Event().wait()
+
+    async def close() -> None:
+        return
+
+    ports = SimpleNamespace(
+        store=_Store(),
+        clock=_Clock(),
+        log=log,
+        open_member_channel=lambda _: SimpleNamespace(
+            send=send, receive=wait, reconnect=wait, close=close
+        ),
+        worker_list=SimpleNamespace(table="servers"),
+    )
+    return LeaderTerm(
+        _SETTINGS,
+        ports,  # type: ignore[arg-type]
+        StoreHealth(log, 0.0),
+        _TERM,
+    )
+
+
 class LeaderTermStartTest(TestCase):
     """Start of a term over a narrow link."""
 
@@ -103,36 +136,24 @@
             [CallReply(number, False) for number in (1, 2, 3)], replies
         )
 
-    async def _reaches_member(self) -> bool:
-        sent = asyncio.Event()
-
-        async def send(message: object) -> bool:
-            sent.set()
-            return True
+    def test_resignation_is_not_logged_as_a_deposition(self) -> None:
+        """Guards against a log that tells of an election that was not."""
+        log = RecordingLog()
 
-        async def wait(*_: object) -> None:
-            await asyncio.Event().wait()
+        async def resign() -> None:
+            term = _new_term(log, asyncio.Event())
+            leading = asyncio.create_task(term.run())
+            await asyncio.sleep(0)
+            await term.resign()
+            async with asyncio.timeout(1.0):
+                await leading
 
-        async def close() -> None:
-            return
+        asyncio.run(resign())
+        self.assertEqual([("leader.resigned", "edge-1")], log.events)
 
-        log = RecordingLog()
-        ports = SimpleNamespace(
-            store=_Store(),
-            clock=_Clock(),
-            log=log,
-            open_member_channel=lambda _: SimpleNamespace(
-                send=send, receive=wait, reconnect=wait, close=close
-            ),
-            worker_list=SimpleNamespace(table="servers"),
-        )
-        term = LeaderTerm(
-            _SETTINGS,
-            ports,  # type: ignore[arg-type]
-            StoreHealth(log, 0.0),
-            _TERM,
-        )
-        leading = asyncio.create_task(term.run())
+    async def _reaches_member(self) -> bool:
+        sent = asyncio.Event()
+        leading = asyncio.create_task(_new_term(RecordingLog(), sent).run())
         try:
             async with asyncio.timeout(_GRACE_S):
                 await sent.wait()
