Split the tests of the planner by what they test

Cause: tests/planner/test_planner.py had 757 lines on ten subjects, so that a reader could not see where a decision of the planner is tested.

Change: ten modules in its place: placement, outcomes of orders, lost workers, new terms, cancellation, long-running tasks, gangs, best-effort tasks, CPU held for started workflows, and log lines. The planner with reported workers and the one-task step moved to planners.py. PlannerTest is split by subject, HeldWorkersTest of this file is now HeldForStartedWorkflowsTest.

--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -16,8 +16,10 @@
 from carawaystep.planner.interference_model import InterferenceModel
 from carawaystep.planner.planner import Planner
 from carawaystep.planner.planner_limits import PlannerLimits
+from carawaystep.workflow.step_spec import StepSpec
 
 LIMITS = PlannerLimits(lost_after_s=8.0, takeover_lost_after_s=18.0)
+ONE_TASK = StepSpec(1, cpu_millis=1000, memory_mb=100)
 
 
 class RecordingLog(DecisionLog):
@@ -74,6 +76,15 @@
     )
 
 
+def planner_with_workers(*names: str) -> Planner:
+    """Return a planner with empty workers that have reported."""
+    planner = new_planner()
+    planner.update_worker_list([worker_record(name) for name in names])
+    for name in names:
+        planner.handle_report(report(name), 0.0)
+    return planner
+
+
 def report(
     name: str,
     running: list[ReportedRun] | None = None,
--- /dev/null
+++ b/tests/planner/test_new_term.py
@@ -0,0 +1,87 @@
+"""Tests of the planner at the start of a leader's term."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from carawaystep.workflow.workflow import Workflow
+from carawaystep.workflow.workflow_state import WorkflowState
+from tests.planner.planners import LIMITS
+from tests.planner.planners import new_planner
+from tests.planner.planners import ONE_TASK
+from tests.planner.planners import plan_and_take_starts
+from tests.planner.planners import planner_with_workers
+from tests.planner.planners import report
+from tests.planner.planners import running
+from tests.planner.planners import worker_record
+from tests.workflow.workflows import workflow_spec
+
+
+class StoredRunsTest(TestCase):
+    """Runs that an earlier leader started."""
+
+    def test_new_term_waits_for_the_worker_of_a_stored_run(self) -> None:
+        """Guards against a second run beside one of an earlier leader."""
+        first = planner_with_workers("w1")
+        spec = workflow_spec(ONE_TASK)
+        first.admit(spec, False)
+        (start,) = plan_and_take_starts(first)
+        record = first.workflows[spec.id].record()
+        planner = new_planner(10.0)
+        planner.restore(spec, record)
+        planner.update_worker_list([worker_record("w1"), worker_record("w2")])
+        planner.handle_report(report("w2"), 10.0)
+        self.assertEqual([], plan_and_take_starts(planner, 10.0))
+        planner.handle_report(report("w1", [running(start)]), 10.1)
+        self.assertEqual([], plan_and_take_starts(planner, 10.1))
+
+    def test_new_term_requeues_a_run_that_its_worker_does_not_list(
+        self,
+    ) -> None:
+        """Guards against waiting for a start that the new token prevents."""
+        first = planner_with_workers("w1")
+        spec = workflow_spec(ONE_TASK)
+        first.admit(spec, False)
+        plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.update_worker_list([worker_record("w1")])
+        planner.handle_report(report("w1"), 10.0)
+        self.assertEqual(2, plan_and_take_starts(planner, 10.0)[0].run)
+
+    def test_stored_run_on_a_vanished_worker_is_placed_after_the_limit(
+        self,
+    ) -> None:
+        """Guards against waiting forever for a removed worker."""
+        first = planner_with_workers("w1")
+        spec = workflow_spec(ONE_TASK)
+        first.admit(spec, False)
+        plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.update_worker_list([worker_record("w2")])
+        later = 10.1 + LIMITS.takeover_lost_after_s
+        planner.handle_report(report("w2"), later)
+        self.assertEqual([], plan_and_take_starts(planner, later))
+        planner.requeue_lost_runs(later)
+        self.assertEqual(1, len(plan_and_take_starts(planner, later)))
+
+
+class RestoreTest(TestCase):
+    """Stored workflows at the start of a term."""
+
+    def test_settled_workflow_is_known(self) -> None:
+        """Guards against a repeated submission that runs again."""
+        planner = new_planner()
+        planner.restore_final("c" * 16, WorkflowState.DONE)
+        self.assertFalse(planner.admit(workflow_spec(id="c" * 16), False))
+
+    def test_cancelled_workflow_without_runs_settles_at_once(self) -> None:
+        """Guards against a row that is never removed."""
+        spec = workflow_spec(ONE_TASK)
+        workflow = Workflow(spec)
+        workflow.cancel()
+        planner = new_planner()
+        planner.restore(spec, workflow.record())
+        changes = planner.take_changes()
+        self.assertEqual({spec.id: WorkflowState.CANCELLED}, changes.settled)
