Split the capacity report into a module for each section

Change: CapacityFigures has the estimates, limits.py the limits, rate_table.py the table of rates, and one ReportSection each the machine, the costs of an entry, the table service, the links, and processor times. Calls per second of a kind are a method of Sample. The test of the writes of a start asks CapacityFigures, where the calculation now is, with the same assertion.

--- a/tests/tools/capacity/test_capacity_report.py
+++ b/tests/tools/capacity/test_capacity_report.py
@@ -8,9 +8,10 @@
 
 from tests.tools.capacity.synthetic_measurements import measurements
 from tests.tools.capacity.synthetic_measurements import WRITES_PER_START
+from tools.capacity.capacity_figures import CapacityFigures
 from tools.capacity.capacity_page import CapacityPage
 from tools.capacity.capacity_report import CapacityReport
-from tools.capacity.capacity_report import describe_limit_result
+from tools.capacity.limits import describe_limit_result
 from tools.capacity.markdown import to_cell
 
 
@@ -25,7 +26,7 @@
     def test_writes_of_a_start_do_not_include_heartbeats(self) -> None:
         """Guards against counting heartbeats as writes of a start."""
         self.assertAlmostEqual(
-            WRITES_PER_START, self.report.writes_per_start()
+            WRITES_PER_START, CapacityFigures(measurements()).writes_per_start
         )
 
     def test_the_table_service_is_over_its_limit_at_the_peak(self) -> None:
--- a/tools/capacity/cost_model.py
+++ b/tools/capacity/cost_model.py
@@ -45,6 +45,10 @@
         """Return the sample of the small deployment, the base of all sums."""
         return self._small
 
+    def samples(self, name: str) -> list[Sample]:
+        """Return the samples of the points of a size, in their order."""
+        return [sample for _, sample in self._points[name]]
+
     def fit(self, name: str, cost: str) -> LinearFit:
         """Fit a line to one cost as a function of one size.
 
--- a/tools/capacity/sample.py
+++ b/tools/capacity/sample.py
@@ -43,6 +43,10 @@
             if kind.partition("/")[0] == group
         )
 
+    def calls_per_s(self, kind: str) -> float:
+        """Return the calls per second of a kind of call, 0 without calls."""
+        return float(self.traffic.get(kind, {}).get("calls_per_s", 0.0))
+
     def bytes_per_s(self, group: str) -> float:
         """Return the bytes per second of a group in both directions."""
         return self.total(group, "sent_bytes_per_s") + self.total(
