Give the calls in a test of the platform's client a second to be sent

The calls had 0.2 s. Evidence: with a pause of 0.25 s of the process before the call is sent, the client rightly reports that nothing was sent (no request at the server); with 2 s it reports the unknown outcome in spite of the same pause.

Change: the calls have 1 s, and the silent answer takes 1.5 s. All assertions are the same.

Result: tests/adapters/platform_http passes.

--- a/tests/adapters/platform_http/test_platform_http.py
+++ b/tests/adapters/platform_http/test_platform_http.py
@@ -94,6 +94,9 @@
 _JSON_CALLS = (_transact, _get, _changes, _vms)
 _CALLS = (*_JSON_CALLS, _put_object, _get_object)
 
+# A call that is delayed for longer than this before it is sent is a refusal.
+_TIMEOUT_S = 1.0
+
 
 class PlatformHttpTest(TestCase):
     """Tests the result or failure for each kind of answer."""
@@ -103,7 +106,9 @@
     ) -> tuple[Result[Any, TableFailure], list[tuple[int, bytes, bytes]]]:
         async def run() -> Any:
             async with ScriptedServer(list(script)) as server:
-                settings = PlatformSettings(url=server.url, timeout_s=0.2)
+                settings = PlatformSettings(
+                    url=server.url, timeout_s=_TIMEOUT_S
+                )
                 return await call(settings), server.requests
 
         return asyncio.run(run())
@@ -128,7 +133,7 @@
         for call in _CALLS:
             self._assert_failure(TableOutcomeUnknown, call, CLOSE)
             self._assert_failure(TableOutcomeUnknown, call, truncated, CLOSE)
-            self._assert_failure(TableOutcomeUnknown, call, 0.5)
+            self._assert_failure(TableOutcomeUnknown, call, 1.5 * _TIMEOUT_S)
             self._assert_failure(
                 TableOutcomeUnknown, call, response(b"{}", 500)
             )
