Limit a transaction of the leader by its size too

The leader stored up to 16 workflows a transaction whatever their size, and repeats a commit until it is stored; nothing else is stored or started meanwhile, and its term goes on, because the leader row is read apart. Sixteen workflows with 800 placed tasks each take 1.21 MB in base64, and the store accepts 1 MB. On a link of 5 Mbit/s a transaction of that size could not arrive within the longest timeout of a write (1.5 s) either.

Evidence: the new test failed before, with a transaction over 1 MB. By size only: the sites' workflows have at most 228 tasks, and how the store answers such a transaction is not stated.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -21,6 +21,8 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from result import Result
 
     from carawaystep.entry.clock import Clock
@@ -37,6 +39,9 @@
 # row and a change of that row separately. A workflow needs at most six
 # entries and the check of the leader row one.
 _WORKFLOWS_PER_COMMIT = 16
+# Size of the JSON in a transaction, unless one workflow alone is larger. The
+# store accepts 1 MB; this much arrives in time on a link of 5 Mbit/s.
+_MAX_COMMIT_BYTES = 256 * 1024
 _RETRY_INTERVAL_S = 0.1
 
 
@@ -196,17 +201,7 @@
         :raises TermEnded: another process was elected
         """
         cancelled: set[str] = set()
-        id_lists = [
-            *([spec.id] for spec in changes.accepted),
-            *([workflow_id] for workflow_id in changes.progress),
-        ]
-        workflow_ids = list(
-            dict.fromkeys(
-                workflow_id for id_list in id_lists for workflow_id in id_list
-            )
-        )
-        for begin in range(0, len(workflow_ids), _WORKFLOWS_PER_COMMIT):
-            chunk = set(workflow_ids[begin : begin + _WORKFLOWS_PER_COMMIT])
+        for chunk in _chunks(changes):
             cancelled |= await self._commit_chunk(changes, chunk)
         return cancelled
 
@@ -349,6 +344,36 @@
         self._store_health.record_answer(self._clock.now())
 
 
+def _chunks(changes: Changes) -> Iterator[set[str]]:
+    """Iterate over sets of workflows that fit in one transaction."""
+    chunk: set[str] = set()
+    chunk_bytes = 0
+    for workflow_id, size in _encoded_sizes(changes).items():
+        is_full = (
+            len(chunk) == _WORKFLOWS_PER_COMMIT
+            or chunk_bytes + size > _MAX_COMMIT_BYTES
+        )
+        if chunk and is_full:
+            yield chunk
+            chunk = set()
+            chunk_bytes = 0
+        chunk.add(workflow_id)
+        chunk_bytes += size
+    if chunk:
+        yield chunk
+
+
+def _encoded_sizes(changes: Changes) -> dict[str, int]:
+    """Return the bytes of JSON to store, by workflow id."""
+    sizes: dict[str, int] = {}
+    for spec in changes.accepted:
+        sizes[spec.id] = len(msgspec.json.encode(spec))
+    for workflow_id, record in changes.progress.items():
+        size = len(msgspec.json.encode(record))
+        sizes[workflow_id] = sizes.get(workflow_id, 0) + size
+    return sizes
+
+
 def parse_spec(row: Row) -> WorkflowSpec | None:
     """Return the workflow in a row, None if the row is malformed."""
     value: Any = row.value
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from base64 import b64encode
 from typing import TYPE_CHECKING
 from unittest.mock import AsyncMock
 from unittest.mock import patch
@@ -32,6 +33,7 @@
 from carawaystep.workflow.step_spec import StepSpec
 from carawaystep.workflow.task_ref import TaskRef
 from carawaystep.workflow.workflow import Workflow
+from carawaystep.workflow.workflow_record import TaskRecord
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import new_planner
@@ -264,6 +266,44 @@
         ]
         self.assertLessEqual(max(entries), 100)
 
+    def test_transaction_stays_within_the_size_limit(self) -> None:
+        """Guards against a commit that is repeated and never succeeds.
+
+        The store takes 1 MB a transaction, with values in base64.
+        """
+        task = TaskRecord(
+            occurrence=0,
+            step=0,
+            index=799,
+            state="placed",
+            run=2,
+            worker_id="i-1daace78a6",
+            worker_started_at_ms=1_764_892_800_000,
+            checkpoint="00000bb87a21d94b",
+            failures=0,
+        )
+        tasks = [task] * 800
+        progress = {f"{n:016x}": WorkflowRecord(tasks) for n in range(16)}
+        transactions = self._commit_all(
+            [Changes(progress=progress)], *[_OK] * 16
+        )
+        written = [
+            operation.key
+            for operations in transactions
+            for operation in operations
+            if isinstance(operation, PutRow)
+        ]
+        self.assertEqual(sorted(progress), sorted(written))
+        sizes = [
+            sum(
+                len(b64encode(msgspec.json.encode(operation.value)))
+                for operation in operations
+                if isinstance(operation, PutRow)
+            )
+            for operations in transactions
+        ]
+        self.assertLess(max(sizes), 1_000_000)
+
     def test_changed_leader_row_ends_the_term(self) -> None:
         """Guards against a leader that continues after it was deposed."""
         with ExpectedException(TermEnded):
