Read the learned harm again when the read fails

A new leader took a failed read of the stored probabilities of harm for "none are stored", began without them and replaced the row by its own a few seconds later, so that what earlier terms had learned was lost. Leaders change most while the store loses answers.

The read is now repeated until the store answers, as those of the four tables before it are. A missing or malformed row still means that nothing is known.

Evidence: the new test failed before (nothing loaded).

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -130,18 +130,17 @@
         """Return the stored probabilities of harm between images.
 
         The row is only an optimisation: if it is missing or malformed, the
-        result is empty.
+        result is empty. A failed read is repeated, because the leader later
+        replaces the row by what it knows.
 
         :returns: image of the best-effort task, image of the serving task
             and probability that the first harms the second
         """
-        result = await self._store.get(tables.CONTROL, tables.INTERFERENCE_KEY)
-        if not isinstance(result, Ok) or result.ok_value is None:
+        row = await self._read_interference_row()
+        if row is None:
             return []
         try:
-            return msgspec.convert(
-                result.ok_value.value, list[tuple[str, str, float]]
-            )
+            return msgspec.convert(row.value, list[tuple[str, str, float]])
         except msgspec.ValidationError:
             return []
 
@@ -326,6 +325,18 @@
             else:
                 self._progress_versions.pop(key, None)
 
+    async def _read_interference_row(self) -> Row | None:
+        while True:
+            result = await self._store.get(
+                tables.CONTROL, tables.INTERFERENCE_KEY
+            )
+            now = self._clock.now()
+            if isinstance(result, Ok):
+                self._store_health.record_answer(now)
+                return result.ok_value
+            self._store_health.record_failure(result.err_value.detail, now)
+            await asyncio.sleep(_RETRY_INTERVAL_S)
+
     async def _read_table(self, table: str) -> tuple[list[Row], int]:
         while True:
             result = await self._store.changes(table, 0)
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -91,7 +91,9 @@
     return Err(TableConflict("conflict", {(table, key): version}))
 
 
-def _repository(store: _Store | _StoredTables) -> WorkflowRepository:
+def _repository(
+    store: _Store | _StoredTables | AsyncMock,
+) -> WorkflowRepository:
     return WorkflowRepository(
         store,  # type: ignore[arg-type]
         _Clock(),  # type: ignore[arg-type]
@@ -216,6 +218,22 @@
         for failure in (TableOutcomeUnknown("lost"), TableRefused("busy")):
             self.assertFalse(asyncio.run(save(Err(failure))))
 
+    def test_interference_is_read_again_after_a_failure(self) -> None:
+        """Guards against a term that begins without what is stored.
+
+        It would then replace the stored probabilities by its own.
+        """
+        pairs = [("a", "b", 0.5)]
+        answers = [
+            Err(TableOutcomeUnknown("no answer")),
+            Ok(Row(tables.INTERFERENCE_KEY, pairs, 9, 9)),
+        ]
+        store = AsyncMock()
+        store.get.side_effect = answers
+        with patch("asyncio.sleep", AsyncMock()):
+            loaded = asyncio.run(_repository(store).load_interference())
+        self.assertEqual(pairs, loaded)
+
     def test_every_commit_checks_the_term(self) -> None:
         """Guards against writes of a deposed leader."""
         (operations,) = self._commit(_OK)
