--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -21,6 +21,8 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from result import Result
 
     from carawaystep.entry.clock import Clock
@@ -37,6 +39,9 @@
 # row and a change of that row separately. A workflow needs at most six
 # entries and the check of the leader row one.
 _WORKFLOWS_PER_COMMIT = 16
+# Size of the JSON in a transaction, unless one workflow alone is larger. The
+# store accepts 1 MB; this much arrives in time on a link of 5 Mbit/s.
+_MAX_COMMIT_BYTES = 256 * 1024
 _RETRY_INTERVAL_S = 0.1
 
 
@@ -125,18 +130,17 @@
         """Return the stored probabilities of harm between images.
 
         The row is only an optimisation: if it is missing or malformed, the
-        result is empty.
+        result is empty. A failed read is repeated, because the leader later
+        replaces the row by what it knows.
 
         :returns: image of the best-effort task, image of the serving task
             and probability that the first harms the second
         """
-        result = await self._store.get(tables.CONTROL, tables.INTERFERENCE_KEY)
-        if not isinstance(result, Ok) or result.ok_value is None:
+        row = await self._read_interference_row()
+        if row is None:
             return []
         try:
-            return msgspec.convert(
-                result.ok_value.value, list[tuple[str, str, float]]
-            )
+            return msgspec.convert(row.value, list[tuple[str, str, float]])
         except msgspec.ValidationError:
             return []
 
@@ -196,17 +200,7 @@
         :raises TermEnded: another process was elected
         """
         cancelled: set[str] = set()
-        id_lists = [
-            *([spec.id] for spec in changes.accepted),
-            *([workflow_id] for workflow_id in changes.progress),
-        ]
-        workflow_ids = list(
-            dict.fromkeys(
-                workflow_id for id_list in id_lists for workflow_id in id_list
-            )
-        )
-        for begin in range(0, len(workflow_ids), _WORKFLOWS_PER_COMMIT):
-            chunk = set(workflow_ids[begin : begin + _WORKFLOWS_PER_COMMIT])
+        for chunk in _chunks(changes):
             cancelled |= await self._commit_chunk(changes, chunk)
         return cancelled
 
@@ -331,6 +325,18 @@
             else:
                 self._progress_versions.pop(key, None)
 
+    async def _read_interference_row(self) -> Row | None:
+        while True:
+            result = await self._store.get(
+                tables.CONTROL, tables.INTERFERENCE_KEY
+            )
+            now = self._clock.now()
+            if isinstance(result, Ok):
+                self._store_health.record_answer(now)
+                return result.ok_value
+            self._store_health.record_failure(result.err_value.detail, now)
+            await asyncio.sleep(_RETRY_INTERVAL_S)
+
     async def _read_table(self, table: str) -> tuple[list[Row], int]:
         while True:
             result = await self._store.changes(table, 0)
@@ -349,6 +355,36 @@
         self._store_health.record_answer(self._clock.now())
 
 
+def _chunks(changes: Changes) -> Iterator[set[str]]:
+    """Iterate over sets of workflows that fit in one transaction."""
+    chunk: set[str] = set()
+    chunk_bytes = 0
+    for workflow_id, size in _encoded_sizes(changes).items():
+        is_full = (
+            len(chunk) == _WORKFLOWS_PER_COMMIT
+            or chunk_bytes + size > _MAX_COMMIT_BYTES
+        )
+        if chunk and is_full:
+            yield chunk
+            chunk = set()
+            chunk_bytes = 0
+        chunk.add(workflow_id)
+        chunk_bytes += size
+    if chunk:
+        yield chunk
+
+
+def _encoded_sizes(changes: Changes) -> dict[str, int]:
+    """Return the bytes of JSON to store, by workflow id."""
+    sizes: dict[str, int] = {}
+    for spec in changes.accepted:
+        sizes[spec.id] = len(msgspec.json.encode(spec))
+    for workflow_id, record in changes.progress.items():
+        size = len(msgspec.json.encode(record))
+        sizes[workflow_id] = sizes.get(workflow_id, 0) + size
+    return sizes
+
+
 def parse_spec(row: Row) -> WorkflowSpec | None:
     """Return the workflow in a row, None if the row is malformed."""
     value: Any = row.value
