Compare three results of tests with what the code returns

Cause: three assertions compared a literal with itself, so that they held whatever the code returned: the mark of a leaving worker in a report of HttpWorkerClient and in a lagging report of the stand-in worker, and the limit beside a peak.

Change: they compare with `leaving` of the report and `limit` of the peak. The expected values stay; each check is stricter than before.

--- a/tests/adapters/worker_http/test_http_worker_client.py
+++ b/tests/adapters/worker_http/test_http_worker_client.py
@@ -322,7 +322,9 @@
         """Guards against lost ends of tasks and malformed reports."""
         report = _all_calls()["report"]
         result, _ = self._call(report, [_json(_REPORT)])
-        self.assertEqual((13, True), (result.ok_value.sequence, True))
+        self.assertEqual(
+            (13, True), (result.ok_value.sequence, result.ok_value.leaving)
+        )
         self.assertEqual("c/j1", result.ok_value.ended[0].checkpoint)
         result, _ = self._call(report, [_json({**_REPORT, "ended": [{}]})])
         self.assertIsInstance(result.err_value, WorkerOutcomeUnknown)
--- a/tests/standin/worker/test_standin_worker.py
+++ b/tests/standin/worker/test_standin_worker.py
@@ -149,7 +149,9 @@
             self.assertTrue(worker.try_open_connection())
         worker.close_connection()
         peaks = worker.ledger.peaks
-        self.assertEqual((3, 1), (peaks["slots"].highest, 1))
+        self.assertEqual(
+            (3, 1), (peaks["slots"].highest, peaks["slots"].limit)
+        )
         self.assertEqual(1.5, peaks["cpu"].highest)
         self.assertEqual(3, peaks["connections"].highest)
 
@@ -284,7 +286,9 @@
         worker.leave(6.0)
         early = worker.report(0, 14.0)
         self.assertEqual(("j1",), early.running)
-        self.assertEqual((0, (), False), (early.sequence, early.ended, False))
+        self.assertEqual(
+            (0, (), False), (early.sequence, early.ended, early.leaving)
+        )
         self.assertEqual(15.0, worker.next_event_at(0))
         late = worker.report(early.sequence, 15.0)
         self.assertEqual((1, False), (late.sequence, late.leaving))
