Take the processes that assign a worker from the topology of a run

Cause: the checks of leaving workers and of takeovers each put together the platform and the entries of a worker's availability zone.

Change: Topology.processes_that_assign does it for both.

Result: tests/tools passes.

--- a/tools/prove/leaving_worker_check.py
+++ b/tools/prove/leaving_worker_check.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from tools.prove.topology import PLATFORM
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -101,11 +99,8 @@
         if leaving.deadline is not None:
             return leaving.deadline
         # Entries that cannot read the VM list do not learn of the mark.
-        entries = self._topology.entries[
-            self._topology.zone_of(leaving.worker)
-        ]
         return self._faults.fault_free_interval_end(
             leaving.announced_at,
             _VM_LIST_LAG_S + LEAVING_LIMIT_S,
-            (PLATFORM, *entries),
+            self._topology.processes_that_assign(leaving.worker),
         )
--- a/tools/prove/takeover_check.py
+++ b/tools/prove/takeover_check.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from tools.prove.entry_snapshot_check import EntrySnapshotCheck
-from tools.prove.topology import PLATFORM
 
 if TYPE_CHECKING:
     from tools.prove.entry_snapshot import EntrySnapshot
@@ -79,11 +78,10 @@
                 )
 
     def _deadline(self, worker: str, record: FaultRecord) -> float:
-        entries = self._topology.entries[self._topology.zone_of(worker)]
         interval_end = self._faults.fault_free_interval_end(
             record.started_at,
             TAKEOVER_LIMIT_S,
-            (PLATFORM, *entries),
+            self._topology.processes_that_assign(worker),
             excluded=record,
         )
         return interval_end + _POLL_MARGIN_S
--- a/tools/prove/topology.py
+++ b/tools/prove/topology.py
@@ -33,6 +33,10 @@
         """Return the workers of all availability zones."""
         return tuple(name for names in self.workers.values() for name in names)
 
+    def processes_that_assign(self, worker: str) -> tuple[str, ...]:
+        """Return the platform and the entries that may own a worker."""
+        return (PLATFORM, *self.entries[self.zone_of(worker)])
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of an entry or a worker."""
         for zone in self.zones:
