Validate JSON bodies of the platform and of workers by one function

Cause: PlatformClient.parse and HttpWorkerClient each validated a body and worded the message for the first invalid field in the same way.

Change: parse_json_body does it for both; each client turns the message into its own failure.

--- a/src/carawaystep/adapters/platform_http/platform_client.py
+++ b/src/carawaystep/adapters/platform_http/platform_client.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
-from pydantic import BaseModel
-from pydantic import ValidationError
 from result import Err
 from result import Ok
 
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
+from carawaystep.adapters.http_client.json_body import parse_json_body
 from carawaystep.store.table_failure import TableOutcomeUnknown
 from carawaystep.store.table_failure import TableRefused
 
@@ -19,13 +17,12 @@
     from result import Result
 
     from carawaystep.adapters.http_client.http_response import HttpResponse
+    from carawaystep.adapters.http_client.json_body import Body
     from carawaystep.settings.entry_settings import PlatformSettings
     from carawaystep.store.table_failure import TableFailure
 
 _REFUSAL_STATUSES = frozenset({429, 503})
 
-Body = TypeVar("Body", bound=BaseModel)
-
 
 class PlatformClient:
     """HTTP calls to the platform that return failures as table failures.
@@ -88,14 +85,6 @@
         model: type[Body], response: HttpResponse
     ) -> Result[Body, TableFailure]:
         """Validate a JSON body; if it is malformed, the outcome is unknown."""
-        try:
-            return Ok(model.model_validate_json(response.body))
-        except ValidationError as error:
-            first = error.errors()[0]
-            location = ".".join(str(part) for part in first["loc"])
-            return Err(
-                TableOutcomeUnknown(
-                    f"malformed {model.__name__} from the platform:"
-                    f" {location or 'body'}: {first['msg']}"
-                )
-            )
+        return parse_json_body(model, response, "platform").map_err(
+            TableOutcomeUnknown
+        )
--- a/src/carawaystep/adapters/worker_http/http_worker_client.py
+++ b/src/carawaystep/adapters/worker_http/http_worker_client.py
@@ -5,17 +5,15 @@
 import json
 from typing import Any
 from typing import TYPE_CHECKING
-from typing import TypeVar
 from urllib.parse import quote
 from urllib.parse import urlencode
 
-from pydantic import BaseModel
-from pydantic import ValidationError
 from result import Err
 from result import Ok
 
 from carawaystep.adapters.http_client.http_client import HttpClient
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
+from carawaystep.adapters.http_client.json_body import parse_json_body
 from carawaystep.adapters.worker_http.worker_bodies import FenceResponseBody
 from carawaystep.adapters.worker_http.worker_bodies import LeasesResponseBody
 from carawaystep.adapters.worker_http.worker_bodies import ReportBody
@@ -37,6 +35,7 @@
 
     from carawaystep.adapters.http_client.http_failure import HttpFailure
     from carawaystep.adapters.http_client.http_response import HttpResponse
+    from carawaystep.adapters.http_client.json_body import Body
     from carawaystep.settings.entry_settings import WorkerSettings
     from carawaystep.worker.worker_failure import WorkerFailure
     from carawaystep.worker.worker_request import WorkerRequest
@@ -54,8 +53,6 @@
 
 _SUCCESS_STATUSES = frozenset({200, 202, 204})
 
-Body = TypeVar("Body", bound=BaseModel)
-
 
 class HttpWorkerClient(WorkerPort):
     """Client of one worker; sends each call at most once.
@@ -325,17 +322,9 @@
             return Err(
                 WorkerOutcomeUnknown(f"the worker answered {response.status}")
             )
-        try:
-            return Ok(model.model_validate_json(response.body))
-        except ValidationError as error:
-            first = error.errors()[0]
-            location = ".".join(str(part) for part in first["loc"])
-            return Err(
-                WorkerOutcomeUnknown(
-                    f"malformed {model.__name__} from the worker:"
-                    f" {location or 'body'}: {first['msg']}"
-                )
-            )
+        return parse_json_body(model, response, "worker").map_err(
+            WorkerOutcomeUnknown
+        )
 
     @staticmethod
     def _request_headers(request: WorkerRequest, token: int) -> dict[str, str]:
