Create the load of demo and fault runs in one place

Cause: the demo and the fault injection runs each created a LoadGenerator or a JobDriver for each service and collected their calls; the demo and the launch command each checked the number of entries after loading a deployment.

Change: ServiceLoad has the generators and drivers. load_deployment takes the number of entries and returns the error of check_entry_count.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,7 +15,6 @@
 import cappa
 from result import Err
 
-from carawaystep.document.service_kind import ServiceKind
 from tools.demo_summary import DemoSummary
 from tools.demo_summary import summarize
 from tools.deployment import load_deployment
@@ -24,21 +23,21 @@
 from tools.example_service import load_services
 from tools.http_caller import HttpCaller
 from tools.interruptible import run_interruptible
-from tools.job_driver import JobDriver
 from tools.launch_options import EntryCountOption  # noqa: TC001
 from tools.launch_options import ExampleArgument  # noqa: TC001
 from tools.launch_options import RunDirectoryOption  # noqa: TC001
 from tools.launcher import Launcher
 from tools.ledger_audit import LedgerAudit
 from tools.ledger_reader import read_ledgers
-from tools.load_generator import LoadGenerator
 from tools.load_plan import LoadPlan
 from tools.managed_process import REPOSITORY_ROOT
 from tools.run_directory import copy_documents
 from tools.run_directory import open_run_directory
+from tools.service_load import ServiceLoad
 
 if TYPE_CHECKING:
     from tools.example_service import ExampleService
+    from tools.job_driver import JobDriver
     from tools.ledger import Ledger
 
 _JOBS_TIMEOUT_S = 90.0
@@ -87,15 +86,12 @@
         return 0 if summary.passed else 1
 
     async def _launch(self, directory: Path) -> DemoSummary:
-        loaded = load_deployment(self._example_path / "deployment.yaml")
+        loaded = load_deployment(
+            self._example_path / "deployment.yaml", self.entries
+        )
         if isinstance(loaded, Err):
             return DemoSummary(error=loaded.err_value)
-        count = loaded.ok_value.entry_count
-        if self.entries is not None:
-            count = self.entries
-        problem = loaded.ok_value.check_entry_count(count)
-        if problem is not None:
-            return DemoSummary(error=problem)
+        count = self.entries or loaded.ok_value.entry_count
         launcher = Launcher(loaded.ok_value, directory, count)
         self._log(f"starting {self.example} with {count} entries")
         started = await launcher.start()
@@ -125,43 +121,31 @@
         )
         token = launcher.token("callers")
         async with HttpCaller() as caller:
-            generators = [
-                LoadGenerator(
-                    service, self._load_plan(service), rotation, caller, token
-                )
-                for service in services
-                if service.kind is ServiceKind.LATENCY_CRITICAL
-            ]
-            drivers = [
-                JobDriver(service.name, rotation, caller, token)
-                for service in services
-                if service.kind is ServiceKind.BATCH
-            ]
-            await self._generate_load(launcher, generators, drivers)
-            await self._wait_for_jobs(drivers)
+            load = ServiceLoad(
+                services, self._load_plan, rotation, caller, token
+            )
+            await self._generate_load(launcher, load)
+            await self._wait_for_jobs(load.drivers)
             self._log("reading the ledgers of all workers")
             ledgers = await read_ledgers(caller, launcher.worker_urls)
         if isinstance(ledgers, Err):
             return DemoSummary(error=ledgers.err_value)
-        return self._summarize(services, generators, drivers, ledgers.ok_value)
+        return self._summarize(services, load, ledgers.ok_value)
 
     async def _generate_load(
-        self,
-        launcher: Launcher,
-        generators: list[LoadGenerator],
-        drivers: list[JobDriver],
+        self, launcher: Launcher, load: ServiceLoad
     ) -> None:
         self._log(f"sending requests and jobs for {self.seconds:g} s")
         async with asyncio.TaskGroup() as group:
-            for generator in generators:
+            for generator in load.generators:
                 group.create_task(generator.run())
             pause_s = 0.8 * self.seconds / _JOBS_PER_SERVICE
-            for driver in drivers:
+            for driver in load.drivers:
                 group.create_task(
                     driver.submit(_JOBS_PER_SERVICE, pause_s, _JOB_RUN_S)
                 )
             group.create_task(self._kill_entry(launcher))
-            group.create_task(self._log_progress(generators, drivers))
+            group.create_task(self._log_progress(load))
 
     async def _kill_entry(self, launcher: Launcher) -> None:
         await asyncio.sleep(self.seconds * _KILL_AT_FRACTION)
@@ -169,17 +153,11 @@
         launcher.group.kill(process.spec.name)
         self._log(f"killed entry {process.spec.name} with SIGKILL")
 
-    async def _log_progress(
-        self, generators: list[LoadGenerator], drivers: list[JobDriver]
-    ) -> None:
+    async def _log_progress(self, load: ServiceLoad) -> None:
         for _ in range(int(self.seconds / _PROGRESS_INTERVAL_S)):
             await asyncio.sleep(_PROGRESS_INTERVAL_S)
-            outcomes = Counter(
-                str(record.outcome)
-                for generator in generators
-                for record in generator.records
-            )
-            jobs = sum(driver.accepted_count for driver in drivers)
+            outcomes = Counter(str(call.outcome) for call in load.calls)
+            jobs = sum(driver.accepted_count for driver in load.drivers)
             self._log(f"calls so far {dict(outcomes)}, jobs accepted {jobs}")
 
     async def _wait_for_jobs(self, drivers: list[JobDriver]) -> None:
@@ -196,13 +174,10 @@
     def _summarize(
         self,
         services: tuple[ExampleService, ...],
-        generators: list[LoadGenerator],
-        drivers: list[JobDriver],
+        load: ServiceLoad,
         ledgers: list[Ledger],
     ) -> DemoSummary:
-        calls = [
-            record for generator in generators for record in generator.records
-        ]
+        calls, drivers = load.calls, load.drivers
         findings = LedgerAudit(services, ledgers, calls).findings()
         for finding in findings.all:
             self._log(f"violation: {finding}")
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -130,12 +130,25 @@
         return self
 
 
-def load_deployment(path: Path) -> Result[Deployment, str]:
+def load_deployment(
+    path: Path, entry_count: int | None = None
+) -> Result[Deployment, str]:
     """Read and validate a deployment file.
 
     :param path: the file
-    :returns: the deployment, or an error message that names the file
+    :param entry_count: number of entries to start, checked against the
+        deployment; None for all
+    :returns: the deployment, or an error message that names the file or the
+        deployment
     """
+    loaded = _read_deployment(path)
+    if isinstance(loaded, Err) or entry_count is None:
+        return loaded
+    problem = loaded.ok_value.check_entry_count(entry_count)
+    return loaded if problem is None else Err(problem)
+
+
+def _read_deployment(path: Path) -> Result[Deployment, str]:
     try:
         content = YAML(typ="safe", pure=True).load(path)
         return Ok(Deployment.model_validate(content))
--- a/tools/launch_command.py
+++ b/tools/launch_command.py
@@ -43,18 +43,13 @@
         :returns: exit code
         """
         example = REPOSITORY_ROOT / "examples" / self.example
-        loaded = load_deployment(example / "deployment.yaml")
+        loaded = load_deployment(example / "deployment.yaml", self.entries)
         if isinstance(loaded, Err):
             return self._report_failure(loaded.err_value)
-        deployment = loaded.ok_value
-        if self.entries is not None:
-            problem = deployment.check_entry_count(self.entries)
-            if problem is not None:
-                return self._report_failure(problem)
         with open_run_directory(self.directory) as directory:
             copy_documents(example, directory)
             return await self._run(
-                Launcher(deployment, directory, self.entries)
+                Launcher(loaded.ok_value, directory, self.entries)
             )
 
     async def _run(self, launcher: Launcher) -> int:
--- a/tools/prove/run_load.py
+++ b/tools/prove/run_load.py
@@ -7,10 +7,8 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from carawaystep.document.service_kind import ServiceKind
-from tools.job_driver import JobDriver
-from tools.load_generator import LoadGenerator
 from tools.load_plan import LoadPlan
+from tools.service_load import ServiceLoad
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -21,6 +19,7 @@
     from tools.entry_rotation import EntryRotation
     from tools.example_service import ExampleService
     from tools.http_caller import HttpCaller
+    from tools.job_driver import JobDriver
 
 _JOBS_END_TIMEOUT_S = 120.0
 _CALLERS_PER_IDEMPOTENT_SERVICE = 10
@@ -53,39 +52,26 @@
         :param token: token of a caller
         """
         self._seconds = seconds
-        self._generators = [
-            LoadGenerator(
-                service, _load_plan(service, seconds), rotation, caller, token
-            )
-            for service in services
-            if service.kind is ServiceKind.LATENCY_CRITICAL
-        ]
-        self._drivers = [
-            JobDriver(service.name, rotation, caller, token)
-            for service in services
-            if service.kind is ServiceKind.BATCH
-        ]
+        self._load = ServiceLoad(
+            services, self._load_plan, rotation, caller, token
+        )
 
     @property
     def drivers(self) -> list[JobDriver]:
         """Return the submitters of jobs."""
-        return self._drivers
+        return self._load.drivers
 
     @property
     def calls(self) -> list[CallRecord]:
         """Return all requests with their outcomes."""
-        return [
-            record
-            for generator in self._generators
-            for record in generator.records
-        ]
+        return self._load.calls
 
     @property
     def job_counts(self) -> Counter[str]:
         """Return the number of jobs by last known state."""
         return Counter(
             str(state)
-            for driver in self._drivers
+            for driver in self._load.drivers
             for state in driver.states.values()
         )
 
@@ -97,15 +83,15 @@
         async with asyncio.TaskGroup() as group:
             polling = [
                 group.create_task(_poll_job_states(driver))
-                for driver in self._drivers
+                for driver in self._load.drivers
             ]
             loading = [
                 group.create_task(generator.run())
-                for generator in self._generators
+                for generator in self._load.generators
             ]
             loading += [
                 group.create_task(self._submit_jobs(driver))
-                for driver in self._drivers
+                for driver in self._load.drivers
             ]
             loading.append(group.create_task(injection))
             await asyncio.wait(loading)
@@ -119,7 +105,22 @@
         """
         await asyncio.gather(
             asyncio.sleep(min_wait_s),
-            *(driver.wait(_JOBS_END_TIMEOUT_S) for driver in self._drivers),
+            *(
+                driver.wait(_JOBS_END_TIMEOUT_S)
+                for driver in self._load.drivers
+            ),
+        )
+
+    def _load_plan(self, service: ExampleService) -> LoadPlan:
+        caller_count = _CALLERS_PER_NON_IDEMPOTENT_SERVICE
+        if service.idempotent:
+            caller_count = _CALLERS_PER_IDEMPOTENT_SERVICE
+        return LoadPlan(
+            caller_count,
+            _CALL_PAUSE_S,
+            self._seconds,
+            _MAX_REQUESTS_PER_SERVICE,
+            resend_after_s=_RESEND_AFTER_S,
         )
 
     async def _submit_jobs(self, driver: JobDriver) -> None:
@@ -138,16 +139,3 @@
     while True:
         await driver.refresh()
         await asyncio.sleep(_JOB_POLL_INTERVAL_S)
-
-
-def _load_plan(service: ExampleService, seconds: float) -> LoadPlan:
-    caller_count = _CALLERS_PER_NON_IDEMPOTENT_SERVICE
-    if service.idempotent:
-        caller_count = _CALLERS_PER_IDEMPOTENT_SERVICE
-    return LoadPlan(
-        caller_count,
-        _CALL_PAUSE_S,
-        seconds,
-        _MAX_REQUESTS_PER_SERVICE,
-        resend_after_s=_RESEND_AFTER_S,
-    )
