End the wait for earlier leaders once all of them follow the new term

What callers saw: LOST. Tasks that last did not run for 26 to 32 s after their worker was taken away around changes of the leader, with capacity for them twice over.

Cause: a new term cannot know whether an earlier leader still gives grants, and waited the 10 s of a leader's own lease, the grant and the lease of the worker (18.5 s) from its own start. Each change of the leader began the wait anew, although the earlier leaders followed the new one within 0.1 s.

Change: a process stops leading as soon as it follows a higher term, so that its heartbeat for that term proves that it gives no grant any more. The leader row carries the addresses of the earlier leaders whose leases may last; each election inherits them and drops those that ended 10 s before. Once a process at each of these addresses has sent a heartbeat of the term, the last grant of theirs ends 2 s later and the last lease 6.1 s after that. Workers that the term never listed, and so never assigned, are given up then. A restarted process proves as much, because it uses the address of the one before it. An address that is unknown (row of an earlier version) or never answers leaves the wait as it was.

Ruled out: the removal of the worker's entry as proof (a worker that is cut off runs on), and a shorter bound for listed workers (a member of the term may have extended their leases and not reported it yet).

--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -52,6 +52,8 @@
         )
         self._term = 0
         self._leader = ""
+        # Time of the first heartbeat of the highest known term.
+        self._followed_since = now
         # The last heartbeat or the start of this process.
         self._waiting_since = now
         self._campaign_postponed_until = now
@@ -92,6 +94,7 @@
         if term < self._term:
             return False
         if term > self._term:
+            self._followed_since = now
             self._echoed_timestamp = 0.0
             self._leader_resigned = False
         self._term = term
@@ -122,6 +125,15 @@
         """
         return term == self._term and now - self._echoed_timestamp < GRANT_S
 
+    def seconds_followed(self, term: int, now: float) -> float:
+        """Return how long ago the first heartbeat of a term arrived.
+
+        :param term: a term
+        :param now: current time in seconds, monotonic
+        :returns: seconds, 0 unless the term is the highest known one
+        """
+        return now - self._followed_since if term == self._term else 0.0
+
     def leader_reachable(self, now: float) -> bool:
         """Tell whether the leader sent a heartbeat recently."""
         return (
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -268,6 +268,13 @@
         for tracked in worker.runs.values():
             tracked.discard_stop_confirmation()
 
+    def record_predecessors_stopped(self, now: float) -> None:
+        """Record that no leader of an earlier term can act any more.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        self._workers.record_predecessors_stopped(now)
+
     def requeue_lost_runs(self, now: float) -> None:
         """Requeue the runs of workers whose leases must have expired.
 
--- a/src/carawaystep/planner/planner_limits.py
+++ b/src/carawaystep/planner/planner_limits.py
@@ -12,8 +12,8 @@
     :param lost_after_s: time since the worker's last report in this term;
         covers the last extension of its lease and clock drift
     :param takeover_lost_after_s: time since the start of the term, for
-        workers without a report in it; also covers lease extensions by the
-        leader of an earlier term
+        workers without a report in it; also covers lease extensions by
+        leaders of earlier terms, which may act until their own leases end
     """
 
     lost_after_s: float
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -38,14 +38,19 @@
         self._workflows = workflows
         self._limits = limits
         self._term_started_at = now
+        # In the worst case, an earlier leader has sent its last heartbeat at
+        # the end of its own lease, a member has used the grant in it to the
+        # end, and the lease of the worker then runs its full length.
+        self._earlier_leases_end_at = now + limits.takeover_lost_after_s
         self._workers: dict[WorkerKey, TrackedWorker] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
         # of the worker have been dropped.
         self._last_reported_lifetimes: dict[str, WorkerKey] = {}
         # Workers that have stored runs but have not been listed in this term,
-        # with the time at which the wait for them began. A report of a later
-        # lifetime of the same worker also ends the wait.
-        self._unlisted: dict[WorkerKey, float] = {}
+        # in order. No member calls them, so that only earlier leaders can
+        # have extended their leases. A report of a later lifetime of the same
+        # worker also ends the wait for them.
+        self._unlisted: dict[WorkerKey, None] = {}
 
     def __iter__(self) -> Iterator[TrackedWorker]:
         """Iterate over the workers."""
@@ -68,8 +73,20 @@
         return [w for w in self._workers.values() if w.usable(now)]
 
     def await_listing(self, key: WorkerKey) -> None:
-        """Wait for a worker with stored runs from the start of the term on."""
-        self._unlisted.setdefault(key, self._term_started_at)
+        """Wait for a worker with stored runs until it has no lease."""
+        self._unlisted[key] = None
+
+    def record_predecessors_stopped(self, now: float) -> None:
+        """Record that no leader of an earlier term can act any more.
+
+        Their last grants and the leases extended with them end as long after
+        this as those of a leader after a worker's last report.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        self._earlier_leases_end_at = min(
+            self._earlier_leases_end_at, now + self._limits.lost_after_s
+        )
 
     def update_list(self, records: Iterable[WorkerRecord]) -> list[WorkerKey]:
         """Apply the current list of workers.
@@ -125,13 +142,9 @@
 
         :param now: current time, seconds of a monotonic clock
         """
-        return self._take_unlisted(
-            [
-                key
-                for key, since in self._unlisted.items()
-                if now - since > self._limits.takeover_lost_after_s
-            ]
-        )
+        if now <= self._earlier_leases_end_at:
+            return []
+        return self._take_unlisted(list(self._unlisted))
 
     def without_lease(self, now: float) -> list[TrackedWorker]:
         """Return the workers whose leases must have expired.
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -8,7 +8,9 @@
 from result import Err
 from result import Ok
 
+from carawaystep.leadership.election import Election
 from carawaystep.leadership.leader_record import LeaderRecord
+from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.scheduler import tables
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
@@ -30,21 +32,19 @@
 
     def __init__(
         self,
-        name: str,
-        incarnation: str,
+        record: LeaderRecord,
         ports: SchedulerPorts,
         leadership: Leadership,
         store_health: StoreHealth,
     ) -> None:
         """Create a candidate that has not read the leader row.
 
-        :param name: name of this process's node
-        :param incarnation: id of this process, different after a restart
+        :param record: name, incarnation and address of this process
         :param ports: clock, store and log
         :param leadership: what this process knows about the leader
         :param store_health: records the answers and failures of the store
         """
-        self._record = LeaderRecord(name, incarnation)
+        self._record = record
         self._ports = ports
         self._leadership = leadership
         self._store_health = store_health
@@ -76,38 +76,42 @@
             self._version_seen_at = now
         return row
 
-    async def campaign(self) -> int | None:
+    async def campaign(self) -> Election | None:
         """Try to claim the leader row.
 
-        :returns: the new term; None if the current leader must be given
+        :returns: the won election; None if the current leader must be given
             more time, another process was faster or the store did not answer
         """
         row = await self.read_leader_row()
         if self._version < 0:
             return None
-        if (
-            row is not None
-            and self._parse_leader(row) == self._record
-            and self._version > self._last_term
-        ):
+        own_record = None if row is None else self._own_record(row)
+        if own_record is not None and self._version > self._last_term:
             # The last attempt was applied but its answer was lost. A term
             # that this process already led is never resumed, because orders
             # of that term may still be in flight.
-            return self._record_election(self._version)
+            return self._record_election(
+                self._version, own_record.predecessors
+            )
         if self._in_grace_period(row):
             return None
-        value = msgspec.to_builtins(self._record)
+        predecessors = self._predecessors(row)
+        value = msgspec.to_builtins(
+            msgspec.structs.replace(self._record, predecessors=predecessors)
+        )
         written = await self._ports.store.transact(
             [PutRow(tables.CONTROL, tables.LEADER_KEY, self._version, value)]
         )
         if isinstance(written, Ok):
-            return self._record_election(written.ok_value.revision)
+            return self._record_election(
+                written.ok_value.revision, predecessors
+            )
         if not isinstance(written.err_value, TableConflict):
             now = self._ports.clock.now()
             self._store_health.record_failure(written.err_value.detail, now)
         return None
 
-    def _record_election(self, term: int) -> int:
+    def _record_election(self, term: int, predecessors: list[str]) -> Election:
         self._last_term = term
         self._ports.log.line(
             "leader.elected",
@@ -115,7 +119,34 @@
             term=term,
             earlier=self._leadership.term,
         )
-        return term
+        return Election(term, frozenset(predecessors))
+
+    def _own_record(self, row: Row) -> LeaderRecord | None:
+        """Return the record in the row if this process wrote it."""
+        leader = self._parse_leader(row)
+        if leader is None or leader.incarnation != self._record.incarnation:
+            return None
+        return leader
+
+    def _predecessors(self, row: Row | None) -> list[str]:
+        """Return the addresses of the leaders whose leases may be valid.
+
+        Leaders before the one in the row lost the row at its election, so
+        that their leases end :data:`LEADER_LEASE_S` after it at the latest.
+
+        :param row: the leader row as it is before this process claims it
+        """
+        if row is None:
+            return []
+        leader = self._parse_leader(row)
+        if leader is None:
+            return [""]
+        now = self._ports.clock.now()
+        if self._leadership.seconds_followed(self._version, now) > (
+            LEADER_LEASE_S
+        ):
+            return [leader.address]
+        return list(dict.fromkeys([*leader.predecessors, leader.address]))
 
     @staticmethod
     def _parse_leader(row: Row) -> LeaderRecord | None:
--- a/src/carawaystep/scheduler/leader_context.py
+++ b/src/carawaystep/scheduler/leader_context.py
@@ -41,6 +41,10 @@
     def request_term_check(self) -> None:
         """Request a check of the leader row ahead of the periodic one."""
 
+    @abstractmethod
+    def record_follower(self, address: str) -> None:
+        """Record that the process at an address follows this term."""
+
     @abstractmethod
     async def handle_message(
         self, session: MemberSession, message: Message
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -18,6 +18,7 @@
 from carawaystep.cluster.messages import Submit
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
+from carawaystep.leadership.predecessors import Predecessors
 from carawaystep.planner.interference_aware_placement import (
     InterferenceAwarePlacement,
 )
@@ -40,6 +41,8 @@
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
     from carawaystep.fleet.worker_record import WorkerRecord
+    from carawaystep.leadership.election import Election
+    from carawaystep.leadership.leadership import Leadership
     from carawaystep.planner.changes import Changes
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.node_settings import NodeSettings
@@ -76,18 +79,22 @@
         settings: NodeSettings,
         ports: SchedulerPorts,
         store_health: StoreHealth,
-        term: int,
+        leadership: Leadership,
+        election: Election,
     ) -> None:
         """Create a term; nothing is read yet.
 
         :param settings: settings of this process
         :param ports: clock, store, members and log
         :param store_health: records the answers and failures of the store
-        :param term: number of the term, which is the leader row's version
+        :param leadership: what this process knows about the leader
+        :param election: number and predecessors of the term
         """
         self._settings = settings
         self._ports = ports
-        self._term = term
+        self._leadership = leadership
+        self._term = term = election.term
+        self._predecessors = Predecessors(election.predecessors)
         self._repository = WorkflowRepository(
             ports.store, ports.clock, store_health, ports.log, term
         )
@@ -149,9 +156,14 @@
         return self._ports.clock.now()
 
     def may_lead(self, now: float) -> bool:
-        """Tell whether the lease is valid and the leader has not resigned."""
+        """Tell whether this process may still act as the leader.
+
+        It may until it resigns, it follows a higher term or its lease ends.
+        """
         return (
-            not self._stopping and self.confirmation_age(now) < LEADER_LEASE_S
+            not self._stopping
+            and self._leadership.term <= self._term
+            and self.confirmation_age(now) < LEADER_LEASE_S
         )
 
     def confirmation_age(self, now: float) -> float:
@@ -162,6 +174,14 @@
         """Request a check of the leader row ahead of the periodic one."""
         self._term_check_requested.set()
 
+    def record_follower(self, address: str) -> None:
+        """Record a follower; the last predecessor ends a wait for leases."""
+        if self._predecessors.record_follower(address):
+            self._planner.record_predecessors_stopped(self.now)
+            self._ports.log.line(
+                "leader.predecessors-stopped", self.name, term=self._term
+            )
+
     async def run(self) -> None:
         """Lead until the term ends or the task is cancelled.
 
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -138,6 +138,8 @@
         if message.term > self._context.term:
             self._context.request_term_check()
             return
+        if message.term == self._context.term:
+            self._context.record_follower(self._record.address)
         self._last_heartbeat_at = self._context.now
         self._member_timestamp = message.timestamp
         if self._draining != message.draining:
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Ok
 
+from carawaystep.leadership.leader_record import LeaderRecord
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.routing.current_routes import CurrentRoutes
@@ -56,8 +57,9 @@
         )
         self._member = Member(settings, ports, self._leadership)
         self._candidate = Candidate(
-            settings.name,
-            token_hex(6),
+            LeaderRecord(
+                settings.name, token_hex(6), settings.cluster_address
+            ),
             ports,
             self._leadership,
             self._store_health,
@@ -145,12 +147,16 @@
             now = self._ports.clock.now()
             if self._draining or not self._leadership.should_campaign(now):
                 continue
-            term = await self._candidate.campaign()
-            if term is None:
+            election = await self._candidate.campaign()
+            if election is None:
                 self._leadership.postpone_campaign(self._ports.clock.now())
                 continue
             self._leader_term = LeaderTerm(
-                self._settings, self._ports, self._store_health, term
+                self._settings,
+                self._ports,
+                self._store_health,
+                self._leadership,
+                election,
             )
             try:
                 await self._leader_term.run()
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -1,12 +1,14 @@
 """Randomized simulation of a planner with faulty leaders and workers.
 
-Leaders are lost before and after they store changes. Workers become
-unreachable, restart, and execute orders late. The invariants are checked at
-the workers, whenever a run starts.
+Leaders are lost before and after they store changes. Some of them go on for a
+while: they extend the leases of workers that the next leader does not see.
+Workers become unreachable, restart, and execute orders late. The invariants
+are checked at the workers, whenever a run starts.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -41,11 +43,27 @@
 _TICKS_PER_REPORT = 6
 _LOST_ANSWER_DELAY_S = 0.6
 _CAPACITY_MILLIS = 4000
+# Validity of a leader's own lease after its successor was elected.
+_LEADER_LEASE_S = 6.0
+_LOST_AFTER_S = LEASE_S + 1.0
 _LIMITS = PlannerLimits(
-    lost_after_s=LEASE_S + 1.0, takeover_lost_after_s=2 * LEASE_S + 1.0
+    lost_after_s=_LOST_AFTER_S,
+    takeover_lost_after_s=_LEADER_LEASE_S + _LOST_AFTER_S,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Predecessor:
+    """An earlier leader that does not know yet that it was replaced.
+
+    :param term: number of its term
+    :param acts_until: simulated time in seconds at which it stops
+    """
+
+    term: int
+    acts_until: float
+
+
 class RandomSimulation:
     """One simulation, which is reproducible by its seed."""
 
@@ -75,6 +93,7 @@
         self._scheduled_calls: list[tuple[float, Callable[[], None]]] = []
         self._term = 0
         self._leaderless_until = 0.0
+        self._predecessors: list[_Predecessor] = []
         self._planner = self._new_planner()
 
     @property
@@ -104,6 +123,9 @@
             ]
             for call in due:
                 call()
+            self._stop_predecessors()
+            if number % _TICKS_PER_REPORT == 0:
+                self._extend_leases_of_predecessors()
             if self.now < self._leaderless_until:
                 continue
             if number % _TICKS_PER_REPORT == 0:
@@ -133,7 +155,7 @@
                 w.name, _CAPACITY_MILLIS, 4000, started_at_ms=w.started_at_ms
             )
             for w in self.workers.values()
-            if w.running
+            if w.running and not w.cut_off(self.now)
         )
 
     def _submit(self) -> None:
@@ -182,8 +204,37 @@
         pause_s = self._random.uniform(0.2, 2.0)
         self._leaderless_until = self.now + pause_s
         self._acknowledged.clear()
+        goes_on_s = self._random.choice((0.0, 1.0)) * self._random.uniform(
+            0.0, _LEADER_LEASE_S
+        )
+        self._predecessors.append(
+            _Predecessor(self._term, self.now + goes_on_s)
+        )
+        for worker in self.workers.values():
+            if self._random.random() < 0.3:
+                worker.cut_off_until = self.now + self._random.uniform(
+                    5.0, 20.0
+                )
         self._planner = self._new_planner()
 
+    def _stop_predecessors(self) -> None:
+        if not self._predecessors:
+            return
+        self._predecessors = [
+            predecessor
+            for predecessor in self._predecessors
+            if predecessor.acts_until > self.now
+        ]
+        if not self._predecessors:
+            self._planner.record_predecessors_stopped(self.now)
+
+    def _extend_leases_of_predecessors(self) -> None:
+        """Have earlier leaders call workers that the leader does not reach."""
+        for predecessor in self._predecessors:
+            for worker in self.workers.values():
+                if worker.cut_off(self.now) and worker.running:
+                    worker.report(predecessor.term, 0, self.now)
+
     def _store(self, changes: Changes) -> None:
         for spec in changes.accepted:
             self._specs[spec.id] = spec
@@ -269,7 +320,7 @@
         run = SimulatedRun(
             order.run,
             0 if step is None else step.cpu_millis,
-            self.now + self._random.uniform(0.2, 4.0),
+            self.now + self._random_run_duration(),
             RunEnd.FAILED if failed else RunEnd.DONE,
         )
         if not worker.start(order.ref, run, term, deadline, self.now):
@@ -277,6 +328,12 @@
         self._check_invariants(order.ref, worker)
         return True
 
+    def _random_run_duration(self) -> float:
+        """Return a duration; some runs outlast all leases of predecessors."""
+        if self._random.random() < 0.05:
+            return self._random.uniform(10.0, 20.0)
+        return self._random.uniform(0.2, 4.0)
+
     def _check_invariants(self, ref: TaskRef, at: SimulatedWorker) -> None:
         for worker in self.workers.values():
             if worker is not at and worker.running and ref in worker.runs:
--- a/tests/planner/simulated_worker.py
+++ b/tests/planner/simulated_worker.py
@@ -43,6 +43,7 @@
         self.started_at_ms = 1
         self.running = True
         self.unreachable_until = 0.0
+        self.cut_off_until = 0.0
         self.runs: dict[TaskRef, SimulatedRun] = {}
         self._token = 0
         self._ended: list[EndedRun] = []
@@ -55,9 +56,17 @@
         """Return the identity of the current lifetime."""
         return WorkerKey(self.name, self.started_at_ms)
 
+    def cut_off(self, now: float) -> bool:
+        """Tell whether only members of earlier leaders can reach it."""
+        return now < self.cut_off_until
+
     def reachable(self, now: float) -> bool:
-        """Tell whether members can call it."""
-        return self.running and now >= self.unreachable_until
+        """Tell whether members of the current leader can call it."""
+        return (
+            self.running
+            and now >= self.unreachable_until
+            and not self.cut_off(now)
+        )
 
     def start(
         self,
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
@@ -15,6 +16,7 @@
 from carawaystep.workflow.task_state import TaskState
 from carawaystep.workflow.workflow import Workflow
 from tests.planner.random_simulation import RandomSimulation
+from tests.planner.simulated_worker import LEASE_S
 
 if TYPE_CHECKING:
     from unittest.mock import _patch
@@ -77,6 +79,21 @@
         super().requeue_lost_runs(now + 6.0)
 
 
+class _IgnoresPredecessors(Planner):
+    """Assumes that earlier leaders extend no lease after the takeover."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        super().record_predecessors_stopped(args[-1])
+
+
+class _IgnoresLastLeasesOfPredecessors(Planner):
+    """Requeues as soon as no earlier leader can extend a lease any more."""
+
+    def record_predecessors_stopped(self, now: float) -> None:
+        super().record_predecessors_stopped(now - LEASE_S)
+
+
 def _count_violations(planner: type[Planner]) -> int:
     found = 0
     for seed in _SEEDS:
@@ -114,6 +131,8 @@
             _RequeuesUnansweredStarts,
             _IgnoresStoredPlacements,
             _RequeuesBeforeLeaseEnd,
+            _IgnoresPredecessors,
+            _IgnoresLastLeasesOfPredecessors,
         ):
             self.assertGreater(_count_violations(variant), 0, variant.__name__)
 
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -58,6 +58,25 @@
         )
         self.assertEqual([], self.workers.take_overdue_unlisted(limit + 0.2))
 
+    def test_wait_is_shorter_once_the_predecessors_have_stopped(self) -> None:
+        """Guards against work that waits for leases nobody can extend."""
+        stopped_at = _TERM_STARTED_AT + 3.0
+        self.workers.record_predecessors_stopped(stopped_at)
+        self.workers.record_predecessors_stopped(stopped_at + 1.0)
+        limit = stopped_at + LIMITS.lost_after_s
+        self.assertEqual([], self.workers.take_overdue_unlisted(limit))
+        self.assertEqual(
+            [_FIRST], self.workers.take_overdue_unlisted(limit + 0.1)
+        )
+
+    def test_predecessors_that_stop_late_do_not_prolong_the_wait(self) -> None:
+        """Guards against a wait that outlasts the leases of predecessors."""
+        limit = _TERM_STARTED_AT + LIMITS.takeover_lost_after_s
+        self.workers.record_predecessors_stopped(limit - 1.0)
+        self.assertEqual(
+            [_FIRST], self.workers.take_overdue_unlisted(limit + 0.1)
+        )
+
     def test_listed_worker_is_not_awaited(self) -> None:
         """Guards against the loss of runs on a worker that is listed."""
         self.workers.update_list([worker_record("w1")])
--- a/tests/scheduler/test_candidate.py
+++ b/tests/scheduler/test_candidate.py
@@ -8,6 +8,9 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.leadership.election import Election
+from carawaystep.leadership.leader_record import LeaderRecord
+from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.scheduler.candidate import Candidate
 from carawaystep.scheduler.store_health import StoreHealth
@@ -18,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawaystep.store.operation import PutRow
+
 
 class _Clock:
     def __init__(self) -> None:
@@ -28,18 +33,23 @@
 
 
 class _Store:
-    """Store with the leader row only; ``on_read`` runs during each read."""
+    """Store with the leader row only; ``on_read`` runs during each read.
+
+    :ivar written: values that were written to the row
+    """
 
     def __init__(self) -> None:
         self.row: Row | None = None
         self.on_read: Callable[[], None] = lambda: None
         self.commit_revision = 50
+        self.written: list[object] = []
 
     async def get(self, table: str, key: str) -> Ok[Row | None]:
         self.on_read()
         return Ok(self.row)
 
-    async def transact(self, operations: object) -> Ok[TableCommit]:
+    async def transact(self, operations: list[PutRow]) -> Ok[TableCommit]:
+        self.written += [operation.value for operation in operations]
         return Ok(TableCommit(self.commit_revision, (self.commit_revision,)))
 
 
@@ -61,8 +71,7 @@
         self.store_health = StoreHealth(self.ports.log, 0.0)
         self.store_health.record_answer(1.0)
         self.candidate = Candidate(
-            "edge-1",
-            "new",
+            LeaderRecord("edge-1", "new", "tcp://edge-1"),
             self.ports,  # type: ignore[arg-type]
             self.leadership,
             self.store_health,
@@ -72,9 +81,13 @@
         value = {"name": name, "incarnation": "x"}
         self.ports.store.row = Row("leader", value, version, version)
 
-    def _campaign(self) -> int | None:
+    def _elect(self) -> Election | None:
         return asyncio.run(self.candidate.campaign())
 
+    def _campaign(self) -> int | None:
+        election = self._elect()
+        return None if election is None else election.term
+
     def test_missing_leader_row_is_claimed(self) -> None:
         """Guards against a new installation that never elects a leader."""
         self.assertEqual(50, self._campaign())
@@ -148,3 +161,64 @@
         self.assertIsNone(self._campaign())
         self.ports.clock.time_s = 101.0
         self.assertEqual(50, self._campaign())
+
+    def _store_leader_with_predecessor(self) -> None:
+        value = {
+            "name": "edge-2",
+            "incarnation": "x",
+            "address": "tcp://edge-2",
+            "predecessors": ["tcp://edge-3"],
+        }
+        self.ports.store.row = Row("leader", value, 20, 20)
+        self.leadership.record_heartbeat(20, "edge-2", 0.0, 0.0, 90.0)
+
+    def test_predecessors_are_inherited_and_stored(self) -> None:
+        """Guards against a leader that is forgotten after two elections.
+
+        It may still act until its own lease ends.
+        """
+        self._store_leader_with_predecessor()
+        self.ports.clock.time_s = 90.0 + LEADER_LEASE_S
+        predecessors = ["tcp://edge-3", "tcp://edge-2"]
+        self.assertEqual(Election(50, frozenset(predecessors)), self._elect())
+        (written,) = self.ports.store.written
+        self.assertEqual(
+            {
+                "name": "edge-1",
+                "incarnation": "new",
+                "address": "tcp://edge-1",
+                "predecessors": predecessors,
+            },
+            written,
+        )
+
+    def test_predecessors_whose_leases_have_ended_are_dropped(self) -> None:
+        """Guards against waiting for a node that was removed for good."""
+        self._store_leader_with_predecessor()
+        self.ports.clock.time_s = 90.1 + LEADER_LEASE_S
+        self.assertEqual(
+            Election(50, frozenset({"tcp://edge-2"})), self._elect()
+        )
+
+    def test_leader_without_an_address_is_an_unknown_predecessor(self) -> None:
+        """Guards against trusting a row that another version has written.
+
+        A leader of that version goes on although it follows a higher term.
+        """
+        for value in ({"name": "edge-2", "incarnation": "x"}, {"name": 5}):
+            self.ports.store.row = Row("leader", value, 20, 20)
+            self.leadership.record_heartbeat(20, "edge-2", 0.0, 0.0, 1.0)
+            self.assertEqual(Election(50, frozenset({""})), self._elect())
+
+    def test_applied_attempt_with_lost_answer_keeps_predecessors(self) -> None:
+        """Guards against a second election that forgets predecessors."""
+        value = {
+            "name": "edge-1",
+            "incarnation": "new",
+            "address": "tcp://edge-1",
+            "predecessors": ["tcp://edge-3"],
+        }
+        self.ports.store.row = Row("leader", value, 30, 30)
+        self.assertEqual(
+            Election(30, frozenset({"tcp://edge-3"})), self._elect()
+        )
--- a/tests/scheduler/test_leader_term.py
+++ b/tests/scheduler/test_leader_term.py
@@ -11,6 +11,8 @@
 from testtools import TestCase
 
 from carawaystep.cluster.messages import PublishedStates
+from carawaystep.leadership.election import Election
+from carawaystep.leadership.leadership import Leadership
 from carawaystep.planner.changes import Changes
 from carawaystep.scheduler import leader_term
 from carawaystep.scheduler.leader_term import LeaderTerm
@@ -57,7 +59,8 @@
                 _SETTINGS,
                 ports,  # type: ignore[arg-type]
                 StoreHealth(log, 0.0),
-                7,
+                Leadership("edge-1", 1.0, 0.0),
+                Election(7),
             )
             pairs = [("a", "b", 0.5)]
             with (
@@ -75,6 +78,29 @@
         stored = [e for e, _ in log.events if e == "interference.stored"]
         self.assertEqual(["interference.stored"], stored)
 
+    def test_leader_stops_when_its_process_follows_a_higher_term(
+        self,
+    ) -> None:
+        """Guards against grants of a replaced leader that lost the store.
+
+        The new leader takes the process's heartbeat as proof that it has
+        stopped, and waits for the last leases from then on.
+        """
+        log = RecordingLog()
+        leadership = Leadership("edge-1", 1.0, 0.0)
+        ports = SimpleNamespace(store=_Store(0), clock=_Clock(), log=log)
+        term = LeaderTerm(
+            _SETTINGS,
+            ports,  # type: ignore[arg-type]
+            StoreHealth(log, 0.0),
+            leadership,
+            Election(7),
+        )
+        leadership.record_heartbeat(7, "edge-1", 0.0, 0.0, 10.0)
+        self.assertTrue(term.may_lead(10.0))
+        leadership.record_heartbeat(8, "edge-2", 0.0, 0.0, 10.0)
+        self.assertFalse(term.may_lead(10.0))
+
     def test_messages_with_states_are_numbered(self) -> None:
         """Guards against a lost message that a member cannot notice."""
         log = RecordingLog()
@@ -90,7 +116,8 @@
                     store=_Store(0), clock=_Clock(), log=log
                 ),
                 StoreHealth(log, 0.0),
-                7,
+                Leadership("edge-1", 1.0, 0.0),
+                Election(7),
             )
             with patch.object(term._sessions, "broadcast", broadcast):
                 for state in (WorkflowState.RUNNING, WorkflowState.DONE):
--- a/tests/scheduler/test_leader_term_start.py
+++ b/tests/scheduler/test_leader_term_start.py
@@ -13,6 +13,8 @@
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import QueryState
 from carawaystep.cluster.messages import Submit
+from carawaystep.leadership.election import Election
+from carawaystep.leadership.leadership import Leadership
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.leader_term import LeaderTerm
@@ -87,7 +89,8 @@
                     store=_Store(), clock=_Clock(), log=log
                 ),
                 StoreHealth(log, 0.0),
-                _TERM,
+                Leadership("edge-1", 1.0, 0.0),
+                Election(_TERM),
             )
             session = SimpleNamespace(send=send)
             calls = (Submit(1, spec), Cancel(2, spec.id), QueryState(3, "b"))
@@ -130,7 +133,8 @@
             _SETTINGS,
             ports,  # type: ignore[arg-type]
             StoreHealth(log, 0.0),
-            _TERM,
+            Leadership("edge-1", 1.0, 0.0),
+            Election(_TERM),
         )
         leading = asyncio.create_task(term.run())
         try:
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -111,7 +111,12 @@
     @property
     def was_elected(self) -> bool:
         """Tell whether this node has been elected as the leader."""
-        return any(event == "leader.elected" for event, _ in self.log.events)
+        return self.election_count > 0
+
+    @property
+    def election_count(self) -> int:
+        """Return how often this node has been elected as the leader."""
+        return sum(event == "leader.elected" for event, _ in self.log.events)
 
     async def start(self) -> None:
         """Start the front end and the node."""
@@ -207,6 +212,11 @@
         }
         await self.store.put("servers", worker.name, encode_value(row))
 
+    async def remove_worker(self, worker: WorkerStandin) -> None:
+        """Take a worker away for good and delete its row."""
+        worker.unreachable = True
+        await self.store.delete("servers", worker.name)
+
     async def stop(self) -> None:
         """Stop all nodes and servers."""
         for node in self.nodes:
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -154,6 +154,17 @@
             self._write((table, part, key), value)
             self._rows_changed.notify_all()
 
+    async def delete(self, table: str, key: str, part: str = "") -> None:
+        """Delete a row without a condition.
+
+        :param part: partition, by default that of the operator's and the
+            workers' tables
+        """
+        async with self._rows_changed:
+            self.version += 1
+            self._write((table, part, key), None)
+            self._rows_changed.notify_all()
+
     def drop_history(self) -> None:
         """Discard the change history up to the current version."""
         self.oldest_feed_version = self.version + 1
--- a/tests/users_platform/worker_standin.py
+++ b/tests/users_platform/worker_standin.py
@@ -35,6 +35,7 @@
         get no answer
     :ivar fail_all_tasks: whether every task fails
     :ivar unhealthy: whether starts get status 503
+    :ivar unreachable: whether no call is carried out or answered
     :ivar placement: service that issues the tickets that starts need, None
         when they need none
     """
@@ -56,6 +57,7 @@
         self.delay_starts = False
         self.fail_all_tasks = False
         self.unhealthy = False
+        self.unreachable = False
         self.placement: PlacementStandin | None = None
         self._run_s = run_s
         self._token = 0
@@ -85,6 +87,9 @@
         self, request: Request
     ) -> dict[str, Any] | Response:
         """Check the instance and the token, store the token, end due runs."""
+        if self.unreachable:
+            await asyncio.sleep(_WITHHELD_ANSWER_S)
+            return Response(status_code=503)
         wanted = request.headers.get("Carawaystep-Target-Instance")
         if wanted not in (None, self.name):
             return Response(status_code=421)
