Name the event of stopped predecessors so that it can be counted

Cause: the daemon counts log events by name, and a hyphen is not allowed in the name of a metric.

Change: leader.predecessors_stopped. The log of the tests accepts only names that the daemon can count.

Evidence: with that check, test_takeover.py failed with the name as it was; it passes with the new one, as does tests/scheduler.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -179,7 +179,7 @@
         if self._predecessors.record_follower(address):
             self._planner.record_predecessors_stopped(self.now)
             self._ports.log.line(
-                "leader.predecessors-stopped", self.name, term=self._term
+                "leader.predecessors_stopped", self.name, term=self._term
             )
 
     async def run(self) -> None:
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.worker_capacity import WorkerCapacity
 from carawaystep.fleet.worker_key import WorkerKey
@@ -17,6 +19,9 @@
 from carawaystep.planner.planner import Planner
 from carawaystep.planner.planner_limits import PlannerLimits
 
+# The daemon counts events by name; a metric has no other characters.
+_EVENT_PATTERN = re.compile(r"[a-z0-9_]+(\.[a-z0-9_]+)*")
+
 LIMITS = PlannerLimits(lost_after_s=8.0, takeover_lost_after_s=18.0)
 
 
@@ -34,7 +39,12 @@
     def line(
         self, event: str, subject: str, **inputs: str | int | float
     ) -> None:
-        """Keep an event."""
+        """Keep an event.
+
+        :raises ValueError: the daemon cannot count events of this name
+        """
+        if not _EVENT_PATTERN.fullmatch(event):
+            raise ValueError(f"event {event!r} is no name of a metric")
         self.events.append((event, subject))
         self.fields[event] = inputs
 
