Send no start to a worker that has been silent for longer than a grant

Cause (by reading; no play shows it): a start extends the lease of a worker, also when it is refused, and may be carried out although its answer is lost. A member sent starts up to 2 s after the leader decided on them, and the leader decides up to 1.2 s after the worker's last report, so that a lease could last 9.3 s after that report. The leader gives up the runs of a silent worker after 8.5 s.

Change: a start is sent only within 2 s after the worker's last report (GRANT_S, the time that the leader allows for the last extension).

Evidence: the new test of the worker proxy failed before (the start was sent) and passes; a start 1.9 s after the last report is still sent.

--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -14,6 +14,7 @@
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.leadership.leadership import GRANT_S
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import AssignedWorker
@@ -30,6 +31,8 @@
 # that the leader knows by when the runs on an unreachable worker have ended.
 # LeaderTerm allows GRANT_S for it, which this must not exceed.
 _LEASE_EXTENSION_WINDOW_S = 1.0
+# A start extends the lease too, even if the worker refuses it.
+_START_WINDOW_S = GRANT_S
 _ACKNOWLEDGE_TIMEOUT_S = 0.5
 _REPORT_RETRY_INTERVAL_S = 0.1
 # Run ends within this window are collected in one report.
@@ -198,11 +201,18 @@
                 worker=order.worker.id,
             )
             return OrderOutcome.NOT_SENT
+        if isinstance(order, StartOrder) and self._is_silent:
+            return OrderOutcome.NOT_SENT
         outcome = await self._link.execute_order(order, self._term)
         if isinstance(order, StopOrder):
             self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
         return outcome
 
+    @property
+    def _is_silent(self) -> bool:
+        """Tell whether the worker's last report is too old for a start."""
+        return self._context.now - self._answered_at > _START_WINDOW_S
+
     def _has_expired(self, queued: _QueuedOrder) -> bool:
         if queued.decided_at is None:
             return False
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -5,18 +5,21 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from result import Err
 from result import Ok
 from testtools import TestCase
 
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import NumberedOrder
 from carawaystep.cluster.messages import OrderResult
+from carawaystep.fleet.link_failure import LinkFailure
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.fleet.worker_link import WorkerLink
 from carawaystep.fleet.worker_report import WorkerReport
+from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.scheduler.member_context import MemberContext
 from carawaystep.scheduler.worker_proxy import WorkerProxy
 from carawaystep.workflow.task_ref import TaskRef
@@ -26,7 +29,6 @@
     from result import Result
 
     from carawaystep.cluster.messages import FromMember
-    from carawaystep.fleet.link_failure import LinkFailure
     from carawaystep.fleet.order import Order
 
 _TERM = 5
@@ -56,14 +58,20 @@
 
 
 class _Link(WorkerLink):
-    """Records the orders that reach the worker."""
+    """Records the orders that reach the worker.
+
+    :ivar silent: whether the worker does not answer calls for reports
+    """
 
     def __init__(self) -> None:
         self.orders: list[Order] = []
+        self.silent = False
 
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
+        if self.silent:
+            return Err(LinkFailure("no answer"))
         return Ok(WorkerReport(_WORKER, [], []))
 
     async def execute_order(self, order: Order, token: int) -> OrderOutcome:
@@ -134,3 +142,47 @@
         self.assertEqual(
             ([stop], [OrderOutcome.DONE]), self._execute(stop, 60.0)
         )
+
+
+class SilentWorkerTest(TestCase):
+    """Starts for a worker whose answers no longer arrive."""
+
+    def _start_after_silence(
+        self, silence_s: float
+    ) -> tuple[list[Order], list[OrderOutcome]]:
+        member = _Member()
+        link = _Link()
+        start = StartOrder(_WORKER, _REF, 1, "text")
+
+        async def run() -> None:
+            worker = AssignedWorker(_WORKER, "127.0.0.1:1")
+            proxy = WorkerProxy(worker, link, member, RecordingLog())
+            task = asyncio.create_task(proxy.run())
+            await asyncio.sleep(0.05)
+            link.silent = True
+            await asyncio.sleep(0.15)
+            member.now += silence_s
+            proxy.enqueue_order(NumberedOrder(1, start), member.now)
+            async with asyncio.timeout(5.0):
+                await member.order_answered.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        return link.orders, member.outcomes
+
+    def test_start_is_not_sent_long_after_the_last_report(self) -> None:
+        """Guards against a lease that a start extends unnoticed.
+
+        The start may be carried out although its answer is lost. The leader
+        counts from the last report until the runs on a silent worker end.
+        """
+        orders, outcomes = self._start_after_silence(GRANT_S + 0.1)
+        self.assertEqual([], orders)
+        self.assertEqual([OrderOutcome.NOT_SENT], outcomes)
+
+    def test_start_is_sent_soon_after_the_last_report(self) -> None:
+        """Guards against refused starts between two reports of a worker."""
+        orders, outcomes = self._start_after_silence(GRANT_S - 0.1)
+        self.assertEqual(1, len(orders))
+        self.assertEqual([OrderOutcome.DONE], outcomes)
