Go on receiving from a member after its connection was replaced

What callers saw: until the leader changed, a node that had restarted or had been cut off for more than a second was called by nobody: it got no workers, and the leader answered none of its submissions and cancellations, so that they waited for a time-out and went to the store.

Cause: the leader replaces the connection to a member that is silent for 1 s.

The new test of the channel failed before with CancelledError.

Change: receive() goes on with the new socket unless its own task was cancelled. A second test checks that a session can still be cancelled.

Result: tests of the adapter, the scheduler and test_system.py pass.

--- a/src/carawaystep/adapters/zmq/cluster_channel.py
+++ b/src/carawaystep/adapters/zmq/cluster_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from zmq import DEALER
@@ -56,9 +57,10 @@
             socket = self._socket
             try:
                 frames = await socket.recv_multipart()
-            except ZMQError:
-                # reconnect() closes the old socket; go on with the new one.
-                if socket is self._socket:
+            except (ZMQError, asyncio.CancelledError):
+                # reconnect() closes the old socket, which cancels the call;
+                # go on with the new one.
+                if socket is self._socket or _is_task_cancelled():
                     raise
                 continue
             message = self._codec.decode(frames[-1])
@@ -83,3 +85,9 @@
         socket.setsockopt(RECONNECT_IVL, _RECONNECT_INTERVAL_MS)
         socket.connect(self._address)
         return socket
+
+
+def _is_task_cancelled() -> bool:
+    """Tell whether the current task itself was asked to end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- /dev/null
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -0,0 +1,81 @@
+"""Tests of the leader's connection to a member over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+
+from carawaystep.adapters.zmq.cluster_channel import ClusterChannel
+from carawaystep.adapters.zmq.cluster_server import ClusterServer
+from carawaystep.cluster.messages import LeaderHeartbeat
+from carawaystep.cluster.messages import MemberHeartbeat
+from tools.port_allocator import LOOPBACK_HOST
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+_LIMIT_S = 5.0
+_CONNECT_S = 0.5
+_HEARTBEAT = LeaderHeartbeat(7, "edge-1", 0.0, 0.0)
+_ANSWER = MemberHeartbeat("edge-2", 7, 1.0, 0, False)
+
+
+class ClusterChannelTest(TestCase):
+    """A member's messages while its connection is replaced."""
+
+    def _run(
+        self,
+        check: Callable[[ClusterServer, ClusterChannel], Awaitable[None]],
+    ) -> None:
+        async def run() -> None:
+            server = ClusterServer(f"tcp://{LOOPBACK_HOST}:0")
+            channel = ClusterChannel(server.address)
+            try:
+                async with asyncio.timeout(_LIMIT_S):
+                    await check(server, channel)
+            finally:
+                await channel.close()
+                server.close()
+
+        asyncio.run(run())
+
+    def test_messages_arrive_after_the_connection_was_replaced(self) -> None:
+        """Guards against a leader that never hears a member again.
+
+        The connection is replaced while a message is awaited, after the
+        member was silent for a second.
+        """
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            received = asyncio.create_task(channel.receive())
+            await asyncio.sleep(0.1)
+            await channel.reconnect()
+            # Nothing is sent before the new connection is open.
+            await asyncio.sleep(_CONNECT_S)
+            self.assertTrue(await channel.send(_HEARTBEAT))
+            leader, message = await server.receive()
+            self.assertEqual(_HEARTBEAT, message)
+            await server.send(leader, _ANSWER)
+            self.assertEqual(_ANSWER, await received)
+
+        self._run(check)
+
+    def test_receiver_can_be_cancelled_after_a_replacement(self) -> None:
+        """Guards against a session that goes on after the end of its term."""
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            received = asyncio.create_task(channel.receive())
+            await asyncio.sleep(0.1)
+            await channel.reconnect()
+            received.cancel()
+            await asyncio.wait([received])
+            self.assertTrue(received.cancelled())
+
+        self._run(check)
