--- a/tests/users_platform/test_faults.py
+++ b/tests/users_platform/test_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import time
 from typing import TYPE_CHECKING
 
 from testtools import TestCase
@@ -24,6 +25,8 @@
     from tests.users_platform.deployment import Node
 
 _TASK_COUNT = 4
+# The leader replaces the connection to a member that is silent for 1 s.
+_PAUSE_S = 1.5
 _ONE_TASK_BODY = {"spec": "", "steps": [{"count": 1, "cpu": 500}]}
 
 
@@ -286,3 +289,32 @@
     with socket.create_connection(("127.0.0.1", port), timeout=8) as client:
         client.sendall(data)
         return client.recv(4096)
+
+
+class PausedProcessesTest(TestCase):
+    """Processes that all pause, such as on an overloaded machine."""
+
+    def test_members_are_called_again_after_a_pause(self) -> None:
+        """Guards against members that the leader hears no more.
+
+        Their workers get no orders until another process leads.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            # All nodes share the event loop that this blocks.
+            time.sleep(_PAUSE_S)  # noqa: ASYNC251
+            await self._submit(deployment.nodes[0])
+            await wait_for_state(deployment.nodes[0], "completed", limit_s=5.0)
+
+        run_scenario(scenario, run_s=0.2)
+
+    @staticmethod
+    async def _submit(node: Node) -> None:
+        async with asyncio.timeout(5.0):
+            while True:
+                answer = await node.call(
+                    "POST", SUBMISSION_PATH, SUBMISSION_BODY
+                )
+                if answer.status == 200:
+                    return
+                await asyncio.sleep(0.1)
