Count a workflow as queued until a run of it has begun

Cause, by reading: a placed workflow left the count, also when its start was not executed.

Change: a workflow leaves the count with the first report that lists or ends a run of it. Of the stored progress, ended tasks, failures and checkpoints show that one has begun.

--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -67,10 +67,10 @@
         return None if workflow is None else workflow.state
 
     def count_queued(self) -> dict[str, int]:
-        """Return the number of workflows that have not started, by queue."""
+        """Return the number of workflows that have not begun, by queue."""
         counts: dict[str, int] = {}
         for workflow in self._workflows.values():
-            if not workflow.started and not workflow.ended:
+            if not workflow.has_begun and not workflow.ended:
                 queue = workflow.spec.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -54,6 +54,7 @@
         }
         self._placed_count = 0
         self._started = False
+        self._has_begun = False
         self._cancelled = False
         self._failed = False
         self._run_end_counts: Counter[RunEnd] = Counter()
@@ -93,9 +94,12 @@
         return self.ended and self._placed_count == 0
 
     @property
-    def started(self) -> bool:
-        """Tell whether a task has ever been placed."""
-        return self._started
+    def has_begun(self) -> bool:
+        """Tell whether a run is known to have begun on a worker.
+
+        A task that is placed may never start there.
+        """
+        return self._has_begun
 
     @property
     def has_placed_tasks(self) -> bool:
@@ -260,6 +264,7 @@
             return False
         task = self.task(ref)
         task.seen_running = True
+        self._has_begun = True
         if checkpoint:
             task.checkpoint = checkpoint
         return True
@@ -280,6 +285,7 @@
         if not self.is_current_run(ref, run):
             return False
         self._run_end_counts[end] += 1
+        self._has_begun = True
         step = self.step(ref)
         if end is RunEnd.DONE and not step.long_running:
             if step.gang:
@@ -363,6 +369,9 @@
                 self._placed_count += 1
             if task.state is TaskState.DONE:
                 self._unfinished[step_key] -= 1
+                self._has_begun = True
+            if task.failures or task.checkpoint:
+                self._has_begun = True
         self._started = bool(record.tasks)
         self._cancelled = record.cancelled
         self._failed = record.failed
