Give workflows with only forced runs no rank

Cause: a workflow without a run for 1.5 s is placed with one task despite harm or without idle CPU, and then counted as started. Under overload every waiting best-effort workflow got there, and started ones go by their remaining critical path: a long one waited behind each newer short one for good.

Change: only a run that was not forced makes a workflow started in its turn. The stored progress keeps it, so that a new term knows it; records without the field count as before.

Bookings are never forced and do not change.

--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -275,7 +275,7 @@
         forced: bool,
         now: float,
     ) -> None:
-        run = workflow.place(ref, worker.key)
+        run = workflow.place(ref, worker.key, forced)
         step = workflow.step(ref)
         tracked = TrackedRun(run, step, workflow.spec.priority, now)
         if forced:
--- a/src/carawaystep/workflow/urgency.py
+++ b/src/carawaystep/workflow/urgency.py
@@ -22,8 +22,8 @@
 
     A long-running workflow whose tasks lost their runs comes first, as it
     has no deadline to meet or to miss. A started workflow goes before those
-    that have not started, so that the work already done for it is not lost
-    while newer ones pass it.
+    that have not started in their turn, so that the work already done for it
+    is not lost while newer ones pass it.
 
     :param priority: priority of the workflow, 0 is the highest
     :param stage: what the workflow can still achieve
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -54,6 +54,7 @@
         }
         self._placed_count = 0
         self._started = False
+        self._started_in_turn = False
         self._cancelled = False
         self._failed = False
         self._run_end_counts: Counter[RunEnd] = Counter()
@@ -122,7 +123,9 @@
 
         The occurrence that became due last counts. A long-running workflow
         keeps its use however late it starts, and holds its resources for
-        long, so that it gains no rank by having started.
+        long, so that it gains no rank by having started. Neither does one
+        of which only forced runs have started: under overload that may be
+        every waiting workflow, and the long ones would never get a turn.
 
         :param wall_now: current wall-clock time in seconds
         """
@@ -229,9 +232,13 @@
         tasks = self._tasks[ref.occurrence, ref.step]
         return next((t.checkpoint for t in tasks if t.checkpoint), "")
 
-    def place(self, ref: TaskRef, worker: WorkerKey) -> int:
+    def place(
+        self, ref: TaskRef, worker: WorkerKey, forced: bool = False
+    ) -> int:
         """Place the next run of a waiting task on a worker.
 
+        :param forced: whether it is placed out of turn, only because the
+            workflow has waited too long without a run
         :returns: number of the run
         :raises BrokenInvariant: when the task is not waiting or the workflow
             has ended
@@ -247,6 +254,8 @@
         task.seen_running = False
         self._placed_count += 1
         self._started = True
+        if not forced:
+            self._started_in_turn = True
         return task.run
 
     def record_running(self, ref: TaskRef, run: int, checkpoint: str) -> bool:
@@ -339,7 +348,9 @@
             for index, task in enumerate(tasks)
             if task.run
         ]
-        return WorkflowRecord(tasks, self._cancelled, self._failed)
+        return WorkflowRecord(
+            tasks, self._cancelled, self._failed, self._started_in_turn
+        )
 
     def restore(self, record: WorkflowRecord) -> None:
         """Load stored progress into a workflow that was just created.
@@ -364,6 +375,7 @@
             if task.state is TaskState.DONE:
                 self._unfinished[step_key] -= 1
         self._started = bool(record.tasks)
+        self._started_in_turn = self._started and record.started_in_turn
         self._cancelled = record.cancelled
         self._failed = record.failed
 
@@ -382,7 +394,7 @@
                 return UrgencyStage.INTERRUPTED
         elif ends_at > begin + _USEFUL_TARGET_DURATIONS * target_s:
             return UrgencyStage.EXPIRED
-        elif self._started:
+        elif self._started_in_turn:
             return UrgencyStage.STARTED
         on_time = ends_at <= begin + target_s
         return UrgencyStage.ON_TIME if on_time else UrgencyStage.LATE
--- a/src/carawaystep/workflow/workflow_record.py
+++ b/src/carawaystep/workflow/workflow_record.py
@@ -38,8 +38,10 @@
     :param tasks: tasks that have been placed at least once
     :param cancelled: whether the caller has cancelled it
     :param failed: whether a task has used up its attempts
+    :param started_in_turn: whether a task that has been placed was not forced
     """
 
     tasks: list[TaskRecord]
     cancelled: bool = False
     failed: bool = False
+    started_in_turn: bool = True
--- a/tests/planner/test_overload.py
+++ b/tests/planner/test_overload.py
@@ -8,6 +8,7 @@
 
 from testtools import TestCase
 
+from tests.planner.arriving_workflows import ROUTE_PLANS
 from tests.planner.overload_simulation import OverloadSettings
 from tests.planner.overload_simulation import OverloadSimulation
 from tests.planner.overload_simulation import ServedShares
@@ -41,6 +42,20 @@
     )
 
 
+def _route_plans(load: float) -> OverloadSettings:
+    """Return workers that best-effort workflows with wrong estimates fill."""
+    random = Random(5)
+    return OverloadSettings(
+        cpu_millis=tuple(random.randrange(5000, 20000, 50) for _ in range(40)),
+        mean_task_cpu_millis=3500,
+        task_cpu_spread=0.3,
+        burst_load=load,
+        load=load,
+        kind=ROUTE_PLANS,
+        after_arrivals_s=14.0,
+    )
+
+
 class OverloadTest(TestCase):
     """Order of work under overload."""
 
@@ -58,14 +73,25 @@
         A single seed has about 20 workflows in its largest tenth, so that
         the mean over the seeds is checked.
         """
-        settings = _small_gaps(1.6, 0.95)
-        runs = [OverloadSimulation(settings, seed).run() for seed in _SEEDS]
-        mean = ServedShares(
-            fmean(shares.all for shares in runs),
-            fmean(shares.largest_tenth for shares in runs),
-            fmean(shares.fifth_below for shares in runs),
-        )
-        self._check_sizes(mean, str(runs))
+        self._check_mean(_small_gaps(1.6, 0.95))
+
+    def test_best_effort_overload_starves_no_size(self) -> None:
+        """Guards against large best-effort workflows that never get a turn.
+
+        When each waiting workflow has had a forced run, their order must not
+        be the one of started workflows, which favours short ones.
+        """
+        for seed in _SEEDS:
+            shares = OverloadSimulation(_route_plans(2.0), seed).run()
+            self._check_sizes(shares, f"seed {seed}: {shares}")
+
+    def test_best_effort_beside_serving_tasks_starves_no_size(self) -> None:
+        """Guards against forced tasks on CPU that others have reserved.
+
+        A single seed has about 9 workflows in its largest tenth, so that the
+        mean over the seeds is checked.
+        """
+        self._check_mean(replace(_route_plans(2.0), serving=True))
 
     def test_a_seed_gives_the_same_workflows_to_any_workers(self) -> None:
         """Guards against comparisons of policies on different traffic."""
@@ -88,6 +114,15 @@
             self._check_sizes(shares, message)
             self.assertGreaterEqual(shares.all, min_served, message)
 
+    def _check_mean(self, settings: OverloadSettings) -> None:
+        runs = [OverloadSimulation(settings, seed).run() for seed in _SEEDS]
+        mean = ServedShares(
+            fmean(shares.all for shares in runs),
+            fmean(shares.largest_tenth for shares in runs),
+            fmean(shares.fifth_below for shares in runs),
+        )
+        self._check_sizes(mean, str(runs))
+
     def _check_sizes(self, shares: ServedShares, message: str) -> None:
         required = _MIN_SHARE_OF_ALL * shares.all
         self.assertGreaterEqual(shares.largest_tenth, required, message)
--- a/tests/workflow/test_workflow.py
+++ b/tests/workflow/test_workflow.py
@@ -154,6 +154,32 @@
         newer = workflow(self._STEP, accepted_at_s=1005.0)
         self.assertLess(started.urgency(1005.0), newer.urgency(1005.0))
 
+    def test_a_forced_run_gives_no_rank(self) -> None:
+        """Guards against waiting workflows that all count as started."""
+        forced = workflow(self._STEP)
+        first, second = forced.ready_tasks(1000.0)
+        forced.place(first, _WORKER, forced=True)
+        self.assertIs(UrgencyStage.ON_TIME, forced.urgency(1000.0).stage)
+        forced.place(second, _WORKER)
+        self.assertIs(UrgencyStage.STARTED, forced.urgency(1000.0).stage)
+
+    def test_a_new_term_knows_which_workflows_started_in_turn(self) -> None:
+        """Guards against ranks that a change of the leader gives away."""
+        flow = workflow(self._STEP)
+        for forced, stage in (
+            (True, UrgencyStage.ON_TIME),
+            (False, UrgencyStage.STARTED),
+        ):
+            ref = next(flow.ready_tasks(1000.0))
+            flow.place(ref, _WORKER, forced=forced)
+            restored = workflow(self._STEP)
+            restored.restore(
+                msgspec.json.decode(
+                    msgspec.json.encode(flow.record()), type=WorkflowRecord
+                )
+            )
+            self.assertIs(stage, restored.urgency(1000.0).stage)
+
     def test_workflow_that_is_of_no_more_use_goes_last(self) -> None:
         """Guards against work on results that come too late for callers."""
         expired = workflow(self._STEP)
