Force no best-effort task onto CPU that others have reserved

Cause: a best-effort workflow without a run for 1.5 s was placed also where neither idle nor unreserved CPU was left.

Change: a forced task needs idle CPU, as any other best-effort task, or unreserved CPU for it, which best-effort tasks then share. Where less than half of a service is reserved there is such a worker, so that no workflow stays without a run while the service has room. Harm is accepted as before.

--- a/src/carawaystep/planner/interference_aware_placement.py
+++ b/src/carawaystep/planner/interference_aware_placement.py
@@ -42,11 +42,10 @@
         """Return the candidates on which a step may be placed now."""
         if not step.fills:
             return list(candidates)
-        needed_cpu_millis = step.cpu_millis * _MIN_BEST_EFFORT_CPU_SHARE
         return [
             worker
             for worker in candidates
-            if worker.estimated_spare_cpu_millis >= needed_cpu_millis
+            if _has_spare_cpu(step, worker)
             and self._leaves_memory(step, worker)
             and not self._interference.likely_harms(step.image, worker)
             and not self._interference.confounds(step.image, worker, now)
@@ -79,10 +78,14 @@
     ) -> TrackedWorker | None:
         """Return the worker on which one more task does the least harm."""
         return min(
-            candidates,
+            (
+                worker
+                for worker in candidates
+                if _has_spare_cpu(step, worker)
+                or worker.free_cpu_millis >= step.cpu_millis
+            ),
             key=lambda worker: (
-                worker.estimated_spare_cpu_millis
-                < step.cpu_millis * _MIN_BEST_EFFORT_CPU_SHARE,
+                not _has_spare_cpu(step, worker),
                 not self._leaves_memory(step, worker),
                 self._interference.expected_harm(step.image, worker),
                 -worker.estimated_spare_cpu_millis,
@@ -128,3 +131,9 @@
     @staticmethod
     def _on_preferred_rack(step: StepSpec, worker: TrackedWorker) -> bool:
         return not step.rack or worker.record.rack == step.rack
+
+
+def _has_spare_cpu(step: StepSpec, worker: TrackedWorker) -> bool:
+    """Tell whether a best-effort task finds enough idle CPU on a worker."""
+    needed_cpu_millis = step.cpu_millis * _MIN_BEST_EFFORT_CPU_SHARE
+    return worker.estimated_spare_cpu_millis >= needed_cpu_millis
--- a/src/carawaystep/planner/task_placement_policy.py
+++ b/src/carawaystep/planner/task_placement_policy.py
@@ -50,6 +50,9 @@
     ) -> TrackedWorker | None:
         """Return the worker on which one more task does the least harm.
 
+        Workers without idle CPU for it count only if they have unreserved
+        CPU, which best-effort tasks share.
+
         :param step: step of a task that has waited too long
         :param candidates: usable workers that suit the step and have
             capacity for a task of it
