Run the scheduler's nodes together under random faults

Several nodes run their real code in virtual time over an in-memory store, network and workers. Callers submit, repeat, cancel and ask for states; what they are told is compared with the store at that moment and with what the workers do after it. Four faulty variants stand beside it.

--- a/tests/planner/simulated_worker.py
+++ b/tests/planner/simulated_worker.py
@@ -55,6 +55,16 @@
         """Return the identity of the current lifetime."""
         return WorkerKey(self.name, self.started_at_ms)
 
+    @property
+    def token(self) -> int:
+        """Return the highest fencing token that this lifetime has seen."""
+        return self._token
+
+    @property
+    def has_unacknowledged_ends(self) -> bool:
+        """Tell whether the next report has ends of runs."""
+        return bool(self._ended)
+
     def reachable(self, now: float) -> bool:
         """Tell whether members can call it."""
         return self.running and now >= self.unreachable_until
@@ -92,13 +102,21 @@
         return True
 
     def report(
-        self, token: int, acknowledged: int, now: float
+        self,
+        token: int,
+        acknowledged: int,
+        now: float,
+        extend_lease: bool = True,
     ) -> WorkerReport | None:
-        """Extend the lease and return a report; None for a low token."""
+        """Return a report and optionally extend the lease.
+
+        :returns: the report, None for a low token
+        """
         if token < self._token:
             return None
         self._token = token
-        self._lease_until = max(self._lease_until, now + LEASE_S)
+        if extend_lease:
+            self._lease_until = max(self._lease_until, now + LEASE_S)
         self._ended = [e for e in self._ended if e.number > acknowledged]
         reported_runs = [
             ReportedRun(ref, simulated.run, "", 50.0, 0.0)
--- /dev/null
+++ b/tests/scheduler/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Random simulation of the scheduler's nodes in virtual time."""
--- /dev/null
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -0,0 +1,98 @@
+"""Faulty variants of the scheduler that simulations must detect."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from contextlib import ExitStack
+from contextlib import nullcontext
+from typing import TYPE_CHECKING
+from unittest.mock import patch
+
+from carawaystep.planner.cancellations import Cancellations
+from carawaystep.scheduler import member
+from carawaystep.scheduler import tables
+from carawaystep.scheduler.published_state_cache import PublishedStateCache
+from carawaystep.scheduler.waiting_calls import WaitingCalls
+from tests.scheduler.simulation.simulated_store import SimulatedStore
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+    from contextlib import AbstractContextManager
+
+    from carawaystep.scheduler.waiting_calls import WaitingCall
+    from carawaystep.store.operation import Operation
+    from carawaystep.workflow.workflow_state import WorkflowState
+
+
+def _confirm_by_any_commit() -> AbstractContextManager[object]:
+    """Confirm a cancellation by a commit that does not hold it."""
+
+    def take_answered(
+        calls: WaitingCalls, workflow_id: str, stored_state: WorkflowState
+    ) -> list[WaitingCall]:
+        return calls._calls.pop(workflow_id, [])
+
+    return patch.object(WaitingCalls, "take_answered", take_answered)
+
+
+@contextmanager
+def _drop_early_cancellations() -> Iterator[None]:
+    """Ignore a stored cancellation that is read before its submission.
+
+    Transactions that store placements do not look for it either.
+    """
+
+    def cancel(cancellations: Cancellations, workflow_id: str) -> bool:
+        return cancellations.cancel(workflow_id, "store")
+
+    transact = SimulatedStore.transact
+
+    def transact_unchecked(
+        store: SimulatedStore, operations: Sequence[Operation]
+    ) -> object:
+        checked = [
+            operation
+            for operation in operations
+            if operation.table != tables.CANCELS or operation.expected is None
+        ]
+        return transact(store, checked)
+
+    with ExitStack() as stack:
+        stack.enter_context(
+            patch.object(Cancellations, "cancel_or_keep", cancel)
+        )
+        stack.enter_context(
+            patch.object(SimulatedStore, "transact", transact_unchecked)
+        )
+        yield
+
+
+def _number_calls_from_one() -> AbstractContextManager[object]:
+    """Let each process number its calls from 1."""
+    return patch.object(member, "randbits", lambda bits: 1)
+
+
+def _keep_unfinished_states() -> AbstractContextManager[object]:
+    """Keep states of which an update may be missing."""
+    return patch.object(
+        PublishedStateCache, "_drop_unfinished", lambda cache: None
+    )
+
+
+_VARIANTS = {
+    "none": nullcontext,
+    "confirm-by-any-commit": _confirm_by_any_commit,
+    "drop-early-cancellations": _drop_early_cancellations,
+    "number-calls-from-one": _number_calls_from_one,
+    "keep-unfinished-states": _keep_unfinished_states,
+}
+VARIANT_NAMES = tuple(_VARIANTS)
+
+
+def faulty_variant(name: str) -> AbstractContextManager[object]:
+    """Return a context in which the scheduler has a fault.
+
+    :param name: one of ``VARIANT_NAMES``
+    """
+    return _VARIANTS[name]()
--- /dev/null
+++ b/tests/scheduler/simulation/scheduler_simulation.py
@@ -0,0 +1,132 @@
+"""Random simulation of several nodes with callers and faults."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import looptime
+
+from carawaystep.store.operation import PutRow
+from tests.scheduler.simulation.calm_period import CalmPeriod
+from tests.scheduler.simulation.fault_driver import FaultDriver
+from tests.scheduler.simulation.promise_checks import PromiseChecks
+from tests.scheduler.simulation.simulated_callers import SimulatedCallers
+from tests.scheduler.simulation.simulated_node import SimulatedNode
+from tests.scheduler.simulation.simulated_route_source import (
+    SimulatedRouteSource,
+)
+from tests.scheduler.simulation.simulation_record import SimulationRecord
+from tests.scheduler.simulation.surroundings import Surroundings
+from tests.scheduler.simulation.task_factory import TaskFactory
+
+_NODES = 4
+_WORKERS = 6
+_CHECK_INTERVAL_S = 0.25
+# Time for the first leader to be elected.
+_START_S = 3.0
+# The wait of a new term for silent workers, 18.5 s, twice, and the work.
+_MAX_END_S = 60.0
+_END_CHECK_INTERVAL_S = 1.0
+
+
+class SchedulerSimulation:
+    """One run, which its seed and the hash seed of Python repeat exactly."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        """Create a run.
+
+        :param seed: seed of all random decisions
+        :param seconds: virtual duration of calls and faults
+        """
+        self._random = Random(seed)
+        self._seconds = seconds
+        self._nodes: list[SimulatedNode] = []
+        self.record = SimulationRecord()
+
+    def run(self) -> SimulationRecord:
+        """Run in an event loop that skips all waiting times."""
+        with asyncio.Runner(loop_factory=_new_loop) as runner:
+            runner.run(self._run())
+        return self.record
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        workers = [f"worker-{number}" for number in range(_WORKERS)]
+        surroundings = Surroundings(workers, self._random, self.record)
+        calm = CalmPeriod(loop.time)
+        fleet = surroundings.fleet
+        checks = PromiseChecks(
+            surroundings.store, fleet.workers, calm, self.record
+        )
+        surroundings.store.on_write = checks.check_write
+        fleet.on_start = checks.check_start
+        source = SimulatedRouteSource()
+        surroundings.store.transact(
+            [PutRow(source.table, source.key, None, {})]
+        )
+        self._nodes = [
+            SimulatedNode(f"edge-{number}", surroundings)
+            for number in range(_NODES)
+        ]
+        background = [
+            asyncio.create_task(fleet.run()),
+            asyncio.create_task(self._check_continuously(checks)),
+        ]
+        for node in self._nodes:
+            node.start()
+        await asyncio.sleep(_START_S)
+        until = loop.time() + self._seconds
+        callers = SimulatedCallers(
+            self._nodes, self._random, checks, self.record
+        )
+        driver = FaultDriver(self._nodes, surroundings, calm, self.record)
+        callers.on_call = driver.strike_leader
+        await asyncio.gather(callers.run(until), driver.run(until))
+        await self._wait_for_ends(callers, checks)
+        checks.check_end()
+        for node in self._nodes:
+            await node.kill()
+        for task in background:
+            self.record.check(not task.done(), "a check has failed")
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+
+    async def _check_continuously(self, checks: PromiseChecks) -> None:
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            checks.check_runs()
+            for node in self._nodes:
+                self.record.check(
+                    node.failed_task_count == 0,
+                    f"a task of {node.name} has failed",
+                )
+
+    async def _wait_for_ends(
+        self, callers: SimulatedCallers, checks: PromiseChecks
+    ) -> None:
+        """Ask for the states of accepted workflows until all are final."""
+        loop = asyncio.get_running_loop()
+        self.record.add("waiting for the ends")
+        limit = loop.time() + _MAX_END_S
+        while loop.time() < limit:
+            open_ids = [
+                workflow_id
+                for workflow_id, promise in checks.promises.items()
+                if promise.accepted_at is not None
+                and promise.final_state is None
+            ]
+            if not open_ids:
+                break
+            for workflow_id in open_ids:
+                await callers.read_state(workflow_id)
+            await asyncio.sleep(_END_CHECK_INTERVAL_S)
+        for workflow_id in checks.promises:
+            await callers.read_state_everywhere(workflow_id)
+
+
+def _new_loop() -> asyncio.AbstractEventLoop:
+    # All work runs in this loop, so one empty cycle means that it is waiting.
+    loop = looptime.new_event_loop(noop_cycles=1)
+    loop.set_task_factory(TaskFactory())
+    return loop
--- /dev/null
+++ b/tests/scheduler/simulation/simulated_fleet.py
@@ -0,0 +1,128 @@
+"""Workers of a simulation and their entries in the list of workers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from carawaystep.store.operation import DeleteRow
+from carawaystep.store.operation import PutRow
+from carawaystep.workflow.run_end import RunEnd
+from tests.planner.simulated_worker import SimulatedRun
+from tests.planner.simulated_worker import SimulatedWorker
+from tests.scheduler.simulation.simulated_worker_list import (
+    SimulatedWorkerList,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from carawaystep.fleet.order import StartOrder
+    from tests.scheduler.simulation.simulated_store import SimulatedStore
+
+_TICK_S = 0.05
+_MIN_RUN_S = 0.2
+_MAX_RUN_S = 2.5
+_FAILURE_RATE = 0.05
+
+
+class SimulatedFleet:
+    """Runs tasks on workers, and lists the workers in the store.
+
+    ``on_start`` is called with the worker, the order and whether the worker
+    carried the order out late, after each start.
+    """
+
+    def __init__(
+        self, names: list[str], store: SimulatedStore, random: Random
+    ) -> None:
+        """Create workers that are listed.
+
+        :param names: ids of the workers
+        :param store: holds the list of workers
+        :param random: source of all random decisions
+        """
+        self._store = store
+        self._random = random
+        self.workers = {name: SimulatedWorker(name) for name in names}
+        self.on_start: Callable[[SimulatedWorker, StartOrder, bool], None]
+        self.on_start = lambda worker, order, late: None
+        self._started_at = dict.fromkeys(names, 0.0)
+        self._ended = {name: asyncio.Event() for name in names}
+        for name in names:
+            self.list_worker(name)
+
+    async def run(self) -> None:
+        """End runs when they are due until the task is cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            for worker in self.workers.values():
+                worker.end_due_runs(loop.time())
+                if worker.has_unacknowledged_ends:
+                    self._ended[worker.name].set()
+
+    def clock(self, name: str, now: float) -> float:
+        """Return the time of a worker's clock, which starts with it."""
+        return now - self._started_at[name]
+
+    async def wait_for_end(self, name: str, wait_s: float) -> None:
+        """Wait until a worker has an end to report, or for a time."""
+        if self.workers[name].has_unacknowledged_ends:
+            return
+        self._ended[name].clear()
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._ended[name].wait()
+        except TimeoutError:
+            return
+
+    def start(
+        self, order: StartOrder, token: int, deadline: float, late: bool
+    ) -> bool:
+        """Start a run on the present lifetime of the order's worker.
+
+        :param deadline: end of the lease on the worker's clock
+        :param late: whether the worker carries the order out late
+        :returns: False if the worker refuses it
+        """
+        name = order.worker.id
+        worker = self.workers[name]
+        now = asyncio.get_running_loop().time()
+        run = SimulatedRun(
+            order.run,
+            0,
+            now + self._random.uniform(_MIN_RUN_S, _MAX_RUN_S),
+            RunEnd.FAILED
+            if self._random.random() < _FAILURE_RATE
+            else RunEnd.DONE,
+        )
+        lease_until = deadline + self._started_at[name]
+        if not worker.start(order.ref, run, token, lease_until, now):
+            return False
+        self.on_start(worker, order, late)
+        return True
+
+    def crash(self, name: str) -> None:
+        """Stop a worker, which loses its runs; it stays listed."""
+        self.workers[name].crash()
+
+    def restart(self, name: str) -> None:
+        """Start a new lifetime of a worker under its id, and list it."""
+        self.workers[name].restart()
+        self._started_at[name] = asyncio.get_running_loop().time()
+        self.list_worker(name)
+
+    def list_worker(self, name: str) -> None:
+        """Add a worker to the list."""
+        value = {"started_at_ms": self.workers[name].started_at_ms}
+        self._store.transact(
+            [PutRow(SimulatedWorkerList.table, name, None, value)]
+        )
+
+    def unlist_worker(self, name: str) -> None:
+        """Remove a worker from the list; it works on."""
+        self._store.transact(
+            [DeleteRow(SimulatedWorkerList.table, name, None)]
+        )
--- /dev/null
+++ b/tests/scheduler/test_simulation.py
@@ -0,0 +1,99 @@
+"""Simulations with fixed seeds, and faulty variants that they must detect."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from typing import Any
+
+from testtools import TestCase
+
+_SEEDS = 3
+_SECONDS = 30
+
+
+class SimulationTest(TestCase):
+    """Promises to callers under random faults of nodes, store and workers."""
+
+    def test_promises_hold_with_fixed_seeds(self) -> None:
+        """Guards against broken promises to callers in these runs."""
+        results, errors = self._run(1, "none", seeds=_SEEDS)
+        self.assertEqual([0] * _SEEDS, [r["violations"] for r in results])
+        self.assertEqual("", errors)
+        for result in results:
+            self.assertGreater(result["faults"], 10, result)
+            self.assertGreater(result["checks"], 2000, result)
+
+    def test_runs_repeat_exactly(self) -> None:
+        """Guards against a violation that its seed does not show again."""
+        _, history = self._run(5, "none", "--history", seconds=10)
+        self.assertEqual(
+            history, self._run(5, "none", "--history", seconds=10)[1]
+        )
+
+    def test_confirmation_by_another_commit_is_detected(self) -> None:
+        """Guards against runs that miss confirmations of what is lost.
+
+        The faulty leader answers a cancellation after any commit of its
+        workflow.
+        """
+        self._assert_found(
+            "confirm-by-any-commit", 3, "is confirmed and not stored"
+        )
+
+    def test_dropped_early_cancellation_is_detected(self) -> None:
+        """Guards against runs without feeds that overtake each other.
+
+        The faulty leader ignores a cancellation that it reads before the
+        submission.
+        """
+        self._assert_found(
+            "drop-early-cancellations", 2, "after its cancellation"
+        )
+
+    def test_reply_to_an_earlier_process_is_detected(self) -> None:
+        """Guards against runs without late messages to a new process.
+
+        The faulty member numbers its calls from 1 after each start.
+        """
+        self._assert_found("number-calls-from-one", 27, "")
+
+    def test_state_without_its_update_is_detected(self) -> None:
+        """Guards against runs in which no published state is lost.
+
+        The faulty member keeps the states of an earlier leader.
+        """
+        self._assert_found("keep-unfinished-states", 3, "is running after")
+
+    def _assert_found(self, variant: str, seed: int, violation: str) -> None:
+        """Check that one run finds the fault of a variant."""
+        results, errors = self._run(seed, variant)
+        self.assertGreater(results[0]["violations"], 0, variant)
+        self.assertIn(violation, errors)
+
+    @staticmethod
+    def _run(
+        seed: int,
+        variant: str,
+        *options: str,
+        seeds: int = 1,
+        seconds: int = _SECONDS,
+    ) -> tuple[list[dict[str, Any]], str]:
+        """Run seeds in a process with a fixed hash seed.
+
+        :returns: the summaries, and what was written to standard error
+        """
+        command = [sys.executable, "-m", "tests.scheduler.simulation"]
+        command += [str(seed), str(seconds), "--seeds", str(seeds)]
+        run = subprocess.run(
+            [*command, "--variant", variant, *options],
+            env={**os.environ, "PYTHONHASHSEED": "0"},
+            capture_output=True,
+            text=True,
+            timeout=100,
+            check=False,
+        )
+        summaries = [json.loads(line) for line in run.stdout.splitlines()]
+        return summaries, run.stderr
