Start no second run beside a start during a worker's restart

Callers could get a task run twice at the same time, on two workers that are up (rule TWICE). A worker that restarts under its id and address executes a start that was ordered from its earlier lifetime: the address, the id and the fencing token are the same. The planner took the first report of the later lifetime as proof that no run of the earlier one exists, and placed the task again at once.

A run that the earlier lifetime has not reported is now moved to the later one, stopped there, and requeued when it has ended or two reports after the confirmed stop do not list it, as any start in doubt. A start that is still to be sent to an earlier lifetime is withdrawn. Runs that were reported are requeued at once, as before.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -22,7 +22,7 @@
     :param priority: priority of its workflow, 0 is the highest
     :param placed_at: when it was placed on the worker
     :param stopping: whether a stop has been ordered
-    :param in_doubt: whether the answer to its start was lost
+    :param in_doubt: whether it is not known if its start was executed
     :param reports_without_run: number of consecutive reports that do not list
         it since its stop was confirmed; None before that, and always for a
         run that is not in doubt
--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.planner.decision_log import DecisionLog
@@ -61,15 +62,61 @@
             self._lose_all(worker, "lease-passed")
 
     def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
-        """Give up the runs of earlier lifetimes of a worker that reported."""
+        """Give up the runs of earlier lifetimes of a worker that reported.
+
+        A start that was ordered from an earlier lifetime is executed by the
+        later one if it arrives after the restart. A run that has not been
+        reported is therefore moved to the later one once that is listed.
+        """
         if not self._workers.record_lifetime(key):
             return
+        successor = self._workers.get(key)
         for worker in self._workers.earlier_lifetimes(key):
-            self._workers.remove(worker)
-            self._lose_all(worker, "worker-restarted")
+            self._drop_lifetime(worker, successor)
         for earlier in self._workers.take_unlisted_before(key):
             self._requeue_unlisted(earlier)
 
+    def _drop_lifetime(
+        self, worker: TrackedWorker, successor: TrackedWorker | None
+    ) -> None:
+        """Give up the runs of a lifetime that is over, or move them.
+
+        :param successor: the later lifetime, None while it is not listed
+        """
+        for ref, tracked in list(worker.runs.items()):
+            workflow = self._registry.get(ref.workflow)
+            if workflow is None or workflow.has_been_reported(
+                ref, tracked.run
+            ):
+                self.lose(worker, ref, tracked.run, "worker-restarted")
+            elif successor is not None:
+                worker.remove(ref, tracked.run)
+                self._move(workflow, ref, tracked, successor)
+        if not worker.runs:
+            self._workers.remove(worker)
+
+    def _move(
+        self,
+        workflow: Workflow,
+        ref: TaskRef,
+        tracked: TrackedRun,
+        successor: TrackedWorker,
+    ) -> None:
+        """Move a run that may still start to a later lifetime, and stop it.
+
+        It is requeued when it has ended there or cannot start any more.
+        Does nothing when the run is not the current one.
+        """
+        if not workflow.is_current_run(ref, tracked.run):
+            return
+        workflow.move_run(ref, successor.key)
+        self._registry.mark_changed(workflow)
+        tracked.in_doubt = True
+        tracked.stopping = False
+        tracked.discard_stop_confirmation()
+        successor.add(ref, tracked)
+        self._stopper.stop_task(workflow, ref, "worker-restarted")
+
     def _lose_all(self, worker: TrackedWorker, reason: str) -> None:
         for ref, tracked in list(worker.runs.items()):
             self.lose(worker, ref, tracked.run, reason)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -300,7 +300,10 @@
         workflow = self._registry.get(order.ref.workflow)
         if workflow is None or workflow.ended:
             return False
-        return workflow.is_current_run(order.ref, order.run)
+        return (
+            workflow.is_current_run(order.ref, order.run)
+            and workflow.task(order.ref).worker == order.worker
+        )
 
     def withdraw_start(self, order: Order) -> None:
         """Give up the run of a stored start that is not sent.
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -116,14 +116,15 @@
     ) -> None:
         """Requeue the runs that a worker's first report does not list.
 
-        The worker now refuses starts with older tokens, so that a run that
-        it does not list will never start.
+        The worker now refuses starts with older tokens, so that a run of an
+        earlier term that it does not list will never start. A run in doubt
+        was ordered in this term.
 
         :param running: all runs on the worker
         """
         listed = _listed_runs(running)
         for ref, tracked in list(worker.runs.items()):
-            if (ref, tracked.run) not in listed:
+            if (ref, tracked.run) not in listed and not tracked.in_doubt:
                 self._lost_runs.lose(worker, ref, tracked.run, "not-started")
 
     def _update(self, worker: TrackedWorker, item: ReportedRun) -> bool:
--- a/src/carawaystep/planner/run_stopper.py
+++ b/src/carawaystep/planner/run_stopper.py
@@ -31,7 +31,7 @@
         :param reason: reason for the log
         """
         for ref, _ in list(workflow.placed_tasks()):
-            self._stop_task(workflow, ref, reason)
+            self.stop_task(workflow, ref, reason)
 
     def stop_gang(self, workflow: Workflow, ref: TaskRef) -> None:
         """Stop the other tasks of a gang when a run of one ended or was lost.
@@ -40,7 +40,7 @@
         """
         if workflow.step(ref).gang:
             for sibling in workflow.step_tasks(ref):
-                self._stop_task(workflow, sibling, "gang-broken")
+                self.stop_task(workflow, sibling, "gang-broken")
 
     def repeat_stops(self) -> None:
         """Repeat the stops of runs that have not ended yet.
@@ -57,10 +57,11 @@
                         worker, ref, tracked.run
                     )
 
-    def _stop_task(
-        self, workflow: Workflow, ref: TaskRef, reason: str
-    ) -> None:
-        """Stop a task's current run, if it has one."""
+    def stop_task(self, workflow: Workflow, ref: TaskRef, reason: str) -> None:
+        """Stop a task's current run, if it has one.
+
+        :param reason: reason for the log
+        """
         task = workflow.task(ref)
         worker = (
             None if task.worker is None else self._workers.get(task.worker)
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -218,6 +218,13 @@
             and task.run == run
         )
 
+    def has_been_reported(self, ref: TaskRef, run: int) -> bool:
+        """Tell whether a run is the current one and a report has listed it.
+
+        :param run: number of the run
+        """
+        return self.is_current_run(ref, run) and self.task(ref).seen_running
+
     def checkpoint(self, ref: TaskRef) -> str:
         """Return the checkpoint to resume from, empty for none.
 
@@ -311,6 +318,14 @@
         self._release(self.task(ref))
         return True
 
+    def move_run(self, ref: TaskRef, worker: WorkerKey) -> None:
+        """Record that a run is on a later lifetime of its worker.
+
+        :param ref: task with a current run
+        :param worker: the later lifetime
+        """
+        self.task(ref).worker = worker
+
     def cancel(self) -> bool:
         """Cancel the workflow.
 
