Acknowledge no ends of a worker's later lifetime by old numbers

A worker forgets the ends up to the number in each call for its report. After a restart under the same id and address the numbers begin at 1, and the member that polled the earlier lifetime went on with the number of its last acknowledged end, until the leader assigned the later lifetime.

After a report of another lifetime the number is 0 again. The first call after the restart still has the old one, because only its answer shows the restart.

The new test failed before: the three calls had the numbers 57, 57, 57 instead of 57, 0, 0.

--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -143,6 +143,9 @@
                 await self._handle_link_failure(result.err_value)
                 continue
             report = result.ok_value
+            if report.worker != self._worker.key:
+                # Numbers of ends begin anew with each lifetime.
+                self._acknowledged_end = 0
             self._answered_at = self._context.now
             self._first_report_received.set()
             self._acknowledgement_received.clear()
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -60,11 +60,18 @@
 
     def __init__(self) -> None:
         self.orders: list[Order] = []
+        self.acknowledged: list[int] = []
+        self.lifetime = _WORKER
+        # Set by the third call.
+        self.polled = asyncio.Event()
 
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
-        return Ok(WorkerReport(_WORKER, [], []))
+        self.acknowledged.append(acknowledged)
+        if len(self.acknowledged) == 3:
+            self.polled.set()
+        return Ok(WorkerReport(self.lifetime, [], []))
 
     async def execute_order(self, order: Order, token: int) -> OrderOutcome:
         self.orders.append(order)
@@ -134,3 +141,30 @@
         self.assertEqual(
             ([stop], [OrderOutcome.DONE]), self._execute(stop, 60.0)
         )
+
+
+class AcknowledgementTest(TestCase):
+    """Ends that a worker may forget."""
+
+    def test_ends_of_a_later_lifetime_are_not_acknowledged(self) -> None:
+        """Guards against ends that a worker forgets before they are stored.
+
+        A restarted worker answers at the same address and numbers its ends
+        from 1 again.
+        """
+        link = _Link()
+        link.lifetime = WorkerKey("w1", 2)
+
+        async def run() -> None:
+            worker = AssignedWorker(_WORKER, "127.0.0.1:1")
+            proxy = WorkerProxy(worker, link, _Member(), RecordingLog())
+            proxy.acknowledge(57)
+            task = asyncio.create_task(proxy.run())
+            async with asyncio.timeout(5.0):
+                await link.polled.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        # The restart shows only in the first answer.
+        self.assertEqual([57, 0, 0], link.acknowledged[:3])
