Look for replies to earlier processes and for forgotten ends

A fault now restarts a node while the leader stores what it was called for, and lets several calls follow.

--- a/tests/scheduler/simulation/promise_checks.py
+++ b/tests/scheduler/simulation/promise_checks.py
@@ -7,12 +7,14 @@
 
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.call_outcome import CallOutcome
+from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task_state import TaskState
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.scheduler.simulation.workflow_promise import WorkflowPromise
 
 if TYPE_CHECKING:
     from carawaystep.fleet.order import StartOrder
+    from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.store.row import Row
     from carawaystep.workflow.task_ref import TaskRef
     from tests.planner.simulated_worker import SimulatedWorker
@@ -147,6 +149,11 @@
                 if state == TaskState.DONE.value:
                     self._done.add((row.key, occurrence, step, index))
 
+    def record_acknowledged_end(self, ended: EndedRun) -> None:
+        """Record that a worker forgets an end because it is acknowledged."""
+        if ended.end is RunEnd.DONE:
+            self._done.add(tuple(ended.ref))
+
     def check_start(
         self, worker: SimulatedWorker, order: StartOrder, late: bool
     ) -> None:
--- a/tests/scheduler/simulation/scheduler_simulation.py
+++ b/tests/scheduler/simulation/scheduler_simulation.py
@@ -61,6 +61,7 @@
         )
         surroundings.store.on_write = checks.check_write
         fleet.on_start = checks.check_start
+        fleet.on_end_acknowledged = checks.record_acknowledged_end
         source = SimulatedRouteSource()
         surroundings.store.transact(
             [PutRow(source.table, source.key, None, {})]
@@ -82,6 +83,7 @@
         )
         driver = FaultDriver(self._nodes, surroundings, calm, self.record)
         callers.on_call = driver.strike_leader
+        driver.on_busy_node = callers.submit_burst
         await asyncio.gather(callers.run(until), driver.run(until))
         await self._wait_for_ends(callers, checks)
         checks.check_end()
