Name the parts of the scheduler's simulation plainly

The environment, the phases with faults and the faults of the leader have the usual names, and states that are stale near a fault are counted apart from the faults.

--- a/tests/scheduler/simulation/__main__.py
+++ b/tests/scheduler/simulation/__main__.py
@@ -36,7 +36,8 @@
         status |= bool(record.violations)
         summary = {
             "seed": seed,
-            "faults": sum(record.counts.values()),
+            "faults": sum(record.faults.values()),
+            "stale_states": record.stale_states,
             "checks": record.checks,
             "violations": len(record.violations),
         }
--- a/tests/scheduler/simulation/fault_driver.py
+++ b/tests/scheduler/simulation/fault_driver.py
@@ -13,21 +13,23 @@
     from random import Random
 
     from tests.scheduler.simulation.calm_period import CalmPeriod
+    from tests.scheduler.simulation.simulated_environment import (
+        SimulatedEnvironment,
+    )
     from tests.scheduler.simulation.simulated_node import SimulatedNode
     from tests.scheduler.simulation.simulation_record import SimulationRecord
-    from tests.scheduler.simulation.surroundings import Surroundings
 
-_STORM_S = 14.0
-_CALM_S = 10.0
+_FAULT_PHASE_S = 14.0
+_CALM_PHASE_S = 10.0
 _MEAN_INTERVAL_S = 0.8
 # Probability that a call, or its confirmation, is followed by a fault of the
 # leader, and the time within which most commits end.
-_STRIKE_RATE = 0.03
-_MAX_STRIKE_DELAY_S = 0.08
+_LEADER_FAULT_RATE = 0.03
+_MAX_LEADER_FAULT_DELAY_S = 0.08
 
 
 class FaultDriver:
-    """Injects faults, which may overlap, in storms with calm between them.
+    """Injects faults, which may overlap, in phases with calm between them.
 
     Some faults hit the leader shortly after a call, when the change that
     the call asks for is being stored. ``on_busy_node`` is called with a node
@@ -37,24 +39,24 @@
     def __init__(
         self,
         nodes: list[SimulatedNode],
-        surroundings: Surroundings,
+        environment: SimulatedEnvironment,
         calm: CalmPeriod,
         record: SimulationRecord,
     ) -> None:
         """Create a driver.
 
         :param nodes: nodes that have faults
-        :param surroundings: store, workers and network that have faults
+        :param environment: store, workers and network that have faults
         :param calm: is told of each fault
         :param record: records each fault
         """
         self._nodes = nodes
-        self._surroundings = surroundings
-        self._random: Random = surroundings.random
+        self._environment = environment
+        self._random: Random = environment.random
         self._calm = calm
         self._record = record
         self._tasks: set[asyncio.Task[None]] = set()
-        self._is_storm = False
+        self._is_fault_phase = False
         self.on_busy_node: Callable[[SimulatedNode], None]
         self.on_busy_node = lambda node: None
 
@@ -63,21 +65,21 @@
         loop = asyncio.get_running_loop()
         injectors = self._injectors()
         while loop.time() < until:
-            storm_until = min(until, loop.time() + _STORM_S)
-            self._is_storm = True
-            while loop.time() < storm_until:
+            phase_until = min(until, loop.time() + _FAULT_PHASE_S)
+            self._is_fault_phase = True
+            while loop.time() < phase_until:
                 pause_s = self._random.expovariate(1 / _MEAN_INTERVAL_S)
                 await asyncio.sleep(pause_s)
                 self._spawn(self._random.choice(injectors))
-            self._is_storm = False
+            self._is_fault_phase = False
             while self._tasks:
                 await asyncio.wait(list(self._tasks))
-            await asyncio.sleep(_CALM_S)
+            await asyncio.sleep(_CALM_PHASE_S)
 
-    def strike_leader(self) -> None:
+    def fail_leader(self) -> None:
         """Let a fault of the leader follow a call or its confirmation."""
-        if self._is_storm and self._random.random() < _STRIKE_RATE:
-            self._spawn(self._strike)
+        if self._is_fault_phase and self._random.random() < _LEADER_FAULT_RATE:
+            self._spawn(self._fail_leader)
 
     def _injectors(self) -> list[Callable[[], Awaitable[None]]]:
         return [
@@ -131,10 +133,10 @@
         return self._random.random() < 0.5
 
     def _choose_worker(self) -> str:
-        return self._random.choice(list(self._surroundings.fleet.workers))
+        return self._random.choice(list(self._environment.fleet.workers))
 
-    async def _strike(self) -> None:
-        await asyncio.sleep(self._random.uniform(0, _MAX_STRIKE_DELAY_S))
+    async def _fail_leader(self) -> None:
+        await asyncio.sleep(self._random.uniform(0, _MAX_LEADER_FAULT_DELAY_S))
         leaders = [node for node in self._nodes if node.leads]
         if not leaders:
             return
@@ -163,7 +165,7 @@
         self, names: list[str], longest_s: float, refuses: bool
     ) -> None:
         """Let calls of some nodes be refused, or get no answer."""
-        faults = self._surroundings.store_faults
+        faults = self._environment.store_faults
         affected = faults.refusing if refuses else faults.silent
         added = [name for name in names if name not in affected]
         kind = "store-refuses" if refuses else "store-silent"
@@ -175,35 +177,35 @@
     async def _slow_store(self) -> None:
         self._begin("store-slow")
         delay_s = self._random.uniform(0.02, 0.4)
-        self._surroundings.store_faults.added_delay_s = delay_s
+        self._environment.store_faults.added_delay_s = delay_s
         await self._last(6.0)
-        self._surroundings.store_faults.added_delay_s = 0.0
+        self._environment.store_faults.added_delay_s = 0.0
 
     async def _lose_store_answers(self) -> None:
         self._begin("store-answers-lost")
-        self._surroundings.store_faults.lost_answer_rate = 0.3
+        self._environment.store_faults.lost_answer_rate = 0.3
         await self._last(5.0)
-        self._surroundings.store_faults.lost_answer_rate = 0.0
+        self._environment.store_faults.lost_answer_rate = 0.0
 
     async def _apply_writes_late(self) -> None:
         self._begin("store-writes-late")
-        self._surroundings.store_faults.late_rate = 0.3
+        self._environment.store_faults.late_rate = 0.3
         await self._last(5.0)
-        self._surroundings.store_faults.late_rate = 0.0
+        self._environment.store_faults.late_rate = 0.0
 
     async def _delay_feed(self) -> None:
         table = self._random.choice(
             (tables.SUBMISSIONS, tables.CANCELS, tables.MEMBERS, "workers")
         )
         self._begin("feed-delayed", table)
-        delays_s = self._surroundings.store_faults.feed_delays_s
+        delays_s = self._environment.store_faults.feed_delays_s
         delays_s[table] = self._random.uniform(0.1, 2.0)
         await self._last(8.0)
         delays_s.pop(table, None)
 
     async def _drop_history(self) -> None:
         self._begin("history-dropped")
-        self._surroundings.store.drop_history()
+        self._environment.store.drop_history()
 
     async def _kill_node(self) -> None:
         await self._kill(self._choose_node())
@@ -293,7 +295,7 @@
         await self._cut_links(node.name, others)
 
     async def _cut_node_from_workers(self) -> None:
-        workers = list(self._surroundings.fleet.workers)
+        workers = list(self._environment.fleet.workers)
         workers = self._random.sample(
             workers, self._random.randint(1, len(workers))
         )
@@ -310,7 +312,7 @@
         half = len(others)
         if direction != "both":
             links = links[:half] if direction == "out" else links[half:]
-        network = self._surroundings.network
+        network = self._environment.network
         added = [link for link in links if not network.is_cut(*link)]
         self._begin(f"cut-{direction}", f"{name}: {' '.join(others)}")
         for link in added:
@@ -321,7 +323,7 @@
 
     async def _carry_orders_out_late(self) -> None:
         name = self._choose_worker()
-        late_workers = self._surroundings.order_faults.late_workers
+        late_workers = self._environment.order_faults.late_workers
         if name in late_workers:
             return
         self._begin("orders-late", name)
@@ -333,12 +335,12 @@
 
     async def _lose_order_answers(self) -> None:
         self._begin("order-answers-lost")
-        self._surroundings.order_faults.lost_answer_rate = 0.3
+        self._environment.order_faults.lost_answer_rate = 0.3
         await self._last(5.0)
-        self._surroundings.order_faults.lost_answer_rate = 0.0
+        self._environment.order_faults.lost_answer_rate = 0.0
 
     async def _restart_worker(self) -> None:
-        fleet = self._surroundings.fleet
+        fleet = self._environment.fleet
         name = self._choose_worker()
         if not fleet.workers[name].running:
             return
@@ -354,6 +356,6 @@
     async def _unlist_worker(self) -> None:
         name = self._choose_worker()
         self._begin("worker-unlisted", name)
-        self._surroundings.fleet.unlist_worker(name)
+        self._environment.fleet.unlist_worker(name)
         await self._last(8.0)
-        self._surroundings.fleet.list_worker(name)
+        self._environment.fleet.list_worker(name)
--- a/tests/scheduler/simulation/promise_checks.py
+++ b/tests/scheduler/simulation/promise_checks.py
@@ -122,7 +122,7 @@
                 state is promise.final_state or is_stale,
                 f"{workflow_id} is {state} after {promise.final_state}",
             )
-            self._record.counts["stale-state"] += is_stale
+            self._record.stale_states += is_stale
         if not state.final:
             return
         if promise.final_state is None:
--- a/tests/scheduler/simulation/scheduler_simulation.py
+++ b/tests/scheduler/simulation/scheduler_simulation.py
@@ -12,12 +12,14 @@
 from tests.scheduler.simulation.fault_driver import FaultDriver
 from tests.scheduler.simulation.promise_checks import PromiseChecks
 from tests.scheduler.simulation.simulated_callers import SimulatedCallers
+from tests.scheduler.simulation.simulated_environment import (
+    SimulatedEnvironment,
+)
 from tests.scheduler.simulation.simulated_node import SimulatedNode
 from tests.scheduler.simulation.simulated_route_source import (
     SimulatedRouteSource,
 )
 from tests.scheduler.simulation.simulation_record import SimulationRecord
-from tests.scheduler.simulation.surroundings import Surroundings
 from tests.scheduler.simulation.task_factory import TaskFactory
 
 _NODES = 4
@@ -53,21 +55,21 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         workers = [f"worker-{number}" for number in range(_WORKERS)]
-        surroundings = Surroundings(workers, self._random, self.record)
+        environment = SimulatedEnvironment(workers, self._random, self.record)
         calm = CalmPeriod(loop.time)
-        fleet = surroundings.fleet
+        fleet = environment.fleet
         checks = PromiseChecks(
-            surroundings.store, fleet.workers, calm, self.record
+            environment.store, fleet.workers, calm, self.record
         )
-        surroundings.store.on_write = checks.check_write
+        environment.store.on_write = checks.check_write
         fleet.on_start = checks.check_start
         fleet.on_end_acknowledged = checks.record_acknowledged_end
         source = SimulatedRouteSource()
-        surroundings.store.transact(
+        environment.store.transact(
             [PutRow(source.table, source.key, None, {})]
         )
         self._nodes = [
-            SimulatedNode(f"edge-{number}", surroundings)
+            SimulatedNode(f"edge-{number}", environment)
             for number in range(_NODES)
         ]
         background = [
@@ -81,8 +83,8 @@
         callers = SimulatedCallers(
             self._nodes, self._random, checks, self.record
         )
-        driver = FaultDriver(self._nodes, surroundings, calm, self.record)
-        callers.on_call = driver.strike_leader
+        driver = FaultDriver(self._nodes, environment, calm, self.record)
+        callers.on_call = driver.fail_leader
         driver.on_busy_node = callers.submit_burst
         await asyncio.gather(callers.run(until), driver.run(until))
         await self._wait_for_ends(callers, checks)
--- a/tests/scheduler/simulation/surroundings.py
+++ b/tests/scheduler/simulation/simulated_environment.py
@@ -19,13 +19,13 @@
     from tests.scheduler.simulation.simulation_record import SimulationRecord
 
 
-class Surroundings:
+class SimulatedEnvironment:
     """The store, the workers, the network and their faults."""
 
     def __init__(
         self, workers: list[str], random: Random, record: SimulationRecord
     ) -> None:
-        """Create surroundings without faults.
+        """Create environment without faults.
 
         :param workers: ids of the workers
         :param random: source of all random decisions
--- a/tests/scheduler/simulation/simulated_node.py
+++ b/tests/scheduler/simulation/simulated_node.py
@@ -18,7 +18,9 @@
     from collections.abc import Callable
 
     from carawaystep.scheduler.workflow_service import WorkflowService
-    from tests.scheduler.simulation.surroundings import Surroundings
+    from tests.scheduler.simulation.simulated_environment import (
+        SimulatedEnvironment,
+    )
 
 Value = TypeVar("Value")
 
@@ -29,14 +31,14 @@
 class SimulatedNode:
     """Runs the real code of a node, under one name and address."""
 
-    def __init__(self, name: str, surroundings: Surroundings) -> None:
+    def __init__(self, name: str, environment: SimulatedEnvironment) -> None:
         """Create a node without a process.
 
         :param name: name of the node
-        :param surroundings: all that is outside the processes
+        :param environment: all that is outside the processes
         """
         self.name = name
-        self._surroundings = surroundings
+        self._environment = environment
         self._address = f"tcp://{name}:1"
         self._process_count = 0
         self._process: SimulatedProcess | None = None
@@ -69,7 +71,7 @@
         """Start a process."""
         self._process_count += 1
         process = SimulatedProcess(self.name, self._process_count)
-        ports = SimulatedPorts(process, self._surroundings)
+        ports = SimulatedPorts(process, self._environment)
         settings = NodeSettings(
             self.name, "zone", 1.0, self._address, _MAX_LEASE_S, _DRAIN_S
         )
@@ -87,7 +89,7 @@
         self._scheduler = None
         process.alive = False
         process.resume()
-        self._surroundings.connections.unbind(self._address)
+        self._environment.connections.unbind(self._address)
         for call in list(self._calls):
             call.cancel()
         await self._supervisor.stop()
--- a/tests/scheduler/simulation/simulated_ports.py
+++ b/tests/scheduler/simulation/simulated_ports.py
@@ -40,8 +40,10 @@
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.routing.route_source import RouteSource
     from carawaystep.store.table_service import TableService
+    from tests.scheduler.simulation.simulated_environment import (
+        SimulatedEnvironment,
+    )
     from tests.scheduler.simulation.simulated_process import SimulatedProcess
-    from tests.scheduler.simulation.surroundings import Surroundings
 
 
 class _NoAdvisor(PlacementAdvisor):
@@ -56,25 +58,25 @@
     """Connects a process to the simulated store, nodes and workers."""
 
     def __init__(
-        self, process: SimulatedProcess, surroundings: Surroundings
+        self, process: SimulatedProcess, environment: SimulatedEnvironment
     ) -> None:
         """Create the ports of a process.
 
         :param process: the process
-        :param surroundings: all that is outside the processes
+        :param environment: all that is outside the processes
         """
         self._process = process
-        self._surroundings = surroundings
+        self._environment = environment
         self._clock = FakeClock()
         self._store = SimulatedStoreLink(
-            surroundings.store,
-            surroundings.store_faults,
+            environment.store,
+            environment.store_faults,
             process,
-            surroundings.random,
+            environment.random,
         )
-        self._log = SimulatedLog(process.name, surroundings.record)
+        self._log = SimulatedLog(process.name, environment.record)
         self._leader_port = SimulatedLeaderPort(
-            process, surroundings.connections
+            process, environment.connections
         )
 
     @property
@@ -114,7 +116,7 @@
 
     def bind(self, address: str) -> None:
         """Receive the messages to an address."""
-        self._surroundings.connections.bind(address, self._leader_port)
+        self._environment.connections.bind(address, self._leader_port)
 
     def open_worker_link(
         self, key: WorkerKey, address: str, lease_s: float
@@ -123,15 +125,15 @@
         return SimulatedWorkerLink(
             key.id,
             lease_s,
-            self._surroundings.fleet,
-            self._surroundings.network,
-            self._surroundings.order_faults,
+            self._environment.fleet,
+            self._environment.network,
+            self._environment.order_faults,
             self._process,
-            self._surroundings.random,
+            self._environment.random,
         )
 
     def open_member_channel(self, address: str) -> MemberChannel:
         """Return a new connection to a member."""
         return SimulatedMemberChannel(
-            self._process, address, self._surroundings.connections
+            self._process, address, self._environment.connections
         )
--- a/tests/scheduler/simulation/simulation_record.py
+++ b/tests/scheduler/simulation/simulation_record.py
@@ -7,14 +7,19 @@
 
 
 class SimulationRecord:
-    """History of events, numbers of checks and faults, and violations."""
+    """History of events, numbers of checks and faults, and violations.
+
+    :ivar stale_states: number of states that were shown near a fault after
+        a final one of the same workflow
+    """
 
     def __init__(self) -> None:
         """Create an empty record."""
         self.history: list[str] = []
         self.violations: list[str] = []
         self.checks = 0
-        self.counts: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.stale_states = 0
 
     def add(self, event: str) -> None:
         """Add an event to the history."""
@@ -23,7 +28,7 @@
 
     def add_fault(self, kind: str, subject: str) -> None:
         """Count a fault and add it to the history."""
-        self.counts[kind] += 1
+        self.faults[kind] += 1
         self.add(f"fault {kind} {subject}")
 
     def check(self, holds: bool, violation: str) -> None:
