End the wait for listed workers too once all earlier leaders have stopped

What callers saw: LOST, when a worker crashes shortly before the leader changes.

Why listed workers were left out before: a member of the new term may have an answer of the worker and extend its lease, while its report is lost.

Change: the leader keeps the sessions with all members that were assigned a worker in its term, and the time of the last heartbeat before each silence of them. A member that was heard after the end of the lease had no answer before it. One that was last heard earlier may have extended the lease until its grant ended, so that the wait is 8.5 s from that heartbeat; a later silence counts in the same way. With that, workers without a report in the term are given up 8.5 s after the last earlier leader has stopped.

Evidence: the random simulation has members that lose the leader and extend leases, and workers that are cut off but listed, and uses the grant and the leader's lease of the product (2 and 10 s). The calls of requeue_lost_runs and without_lease in existing tests pass no contacts, as for workers that no member was assigned.

--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.run_stopper import RunStopper
     from carawaystep.planner.worker_registry import WorkerRegistry
@@ -50,14 +51,16 @@
         if workflow is not None:
             self._requeue(workflow, ref, run, worker.key, reason)
 
-    def lose_expired(self, now: float) -> None:
+    def lose_expired(self, now: float, contact_times: ContactTimes) -> None:
         """Give up the runs of workers whose leases must have expired.
 
         :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
         """
         for key in self._workers.take_overdue_unlisted(now):
             self._requeue_unlisted(key)
-        for worker in self._workers.without_lease(now):
+        for worker in self._workers.without_lease(now, contact_times):
             self._lose_all(worker, "lease-passed")
 
     def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -33,6 +33,7 @@
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.advice_request import AdviceRequest
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
@@ -275,12 +276,16 @@
         """
         self._workers.record_predecessors_stopped(now)
 
-    def requeue_lost_runs(self, now: float) -> None:
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
         """Requeue the runs of workers whose leases must have expired.
 
         :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
         """
-        self._lost_runs.lose_expired(now)
+        self._lost_runs.lose_expired(now, contact_times)
 
     def evacuate(self, now: float) -> None:
         """Stop long-running tasks on leaving workers if they fit elsewhere.
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -14,6 +14,7 @@
 
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.workflow_registry import WorkflowRegistry
 
@@ -146,21 +147,41 @@
             return []
         return self._take_unlisted(list(self._unlisted))
 
-    def without_lease(self, now: float) -> list[TrackedWorker]:
+    def without_lease(
+        self, now: float, contact_times: ContactTimes
+    ) -> list[TrackedWorker]:
         """Return the workers whose leases must have expired.
 
         :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
         """
         return [
             worker
             for worker in self._workers.values()
-            if now > self._lease_deadline(worker)
+            if now > self._lease_end(worker, contact_times.get(worker.key, ()))
         ]
 
-    def _lease_deadline(self, worker: TrackedWorker) -> float:
+    def _lease_end(
+        self, worker: TrackedWorker, contact_times: Iterable[float]
+    ) -> float:
+        """Return when a worker's lease has ended at the latest.
+
+        A member that was last heard before may have extended it until its
+        grant ended. One that was heard later had no answer of the worker
+        before, because the leader would have the report.
+        """
+        end = self._last_known_lease_end(worker)
+        for heard_at in sorted(contact_times):
+            if heard_at <= end:
+                end = max(end, heard_at + self._limits.lost_after_s)
+        return end
+
+    def _last_known_lease_end(self, worker: TrackedWorker) -> float:
+        """Return when the lease ends that the leader knows of."""
         last_report_at = worker.last_report_at
         if last_report_at is None:
-            return self._term_started_at + self._limits.takeover_lost_after_s
+            return self._earlier_leases_end_at
         return last_report_at + self._limits.lost_after_s
 
     def _take_unlisted(self, keys: list[WorkerKey]) -> list[WorkerKey]:
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -332,7 +332,9 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
             now = self.now
             self._order_dispatcher.expire(now)
-            self._planner.requeue_lost_runs(now)
+            self._planner.requeue_lost_runs(
+                now, self._assignments.contact_times()
+            )
             self._planner.evacuate(now)
             if now - self._stops_retried_at > _STOP_RETRY_INTERVAL_S:
                 self._stops_retried_at = now
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import Assign
@@ -23,6 +24,9 @@
 _MEMBER_TIMEOUT_S = 1.0
 # A connection without a heartbeat for this long is replaced.
 _RECONNECT_AFTER_S = 1.0
+# Leases that a member extended before earlier silences have ended: each
+# silence takes more than _RECONNECT_AFTER_S.
+_MAX_SILENCES = 16
 
 
 class MemberSession:
@@ -50,6 +54,9 @@
         self._member_timestamp = 0.0
         self._draining = False
         self._reconnected_at = context.now
+        # Times of the last heartbeats before the connection was replaced,
+        # which may have lost messages of the member.
+        self._silent_since: deque[float] = deque(maxlen=_MAX_SILENCES)
         self._assignment_version = 0
         self._workers: list[AssignedWorker] = []
 
@@ -66,6 +73,17 @@
         """
         return self._member_timestamp
 
+    @property
+    def contact_times(self) -> list[float]:
+        """Return the times after which messages of the member may be missing.
+
+        These are the times of its last heartbeat, and of the last one before
+        each silence.
+        """
+        if self._last_heartbeat_at is None:
+            return []
+        return [*self._silent_since, self._last_heartbeat_at]
+
     def available(self, now: float) -> bool:
         """Tell whether the member can be assigned workers and requests.
 
@@ -119,11 +137,17 @@
             )
             if now - silent_since > _RECONNECT_AFTER_S:
                 self._reconnected_at = now
+                self._record_silence()
                 await self._channel.reconnect()
             await asyncio.sleep(
                 _HEARTBEAT_INTERVAL_S if sent else _CONNECT_RETRY_INTERVAL_S
             )
 
+    def _record_silence(self) -> None:
+        heard_at = self._last_heartbeat_at
+        if heard_at is not None and heard_at not in self._silent_since:
+            self._silent_since.append(heard_at)
+
     async def _receive(self) -> None:
         while True:
             message = await self._channel.receive()
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.planner import Planner
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.member_sessions import MemberSessions
@@ -30,6 +31,8 @@
         self._sessions = sessions
         self._leader = leader
         self._member_by_worker: dict[WorkerKey, str] = {}
+        # Sessions with all members that a worker was assigned to.
+        self._callers: dict[WorkerKey, frozenset[MemberSession]] = {}
 
     def member_name(self, key: WorkerKey) -> str:
         """Return the member that calls a worker, empty when none does."""
@@ -39,6 +42,17 @@
         """Return the session with the member that calls a worker."""
         return self._sessions.get(self.member_name(key))
 
+    def contact_times(self) -> ContactTimes:
+        """Return when the members that call the workers were last heard."""
+        return {
+            key: [
+                heard_at
+                for session in sessions
+                for heard_at in session.contact_times
+            ]
+            for key, sessions in self._callers.items()
+        }
+
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
 
@@ -63,5 +77,10 @@
             if self._member_by_worker.get(key) != name:
                 self._planner.handle_reassignment(key)
         self._member_by_worker = member_by_worker
+        self._callers = {
+            key: self._callers.get(key, frozenset())
+            | {self._sessions.sessions[name]}
+            for key, name in member_by_worker.items()
+        }
         for name, workers in assignments.items():
             await self._sessions.sessions[name].assign(workers)
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -2,8 +2,9 @@
 
 Leaders are lost before and after they store changes. Some of them go on for a
 while: they extend the leases of workers that the next leader does not see.
-Workers become unreachable, restart, and execute orders late. The invariants
-are checked at the workers, whenever a run starts.
+Members lose the leader and extend leases until their grants end. Workers
+become unreachable, restart, and execute orders late. The invariants are
+checked at the workers, whenever a run starts.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
 
     from carawaystep.fleet.order import Order
     from carawaystep.planner.changes import Changes
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -44,8 +46,10 @@
 _LOST_ANSWER_DELAY_S = 0.6
 _CAPACITY_MILLIS = 4000
 # Validity of a leader's own lease after its successor was elected.
-_LEADER_LEASE_S = 6.0
-_LOST_AFTER_S = LEASE_S + 1.0
+_LEADER_LEASE_S = 10.0
+# Time in which a member that has lost the leader extends leases.
+_GRANT_S = 2.0
+_LOST_AFTER_S = LEASE_S + _GRANT_S
 _LIMITS = PlannerLimits(
     lost_after_s=_LOST_AFTER_S,
     takeover_lost_after_s=_LEADER_LEASE_S + _LOST_AFTER_S,
@@ -126,6 +130,7 @@
             self._stop_predecessors()
             if number % _TICKS_PER_REPORT == 0:
                 self._extend_leases_of_predecessors()
+                self._extend_leases_unheard()
             if self.now < self._leaderless_until:
                 continue
             if number % _TICKS_PER_REPORT == 0:
@@ -155,7 +160,7 @@
                 w.name, _CAPACITY_MILLIS, 4000, started_at_ms=w.started_at_ms
             )
             for w in self.workers.values()
-            if w.running and not w.cut_off(self.now)
+            if w.running and (w.listed or not w.cut_off(self.now))
         )
 
     def _submit(self) -> None:
@@ -175,7 +180,7 @@
 
     def _run_leader(self, faults: bool) -> None:
         planner = self._planner
-        planner.requeue_lost_runs(self.now)
+        planner.requeue_lost_runs(self.now, self._contact_times())
         if self._random.random() < 0.1:
             planner.retry_stops()
         planner.plan(self.now, 2000.0)
@@ -211,7 +216,8 @@
             _Predecessor(self._term, self.now + goes_on_s)
         )
         for worker in self.workers.values():
-            if self._random.random() < 0.3:
+            if self._random.random() < 0.5:
+                worker.listed = self._random.random() < 0.5
                 worker.cut_off_until = self.now + self._random.uniform(
                     5.0, 20.0
                 )
@@ -328,9 +334,29 @@
         self._check_invariants(order.ref, worker)
         return True
 
+    def _extend_leases_unheard(self) -> None:
+        """Have members without contact to the leader extend leases."""
+        for worker in self.workers.values():
+            if (
+                worker.running
+                and not worker.cut_off(self.now)
+                and worker.unheard(self.now)
+                and self.now < worker.contacts_lost_at[-1] + _GRANT_S
+            ):
+                worker.report(self._term, 0, self.now)
+
+    def _contact_times(self) -> ContactTimes:
+        return {
+            worker.key: [
+                *(at for at in worker.contacts_lost_at if at <= self.now),
+                *(() if worker.unheard(self.now) else (self.now,)),
+            ]
+            for worker in self.workers.values()
+        }
+
     def _random_run_duration(self) -> float:
         """Return a duration; some runs outlast all leases of predecessors."""
-        if self._random.random() < 0.05:
+        if self._random.random() < 0.1:
             return self._random.uniform(10.0, 20.0)
         return self._random.uniform(0.2, 4.0)
 
@@ -368,6 +394,11 @@
             self._scheduled_calls.append(
                 (self.now + restart_delay_s, worker.restart)
             )
-        elif chance < 0.008 and self._planner.workflows:
+        elif chance < 0.010 and worker.running:
+            worker.lose_contact(
+                self.now + self._random.uniform(4.0, 6.0),
+                self._random.uniform(1.0, 8.0),
+            )
+        elif chance < 0.013 and self._planner.workflows:
             workflow_id = self._random.choice(list(self._planner.workflows))
             self._planner.cancel(workflow_id)
--- a/tests/planner/simulated_worker.py
+++ b/tests/planner/simulated_worker.py
@@ -44,6 +44,9 @@
         self.running = True
         self.unreachable_until = 0.0
         self.cut_off_until = 0.0
+        self.listed = True
+        self.contacts_lost_at: list[float] = []
+        self._unheard_until = 0.0
         self.runs: dict[TaskRef, SimulatedRun] = {}
         self._token = 0
         self._ended: list[EndedRun] = []
@@ -60,12 +63,31 @@
         """Tell whether only members of earlier leaders can reach it."""
         return now < self.cut_off_until
 
+    def unheard(self, now: float) -> bool:
+        """Tell whether its member reaches it, but not the leader."""
+        return bool(
+            self.contacts_lost_at
+            and self.contacts_lost_at[-1] <= now < self._unheard_until
+        )
+
+    def lose_contact(self, since: float, duration_s: float) -> None:
+        """Let it be unreachable, and then be reached by its member only.
+
+        :param since: simulated time in seconds from which its member, which
+            has lost the leader, reaches it again
+        :param duration_s: seconds for which the leader does not hear it then
+        """
+        self.unreachable_until = since
+        self.contacts_lost_at.append(since)
+        self._unheard_until = since + duration_s
+
     def reachable(self, now: float) -> bool:
         """Tell whether members of the current leader can call it."""
         return (
             self.running
             and now >= self.unreachable_until
             and not self.cut_off(now)
+            and not self.unheard(now)
         )
 
     def start(
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -22,6 +22,7 @@
     from unittest.mock import _patch
 
     from carawaystep.fleet.order import Order
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
@@ -75,8 +76,19 @@
 class _RequeuesBeforeLeaseEnd(Planner):
     """Requeues the runs of a silent worker before its lease has expired."""
 
-    def requeue_lost_runs(self, now: float) -> None:
-        super().requeue_lost_runs(now + 6.0)
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
+        super().requeue_lost_runs(now + 6.0, contact_times)
+
+
+class _IgnoresContactWithMembers(Planner):
+    """Counts from a worker's last report although reports may be missing."""
+
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
+        super().requeue_lost_runs(now, {})
 
 
 class _IgnoresPredecessors(Planner):
@@ -131,6 +143,7 @@
             _RequeuesUnansweredStarts,
             _IgnoresStoredPlacements,
             _RequeuesBeforeLeaseEnd,
+            _IgnoresContactWithMembers,
             _IgnoresPredecessors,
             _IgnoresLastLeasesOfPredecessors,
         ):
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -114,8 +114,44 @@
         reporting = self.workers.workers[WorkerKey("w2", 1)]
         reporting.record_report(_TERM_STARTED_AT, leaving=False)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
-        self.assertEqual([], self.workers.without_lease(limit))
-        self.assertEqual([reporting], self.workers.without_lease(limit + 0.1))
+        self.assertEqual([], self.workers.without_lease(limit, {}))
+        self.assertEqual(
+            [reporting], self.workers.without_lease(limit + 0.1, {})
+        )
         limit = _TERM_STARTED_AT + LIMITS.takeover_lost_after_s
-        self.assertEqual([reporting], self.workers.without_lease(limit))
-        self.assertEqual(2, len(self.workers.without_lease(limit + 0.1)))
+        self.assertEqual([reporting], self.workers.without_lease(limit, {}))
+        self.assertEqual(2, len(self.workers.without_lease(limit + 0.1, {})))
+
+    def test_lease_without_predecessors_ends_without_a_report(self) -> None:
+        """Guards against work that waits for leases nobody can extend."""
+        self.workers.update_list([worker_record("w1")])
+        self.workers.record_predecessors_stopped(_TERM_STARTED_AT)
+        limit = _TERM_STARTED_AT + LIMITS.lost_after_s
+        self.assertEqual([], self.workers.without_lease(limit, {}))
+        self.assertEqual(1, len(self.workers.without_lease(limit + 0.1, {})))
+
+    def test_lease_may_last_after_the_last_contact_with_a_member(self) -> None:
+        """Guards against a lease that a member extended without the leader.
+
+        Its report of the worker's answer is lost with the connection. A
+        member that is heard later would have reported an answer. The lease
+        may be extended once more in a second silence.
+        """
+        self.workers.update_list([worker_record("w1")])
+        (worker,) = self.workers
+        worker.record_report(_TERM_STARTED_AT, leaving=False)
+        limit = _TERM_STARTED_AT + LIMITS.lost_after_s
+        heard_at = limit - 1.0
+        lease_end = heard_at + LIMITS.lost_after_s
+        for now, contact_times, expected in (
+            (limit + 0.1, [heard_at], []),
+            (limit + 0.1, [limit + 0.1], [worker]),
+            (lease_end, [heard_at, limit + 0.1], []),
+            (lease_end + 0.1, [heard_at, lease_end + 0.1], [worker]),
+            (lease_end + 0.1, [lease_end - 1.0, heard_at], []),
+        ):
+            self.assertEqual(
+                expected,
+                self.workers.without_lease(now, {_FIRST: contact_times}),
+                (now, contact_times),
+            )
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -66,6 +66,21 @@
         self._update()
         self.assertEqual("edge-1", self.assignments.member_name(_WORKER))
 
+    def test_contacts_include_members_that_called_a_worker_before(
+        self,
+    ) -> None:
+        """Guards against leases that a former member extended unnoticed."""
+        self.members["edge-1"].contact_times = [3.0, 5.0]
+        self.members["edge-2"].contact_times = [7.0]
+        self.assertEqual({}, self.assignments.contact_times())
+        self._update("edge-1")
+        self._update("edge-2")
+        times = self.assignments.contact_times()
+        self.assertEqual([3.0, 5.0, 7.0], sorted(times[_WORKER]))
+        self.planner.workers = {}
+        self._update("edge-2")
+        self.assertEqual({}, self.assignments.contact_times())
+
     def _update(self, *available: str) -> None:
         self.sessions.available.return_value = {
             name: MemberRecord(name, "tcp://127.0.0.1:1", "zone", 1.0)
