Count the leases of earlier leaders from their end, not from each election

Cause: a leader that is gone for good never follows the next term, so that each election counted its 10 s anew and work on lost workers waited up to 18.5 s from the last of several elections.

Change: the leader row says for each earlier leader for how many seconds its lease may last. A candidate takes off the time for which it has followed the leader in the row, which was elected before, and drops leases that have ended. A term waits for each of them until it follows the term or until its lease has ended, whichever is first. The rule that dropped all leases 10 s after an election is a case of it.

Evidence: unit tests of the candidate, of Predecessors and of the term (a leader that is gone for good holds the wait up to the end of its lease only); the random simulation and test_takeover.py pass.

--- a/src/carawaystep/leadership/election.py
+++ b/src/carawaystep/leadership/election.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @dataclass(frozen=True, slots=True)
@@ -10,10 +15,10 @@
     """A term and the nodes that may still act for an earlier one.
 
     :param term: number of the term, which is the leader row's version
-    :param predecessors: addresses of the nodes whose leases as leaders may
-        not have expired at the election; an empty address stands for a
-        leader whose address is not known
+    :param predecessors: by address of a node that led before, the seconds
+        from the election after which its lease as the leader has ended; an
+        empty address stands for a leader whose address is not known
     """
 
     term: int
-    predecessors: frozenset[str] = frozenset()
+    predecessors: Mapping[str, float] = field(default_factory=dict)
--- a/src/carawaystep/leadership/leader_record.py
+++ b/src/carawaystep/leadership/leader_record.py
@@ -11,11 +11,11 @@
     :param name: name of the leader's node, empty if nobody leads
     :param incarnation: id of the process, different after a restart
     :param address: ZeroMQ address of the leader's node, empty if unknown
-    :param predecessors: addresses of the nodes that led so shortly before
-        that their leases may have been valid at the election
+    :param predecessors: by address of a node that led before, the seconds
+        from the election after which its lease as the leader has ended
     """
 
     name: str = ""
     incarnation: str = ""
     address: str = ""
-    predecessors: list[str] = []
+    predecessors: dict[str, float] = {}
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -269,12 +269,13 @@
         for tracked in worker.runs.values():
             tracked.discard_stop_confirmation()
 
-    def record_predecessors_stopped(self, now: float) -> None:
-        """Record that no leader of an earlier term can act any more.
+    def set_predecessor_stop_time(self, at: float) -> None:
+        """Set the time after which no leader of an earlier term acts.
 
-        :param now: current time, seconds of a monotonic clock
+        :param at: seconds of a monotonic clock; a later time than the known
+            one is ignored
         """
-        self._workers.record_predecessors_stopped(now)
+        self._workers.set_predecessor_stop_time(at)
 
     def requeue_lost_runs(
         self, now: float, contact_times: ContactTimes
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -77,16 +77,17 @@
         """Wait for a worker with stored runs until it has no lease."""
         self._unlisted[key] = None
 
-    def record_predecessors_stopped(self, now: float) -> None:
-        """Record that no leader of an earlier term can act any more.
+    def set_predecessor_stop_time(self, at: float) -> None:
+        """Set the time after which no leader of an earlier term acts.
 
         Their last grants and the leases extended with them end as long after
         this as those of a leader after a worker's last report.
 
-        :param now: current time, seconds of a monotonic clock
+        :param at: seconds of a monotonic clock; a later time than the known
+            one is ignored
         """
         self._earlier_leases_end_at = min(
-            self._earlier_leases_end_at, now + self._limits.lost_after_s
+            self._earlier_leases_end_at, at + self._limits.lost_after_s
         )
 
     def update_list(self, records: Iterable[WorkerRecord]) -> list[WorkerKey]:
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -111,7 +111,9 @@
             self._store_health.record_failure(written.err_value.detail, now)
         return None
 
-    def _record_election(self, term: int, predecessors: list[str]) -> Election:
+    def _record_election(
+        self, term: int, predecessors: dict[str, float]
+    ) -> Election:
         self._last_term = term
         self._ports.log.line(
             "leader.elected",
@@ -119,7 +121,7 @@
             term=term,
             earlier=self._leadership.term,
         )
-        return Election(term, frozenset(predecessors))
+        return Election(term, predecessors)
 
     def _own_record(self, row: Row) -> LeaderRecord | None:
         """Return the record in the row if this process wrote it."""
@@ -128,25 +130,30 @@
             return None
         return leader
 
-    def _predecessors(self, row: Row | None) -> list[str]:
-        """Return the addresses of the leaders whose leases may be valid.
+    def _predecessors(self, row: Row | None) -> dict[str, float]:
+        """Return how long the leases of earlier leaders may last from now.
 
-        Leaders before the one in the row lost the row at its election, so
-        that their leases end :data:`LEADER_LEASE_S` after it at the latest.
+        The leader in the row confirms its term until this process claims the
+        row. Those before it lost the row at its election, which was before
+        this process followed it.
 
         :param row: the leader row as it is before this process claims it
+        :returns: seconds by address
         """
         if row is None:
-            return []
+            return {}
         leader = self._parse_leader(row)
         if leader is None:
-            return [""]
-        now = self._ports.clock.now()
-        if self._leadership.seconds_followed(self._version, now) > (
-            LEADER_LEASE_S
-        ):
-            return [leader.address]
-        return list(dict.fromkeys([*leader.predecessors, leader.address]))
+            return {"": LEADER_LEASE_S}
+        elapsed_s = self._leadership.seconds_followed(
+            self._version, self._ports.clock.now()
+        )
+        predecessors = {
+            address: lease_s - elapsed_s
+            for address, lease_s in leader.predecessors.items()
+            if lease_s > elapsed_s
+        }
+        return {**predecessors, leader.address: LEADER_LEASE_S}
 
     @staticmethod
     def _parse_leader(row: Row) -> LeaderRecord | None:
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -94,7 +94,9 @@
         self._ports = ports
         self._leadership = leadership
         self._term = term = election.term
-        self._predecessors = Predecessors(election.predecessors)
+        self._predecessors = Predecessors(
+            election.predecessors, ports.clock.now()
+        )
         self._repository = WorkflowRepository(
             ports.store, ports.clock, store_health, ports.log, term
         )
@@ -175,9 +177,10 @@
         self._term_check_requested.set()
 
     def record_follower(self, address: str) -> None:
-        """Record a follower; the last predecessor ends a wait for leases."""
-        if self._predecessors.record_follower(address):
-            self._planner.record_predecessors_stopped(self.now)
+        """Record a follower, which may be the last earlier leader."""
+        last = self._predecessors.record_follower(address, self.now)
+        self._planner.set_predecessor_stop_time(self._predecessors.stop_time)
+        if last:
             self._ports.log.line(
                 "leader.predecessors_stopped", self.name, term=self._term
             )
