Ask for contacts with members only when a worker seems to have no lease

Cause: the times of the last heartbeats were collected for all workers ten times a second, for each member that ever called them in the term.

Change: they are asked for a worker whose last known lease has ended.

Result: tests/planner, tests/scheduler, tests/leadership and test_takeover.py pass; the rule is the same.

--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -160,11 +160,12 @@
         return [
             worker
             for worker in self._workers.values()
-            if now > self._lease_end(worker, contact_times.get(worker.key, ()))
+            if now > self._last_known_lease_end(worker)
+            and now > self._lease_end(worker, contact_times)
         ]
 
     def _lease_end(
-        self, worker: TrackedWorker, contact_times: Iterable[float]
+        self, worker: TrackedWorker, contact_times: ContactTimes
     ) -> float:
         """Return when a worker's lease has ended at the latest.
 
@@ -173,7 +174,7 @@
         before, because the leader would have the report.
         """
         end = self._last_known_lease_end(worker)
-        for heard_at in sorted(contact_times):
+        for heard_at in sorted(contact_times(worker.key)):
             if heard_at <= end:
                 end = max(end, heard_at + self._limits.lost_after_s)
         return end
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -336,7 +336,7 @@
             now = self.now
             self._order_dispatcher.expire(now)
             self._planner.requeue_lost_runs(
-                now, self._assignments.contact_times()
+                now, self._assignments.contact_times
             )
             self._planner.evacuate(now)
             if now - self._stops_retried_at > _STOP_RETRY_INTERVAL_S:
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -9,7 +9,6 @@
 
 if TYPE_CHECKING:
     from carawaystep.fleet.worker_key import WorkerKey
-    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.planner import Planner
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.member_sessions import MemberSessions
@@ -42,16 +41,13 @@
         """Return the session with the member that calls a worker."""
         return self._sessions.get(self.member_name(key))
 
-    def contact_times(self) -> ContactTimes:
-        """Return when the members that call the workers were last heard."""
-        return {
-            key: [
-                heard_at
-                for session in sessions
-                for heard_at in session.contact_times
-            ]
-            for key, sessions in self._callers.items()
-        }
+    def contact_times(self, key: WorkerKey) -> list[float]:
+        """Return when the members that call a worker were last heard."""
+        return [
+            heard_at
+            for session in self._callers.get(key, ())
+            for heard_at in session.contact_times
+        ]
 
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -49,6 +49,11 @@
         self.fields[event] = inputs
 
 
+def no_contacts(key: WorkerKey) -> tuple[float, ...]:
+    """Return the contact times of a worker that no member calls."""
+    return ()
+
+
 def new_planner(now: float = 0.0, log: DecisionLog | None = None) -> Planner:
     """Return a planner without workflows and workers.
 
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -35,8 +35,8 @@
     from collections.abc import Callable
 
     from carawaystep.fleet.order import Order
+    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.planner.changes import Changes
-    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -180,7 +180,7 @@
 
     def _run_leader(self, faults: bool) -> None:
         planner = self._planner
-        planner.requeue_lost_runs(self.now, self._contact_times())
+        planner.requeue_lost_runs(self.now, self._contact_times)
         if self._random.random() < 0.1:
             planner.retry_stops()
         planner.plan(self.now, 2000.0)
@@ -345,14 +345,12 @@
             ):
                 worker.report(self._term, 0, self.now)
 
-    def _contact_times(self) -> ContactTimes:
-        return {
-            worker.key: [
-                *(at for at in worker.contacts_lost_at if at <= self.now),
-                *(() if worker.unheard(self.now) else (self.now,)),
-            ]
-            for worker in self.workers.values()
-        }
+    def _contact_times(self, key: WorkerKey) -> list[float]:
+        worker = self.workers[key.id]
+        lost_at = [at for at in worker.contacts_lost_at if at <= self.now]
+        if not worker.unheard(self.now):
+            return [*lost_at, self.now]
+        return lost_at
 
     def _random_run_duration(self) -> float:
         """Return a duration; some runs outlast all leases of predecessors."""
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -18,6 +18,7 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import LIMITS
 from tests.planner.planners import new_planner
+from tests.planner.planners import no_contacts
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import RecordingLog
 from tests.planner.planners import report
@@ -136,11 +137,11 @@
         planner.handle_report(report("w1", [running(start)]), 1.0)
         planner.update_worker_list([worker_record("w2")])
         planner.handle_report(report("w2"), 1.0 + LIMITS.lost_after_s)
-        planner.requeue_lost_runs(1.0 + LIMITS.lost_after_s, {})
+        planner.requeue_lost_runs(1.0 + LIMITS.lost_after_s, no_contacts)
         self.assertEqual(
             [], plan_and_take_starts(planner, 1.0 + LIMITS.lost_after_s)
         )
-        planner.requeue_lost_runs(1.1 + LIMITS.lost_after_s, {})
+        planner.requeue_lost_runs(1.1 + LIMITS.lost_after_s, no_contacts)
         self.assertEqual(
             1, len(plan_and_take_starts(planner, 1.1 + LIMITS.lost_after_s))
         )
@@ -198,7 +199,7 @@
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner.handle_report(report("w2"), later)
         self.assertEqual([], plan_and_take_starts(planner, later))
-        planner.requeue_lost_runs(later, {})
+        planner.requeue_lost_runs(later, no_contacts)
         self.assertEqual(1, len(plan_and_take_starts(planner, later)))
 
     def test_cancellation_stops_runs_and_settles_after_their_ends(
@@ -470,7 +471,7 @@
         """Guards against gang tasks that wait for a task of a gone worker."""
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner, orders = self._new_term_without_the_first_worker(later)
-        planner.requeue_lost_runs(later, {})
+        planner.requeue_lost_runs(later, no_contacts)
         self.assertEqual(
             {(order.ref, order.run) for order in orders[1:]},
             {(s.ref, s.run) for s in planner.take_immediate_orders()},
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -15,6 +15,7 @@
 from carawaystep.workflow.task_ref import TaskRef
 from carawaystep.workflow.task_state import TaskState
 from carawaystep.workflow.workflow import Workflow
+from tests.planner.planners import no_contacts
 from tests.planner.random_simulation import RandomSimulation
 from tests.planner.simulated_worker import LEASE_S
 
@@ -88,7 +89,7 @@
     def requeue_lost_runs(
         self, now: float, contact_times: ContactTimes
     ) -> None:
-        super().requeue_lost_runs(now, {})
+        super().requeue_lost_runs(now, no_contacts)
 
 
 class _IgnoresPredecessors(Planner):
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -9,6 +9,7 @@
 from carawaystep.planner.workflow_registry import WorkflowRegistry
 from carawaystep.workflow.step_spec import StepSpec
 from tests.planner.planners import LIMITS
+from tests.planner.planners import no_contacts
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
@@ -114,21 +115,27 @@
         reporting = self.workers.workers[WorkerKey("w2", 1)]
         reporting.record_report(_TERM_STARTED_AT, leaving=False)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
-        self.assertEqual([], self.workers.without_lease(limit, {}))
+        self.assertEqual([], self.workers.without_lease(limit, no_contacts))
         self.assertEqual(
-            [reporting], self.workers.without_lease(limit + 0.1, {})
+            [reporting], self.workers.without_lease(limit + 0.1, no_contacts)
         )
         limit = _TERM_STARTED_AT + LIMITS.takeover_lost_after_s
-        self.assertEqual([reporting], self.workers.without_lease(limit, {}))
-        self.assertEqual(2, len(self.workers.without_lease(limit + 0.1, {})))
+        self.assertEqual(
+            [reporting], self.workers.without_lease(limit, no_contacts)
+        )
+        self.assertEqual(
+            2, len(self.workers.without_lease(limit + 0.1, no_contacts))
+        )
 
     def test_lease_without_predecessors_ends_without_a_report(self) -> None:
         """Guards against work that waits for leases nobody can extend."""
         self.workers.update_list([worker_record("w1")])
         self.workers.set_predecessor_stop_time(_TERM_STARTED_AT)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
-        self.assertEqual([], self.workers.without_lease(limit, {}))
-        self.assertEqual(1, len(self.workers.without_lease(limit + 0.1, {})))
+        self.assertEqual([], self.workers.without_lease(limit, no_contacts))
+        self.assertEqual(
+            1, len(self.workers.without_lease(limit + 0.1, no_contacts))
+        )
 
     def test_lease_may_last_after_the_last_contact_with_a_member(self) -> None:
         """Guards against a lease that a member extended without the leader.
@@ -152,6 +159,8 @@
         ):
             self.assertEqual(
                 expected,
-                self.workers.without_lease(now, {_FIRST: contact_times}),
+                self.workers.without_lease(
+                    now, {_FIRST: contact_times}.__getitem__
+                ),
                 (now, contact_times),
             )
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -72,14 +72,14 @@
         """Guards against leases that a former member extended unnoticed."""
         self.members["edge-1"].contact_times = [3.0, 5.0]
         self.members["edge-2"].contact_times = [7.0]
-        self.assertEqual({}, self.assignments.contact_times())
+        self.assertEqual([], self.assignments.contact_times(_WORKER))
         self._update("edge-1")
         self._update("edge-2")
-        times = self.assignments.contact_times()
-        self.assertEqual([3.0, 5.0, 7.0], sorted(times[_WORKER]))
+        times = self.assignments.contact_times(_WORKER)
+        self.assertEqual([3.0, 5.0, 7.0], sorted(times))
         self.planner.workers = {}
         self._update("edge-2")
-        self.assertEqual({}, self.assignments.contact_times())
+        self.assertEqual([], self.assignments.contact_times(_WORKER))
 
     def _update(self, *available: str) -> None:
         self.sessions.available.return_value = {
