--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -34,6 +34,7 @@
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.advice_request import AdviceRequest
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
@@ -276,19 +277,24 @@
         for tracked in worker.runs.values():
             tracked.discard_stop_confirmation()
 
-    def record_predecessors_stopped(self, now: float) -> None:
-        """Record that no leader of an earlier term can act any more.
+    def set_predecessor_stop_time(self, at: float) -> None:
+        """Set the time after which no leader of an earlier term acts.
 
-        :param now: current time, seconds of a monotonic clock
+        :param at: seconds of a monotonic clock; a later time than the known
+            one is ignored
         """
-        self._workers.record_predecessors_stopped(now)
+        self._workers.set_predecessor_stop_time(at)
 
-    def requeue_lost_runs(self, now: float) -> None:
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
         """Requeue the runs of workers whose leases must have expired.
 
         :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
         """
-        self._lost_runs.lose_expired(now)
+        self._lost_runs.lose_expired(now, contact_times)
 
     def evacuate(self, now: float) -> None:
         """Stop long-running tasks on leaving workers if they fit elsewhere.
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -30,6 +30,8 @@
         self._sessions = sessions
         self._leader = leader
         self._member_by_worker: dict[WorkerKey, str] = {}
+        # Sessions with all members that a worker was assigned to.
+        self._callers: dict[WorkerKey, frozenset[MemberSession]] = {}
 
     def member_name(self, key: WorkerKey) -> str:
         """Return the member that calls a worker, empty when none does."""
@@ -39,6 +41,14 @@
         """Return the session with the member that calls a worker."""
         return self._sessions.get(self.member_name(key))
 
+    def contact_times(self, key: WorkerKey) -> list[float]:
+        """Return when the members that call a worker were last heard."""
+        return [
+            heard_at
+            for session in self._callers.get(key, ())
+            for heard_at in session.contact_times
+        ]
+
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
 
@@ -63,5 +73,10 @@
             if self._member_by_worker.get(key) != name:
                 self._planner.handle_reassignment(key)
         self._member_by_worker = member_by_worker
+        self._callers = {
+            key: self._callers.get(key, frozenset())
+            | {self._sessions.sessions[name]}
+            for key, name in member_by_worker.items()
+        }
         for name, workers in assignments.items():
             await self._sessions.sessions[name].assign(workers)
--- a/tests/planner/test_gangs.py
+++ b/tests/planner/test_gangs.py
@@ -10,6 +10,7 @@
 from carawaystep.workflow.step_spec import StepSpec
 from tests.planner.planners import LIMITS
 from tests.planner.planners import new_planner
+from tests.planner.planners import no_contacts
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
 from tests.planner.planners import report
@@ -56,7 +57,7 @@
         """Guards against gang tasks that wait for a task of a gone worker."""
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner, orders = self._new_term_without_the_first_worker(later)
-        planner.requeue_lost_runs(later)
+        planner.requeue_lost_runs(later, no_contacts)
         self.assertEqual(
             {(order.ref, order.run) for order in orders[1:]},
             {(s.ref, s.run) for s in planner.take_immediate_orders()},
--- a/tests/planner/test_lost_workers.py
+++ b/tests/planner/test_lost_workers.py
@@ -12,6 +12,7 @@
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.step_spec import StepSpec
 from tests.planner.planners import LIMITS
+from tests.planner.planners import no_contacts
 from tests.planner.planners import ONE_TASK
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
@@ -38,11 +39,11 @@
         planner.handle_report(report("w1", [running(start)]), 1.0)
         planner.update_worker_list([worker_record("w2")])
         planner.handle_report(report("w2"), 1.0 + LIMITS.lost_after_s)
-        planner.requeue_lost_runs(1.0 + LIMITS.lost_after_s)
+        planner.requeue_lost_runs(1.0 + LIMITS.lost_after_s, no_contacts)
         self.assertEqual(
             [], plan_and_take_starts(planner, 1.0 + LIMITS.lost_after_s)
         )
-        planner.requeue_lost_runs(1.1 + LIMITS.lost_after_s)
+        planner.requeue_lost_runs(1.1 + LIMITS.lost_after_s, no_contacts)
         self.assertEqual(
             1, len(plan_and_take_starts(planner, 1.1 + LIMITS.lost_after_s))
         )
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -8,6 +8,7 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import LIMITS
 from tests.planner.planners import new_planner
+from tests.planner.planners import no_contacts
 from tests.planner.planners import ONE_TASK
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
@@ -63,7 +64,7 @@
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner.handle_report(report("w2"), later)
         self.assertEqual([], plan_and_take_starts(planner, later))
-        planner.requeue_lost_runs(later)
+        planner.requeue_lost_runs(later, no_contacts)
         self.assertEqual(1, len(plan_and_take_starts(planner, later)))
 
 
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -15,6 +15,7 @@
 from carawaystep.workflow.task_ref import TaskRef
 from carawaystep.workflow.task_state import TaskState
 from carawaystep.workflow.workflow import Workflow
+from tests.planner.planners import no_contacts
 from tests.planner.random_simulation import RandomSimulation
 from tests.planner.simulated_worker import LEASE_S
 
@@ -22,6 +23,7 @@
     from unittest.mock import _patch
 
     from carawaystep.fleet.order import Order
+    from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
@@ -75,8 +77,19 @@
 class _RequeuesBeforeLeaseEnd(Planner):
     """Requeues the runs of a silent worker before its lease has expired."""
 
-    def requeue_lost_runs(self, now: float) -> None:
-        super().requeue_lost_runs(now + 6.0)
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
+        super().requeue_lost_runs(now + 6.0, contact_times)
+
+
+class _IgnoresContactWithMembers(Planner):
+    """Counts from a worker's last report although reports may be missing."""
+
+    def requeue_lost_runs(
+        self, now: float, contact_times: ContactTimes
+    ) -> None:
+        super().requeue_lost_runs(now, no_contacts)
 
 
 class _IgnoresPredecessors(Planner):
@@ -84,14 +97,14 @@
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
-        super().record_predecessors_stopped(args[-1])
+        super().set_predecessor_stop_time(args[-1])
 
 
 class _IgnoresLastLeasesOfPredecessors(Planner):
     """Requeues as soon as no earlier leader can extend a lease any more."""
 
-    def record_predecessors_stopped(self, now: float) -> None:
-        super().record_predecessors_stopped(now - LEASE_S)
+    def set_predecessor_stop_time(self, at: float) -> None:
+        super().set_predecessor_stop_time(at - LEASE_S)
 
 
 def _count_violations(planner: type[Planner]) -> int:
@@ -131,6 +144,7 @@
             _RequeuesUnansweredStarts,
             _IgnoresStoredPlacements,
             _RequeuesBeforeLeaseEnd,
+            _IgnoresContactWithMembers,
             _IgnoresPredecessors,
             _IgnoresLastLeasesOfPredecessors,
         ):
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -9,6 +9,7 @@
 from carawaystep.planner.workflow_registry import WorkflowRegistry
 from carawaystep.workflow.step_spec import StepSpec
 from tests.planner.planners import LIMITS
+from tests.planner.planners import no_contacts
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
@@ -61,8 +62,8 @@
     def test_wait_is_shorter_once_the_predecessors_have_stopped(self) -> None:
         """Guards against work that waits for leases nobody can extend."""
         stopped_at = _TERM_STARTED_AT + 3.0
-        self.workers.record_predecessors_stopped(stopped_at)
-        self.workers.record_predecessors_stopped(stopped_at + 1.0)
+        self.workers.set_predecessor_stop_time(stopped_at)
+        self.workers.set_predecessor_stop_time(stopped_at + 1.0)
         limit = stopped_at + LIMITS.lost_after_s
         self.assertEqual([], self.workers.take_overdue_unlisted(limit))
         self.assertEqual(
@@ -72,7 +73,7 @@
     def test_predecessors_that_stop_late_do_not_prolong_the_wait(self) -> None:
         """Guards against a wait that outlasts the leases of predecessors."""
         limit = _TERM_STARTED_AT + LIMITS.takeover_lost_after_s
-        self.workers.record_predecessors_stopped(limit - 1.0)
+        self.workers.set_predecessor_stop_time(limit - 1.0)
         self.assertEqual(
             [_FIRST], self.workers.take_overdue_unlisted(limit + 0.1)
         )
@@ -114,8 +115,52 @@
         reporting = self.workers.workers[WorkerKey("w2", 1)]
         reporting.record_report(_TERM_STARTED_AT, leaving=False)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
-        self.assertEqual([], self.workers.without_lease(limit))
-        self.assertEqual([reporting], self.workers.without_lease(limit + 0.1))
+        self.assertEqual([], self.workers.without_lease(limit, no_contacts))
+        self.assertEqual(
+            [reporting], self.workers.without_lease(limit + 0.1, no_contacts)
+        )
         limit = _TERM_STARTED_AT + LIMITS.takeover_lost_after_s
-        self.assertEqual([reporting], self.workers.without_lease(limit))
-        self.assertEqual(2, len(self.workers.without_lease(limit + 0.1)))
+        self.assertEqual(
+            [reporting], self.workers.without_lease(limit, no_contacts)
+        )
+        self.assertEqual(
+            2, len(self.workers.without_lease(limit + 0.1, no_contacts))
+        )
+
+    def test_lease_without_predecessors_ends_without_a_report(self) -> None:
+        """Guards against work that waits for leases nobody can extend."""
+        self.workers.update_list([worker_record("w1")])
+        self.workers.set_predecessor_stop_time(_TERM_STARTED_AT)
+        limit = _TERM_STARTED_AT + LIMITS.lost_after_s
+        self.assertEqual([], self.workers.without_lease(limit, no_contacts))
+        self.assertEqual(
+            1, len(self.workers.without_lease(limit + 0.1, no_contacts))
+        )
+
+    def test_lease_may_last_after_the_last_contact_with_a_member(self) -> None:
+        """Guards against a lease that a member extended without the leader.
+
+        Its report of the worker's answer is lost with the connection. A
+        member that is heard later would have reported an answer. The lease
+        may be extended once more in a second silence.
+        """
+        self.workers.update_list([worker_record("w1")])
+        (worker,) = self.workers
+        worker.record_report(_TERM_STARTED_AT, leaving=False)
+        limit = _TERM_STARTED_AT + LIMITS.lost_after_s
+        heard_at = limit - 1.0
+        lease_end = heard_at + LIMITS.lost_after_s
+        for now, contact_times, expected in (
+            (limit + 0.1, [heard_at], []),
+            (limit + 0.1, [limit + 0.1], [worker]),
+            (lease_end, [heard_at, limit + 0.1], []),
+            (lease_end + 0.1, [heard_at, lease_end + 0.1], [worker]),
+            (lease_end + 0.1, [lease_end - 1.0, heard_at], []),
+        ):
+            self.assertEqual(
+                expected,
+                self.workers.without_lease(
+                    now, {_FIRST: contact_times}.__getitem__
+                ),
+                (now, contact_times),
+            )
