Ask the later lifetime of a worker for the stored runs of an earlier one

A task could run again after it was done, or beside its first run (rule TWICE): a start that is on its way while its worker restarts is executed by the later lifetime. If the leader changes then, the next one has the run stored for the earlier lifetime, which is not listed any more; the first report of the later one was taken as proof that the run is gone, and its end was acknowledged without effect.

Change: such runs are moved to the later lifetime. Its first report in the term, which no start with an older token can follow, tells which of them exist; the others are requeued then, as for any worker.

Two new tests failed before.

--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -70,14 +70,17 @@
         A start that was ordered from an earlier lifetime is executed by the
         later one if it arrives after the restart. A run that has not been
         reported is therefore moved to the later one once that is listed.
+        Stored runs are moved too: the first report in the term tells which
+        of them exist.
         """
         if not self._workers.record_lifetime(key):
             return
         successor = self._workers.get(key)
         for worker in self._workers.earlier_lifetimes(key):
             self._drop_lifetime(worker, successor)
-        for earlier in self._workers.take_unlisted_before(key):
-            self._requeue_unlisted(earlier)
+        if successor is not None:
+            for workflow in self._workers.adopt_unlisted_before(successor):
+                self._registry.mark_changed(workflow)
 
     def _drop_lifetime(
         self, worker: TrackedWorker, successor: TrackedWorker | None
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -17,6 +17,8 @@
     from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.workflow_registry import WorkflowRegistry
+    from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow import Workflow
 
 
 class WorkerRegistry:
@@ -133,11 +135,24 @@
         """Remove a worker, whose runs can no longer exist."""
         del self._workers[worker.key]
 
-    def take_unlisted_before(self, key: WorkerKey) -> list[WorkerKey]:
-        """Stop waiting for earlier lifetimes of a worker, and return them."""
-        return self._take_unlisted(
-            [earlier for earlier in self._unlisted if _precedes(earlier, key)]
+    def adopt_unlisted_before(
+        self, successor: TrackedWorker
+    ) -> list[Workflow]:
+        """Move the stored runs of earlier lifetimes to a later one.
+
+        :returns: workflows with a run that was moved
+        """
+        earlier = self._take_unlisted(
+            [key for key in self._unlisted if _precedes(key, successor.key)]
         )
+        moved = []
+        for workflow in self._workflows if earlier else ():
+            for ref, task in workflow.placed_tasks():
+                if task.worker in earlier:
+                    workflow.move_run(ref, successor.key)
+                    self._add_stored_run(successor, workflow, ref)
+                    moved.append(workflow)
+        return moved
 
     def take_overdue_unlisted(self, now: float) -> list[WorkerKey]:
         """Stop waiting for workers without a lease, and return them.
@@ -201,18 +216,21 @@
         for workflow in self._workflows:
             for ref, task in workflow.placed_tasks():
                 if task.worker == record.key:
-                    step = workflow.step(ref)
-                    worker.add(
-                        ref,
-                        TrackedRun(
-                            task.run,
-                            step,
-                            workflow.spec.priority,
-                            self._term_started_at,
-                            # An earlier leader may have slowed it.
-                            pace_in_doubt=step.fills,
-                        ),
-                    )
+                    self._add_stored_run(worker, workflow, ref)
+
+    def _add_stored_run(
+        self, worker: TrackedWorker, workflow: Workflow, ref: TaskRef
+    ) -> None:
+        step = workflow.step(ref)
+        run = TrackedRun(
+            workflow.task(ref).run,
+            step,
+            workflow.spec.priority,
+            self._term_started_at,
+            # An earlier leader may have slowed it.
+            pace_in_doubt=step.fills,
+        )
+        worker.add(ref, run)
 
 
 def _precedes(earlier: WorkerKey, later: WorkerKey) -> bool:
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -4,6 +4,8 @@
 
 from testtools import TestCase
 
+from carawaystep.fleet.worker_report import EndedRun
+from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.workflow import Workflow
 from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import LIMITS
@@ -36,6 +38,40 @@
         planner.handle_report(report("w1", [running(start)]), 10.1)
         self.assertEqual([], plan_and_take_starts(planner, 10.1))
 
+    def test_end_on_a_later_lifetime_is_not_followed_by_a_run(self) -> None:
+        """Guards against a second run of a task that is done.
+
+        A start that is on its way while its worker restarts is executed by
+        the later lifetime, before the leader changes.
+        """
+        first = planner_with_workers("w1")
+        spec = workflow_spec(ONE_TASK)
+        first.admit(spec, False)
+        (start,) = plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.update_worker_list(
+            [worker_record("w1", started_at_ms=2), worker_record("w2")]
+        )
+        planner.handle_report(report("w2"), 10.0)
+        end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
+        planner.handle_report(report("w1", [], [end], started_at_ms=2), 10.1)
+        self.assertEqual([], plan_and_take_starts(planner, 10.1))
+        self.assertEqual(WorkflowState.DONE, planner.state(spec.id))
+
+    def test_run_on_a_later_lifetime_goes_on(self) -> None:
+        """Guards against a second run beside one on a restarted worker."""
+        first = planner_with_workers("w1")
+        spec = workflow_spec(ONE_TASK)
+        first.admit(spec, False)
+        (start,) = plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.update_worker_list([worker_record("w1", started_at_ms=2)])
+        listed = report("w1", [running(start)], started_at_ms=2)
+        planner.handle_report(listed, 10.1)
+        self.assertEqual([], plan_and_take_starts(planner, 10.1))
+
     def test_new_term_requeues_a_run_that_its_worker_does_not_list(
         self,
     ) -> None:
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from carawaystep.fleet.tracked_worker import TrackedWorker
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.planner.worker_registry import WorkerRegistry
 from carawaystep.planner.workflow_registry import WorkflowRegistry
@@ -25,9 +26,11 @@
         """Start a term with a stored run on the first lifetime of w1."""
         super().setUp()
         workflows = WorkflowRegistry()
-        workflow = workflows.add(workflow_spec(StepSpec(1, cpu_millis=1000)))
-        (self.ref,) = workflow.ready_tasks(2000.0)
-        workflow.place(self.ref, _FIRST)
+        self.workflow = workflows.add(
+            workflow_spec(StepSpec(1, cpu_millis=1000))
+        )
+        (self.ref,) = self.workflow.ready_tasks(2000.0)
+        self.workflow.place(self.ref, _FIRST)
         self.workers = WorkerRegistry(workflows, LIMITS, _TERM_STARTED_AT)
         self.workers.await_listing(_FIRST)
 
@@ -82,12 +85,22 @@
         """Guards against the loss of runs on a worker that is listed."""
         self.workers.update_list([worker_record("w1")])
         self.assertEqual([], self.workers.take_overdue_unlisted(100.0))
-        self.assertEqual([], self.workers.take_unlisted_before(_SECOND))
+        second = TrackedWorker(worker_record("w1", started_at_ms=2))
+        self.assertEqual([], self.workers.adopt_unlisted_before(second))
 
     def test_report_of_a_later_lifetime_ends_the_wait(self) -> None:
         """Guards against waiting for a lifetime that is over."""
-        self.assertEqual([], self.workers.take_unlisted_before(_FIRST))
-        self.assertEqual([_FIRST], self.workers.take_unlisted_before(_SECOND))
+        first, second = (
+            TrackedWorker(worker_record("w1", started_at_ms=started_at_ms))
+            for started_at_ms in (1, 2)
+        )
+        self.assertEqual([], self.workers.adopt_unlisted_before(first))
+        self.assertEqual(
+            [self.workflow], self.workers.adopt_unlisted_before(second)
+        )
+        self.assertEqual([self.ref], list(second.runs))
+        self.assertEqual(_SECOND, self.workflow.task(self.ref).worker)
+        self.assertEqual([], self.workers.take_overdue_unlisted(100.0))
 
     def test_earlier_lifetime_that_is_listed_late_is_found(self) -> None:
         """Guards against runs of a lifetime that is over.
