Correct what the simulated deployment says about owned workers

Cause: SimulatedDeployment said that its names let the measured entry own exactly its workers. Entries share the workers of a zone evenly, so that this holds only for an entry alone in its zone. The table service section derived the rate of heartbeats twice.

Change: the doc comment says what holds. The rate of heartbeats stands once.

Result: all blocks of the committed and the synthetic measurements are equal byte for byte before and after.

--- a/tools/capacity/simulated_deployment.py
+++ b/tools/capacity/simulated_deployment.py
@@ -25,10 +25,12 @@
 
 
 class SimulatedDeployment:
-    """Chooses names by which the measured entry owns exactly its workers.
+    """Chooses names that rank the measured entry first for its workers.
 
-    A worker is owned by the entry of its availability zone that the
-    rendezvous hash of the names ranks first.
+    The rendezvous hash of the names ranks it first for exactly its workers.
+    It owns all of them only if it is alone in its availability zone, because
+    ``OwnershipPolicy`` gives no entry more than an even share of the zone's
+    workers.
     """
 
     def __init__(self, scenario: Scenario) -> None:
--- a/tools/capacity/table_service_section.py
+++ b/tools/capacity/table_service_section.py
@@ -37,6 +37,10 @@
         """
         self._figures = figures
 
+    @property
+    def _heartbeat_rate(self) -> float:
+        return self._figures.model.small.calls_per_s("platform/transactions")
+
     def blocks(self) -> dict[str, str]:
         """Return the block of the table service."""
         return {"table": self._table()}
@@ -88,13 +92,8 @@
         return rows
 
     def _peak_write_rows(self) -> list[list[str]]:
-        heartbeat_rate = self._figures.model.small.calls_per_s(
-            "platform/transactions"
-        )
         writes_per_start = self._figures.writes_per_start
-        heartbeats = self._figures.rates_of_all_entries(
-            lambda _: heartbeat_rate
-        )
+        heartbeats = self._heartbeat_rates()
         inserts = [0.0] + [_PEAK_STARTS_PER_S] * 2
         changes = [rate * writes_per_start for rate in inserts]
         total = [
@@ -105,7 +104,7 @@
             rate_row(
                 "writes of heartbeats/s",
                 heartbeats,
-                f"{to_cell(heartbeat_rate)} an entry",
+                f"{to_cell(self._heartbeat_rate)} an entry",
                 "own row, each 2 s",
             ),
             rate_row(
@@ -126,12 +125,7 @@
         ]
 
     def _average_write_rows(self) -> list[list[str]]:
-        heartbeat_rate = self._figures.model.small.calls_per_s(
-            "platform/transactions"
-        )
-        heartbeats = self._figures.rates_of_all_entries(
-            lambda _: heartbeat_rate
-        )
+        heartbeats = self._heartbeat_rates()
         writes_per_job = 1 + self._figures.writes_per_start
         jobs = [0.0] + [_JOBS_PER_DAY / _DAY_S * writes_per_job] * 2
         documents = [0.0] + [_DOCUMENT_CHANGES_PER_DAY / _DAY_S] * 2
@@ -156,3 +150,8 @@
                 "all writes on average/s", total, "", "", WRITE_LIMIT_PER_S
             ),
         ]
+
+    def _heartbeat_rates(self) -> list[float]:
+        return self._figures.rates_of_all_entries(
+            lambda _: self._heartbeat_rate
+        )
