Set up a restored planner in one place in the tests of a new term

Cause: three tests repeated the term before and the restored planner.

Change: _new_term_after_a_start returns the planner and the start.

Result: the tests and their assertions are the same; test_new_term.py passes.

--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from testtools import TestCase
 
 from carawaystep.workflow.workflow import Workflow
@@ -16,19 +18,31 @@
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
+if TYPE_CHECKING:
+    from carawaystep.fleet.order import StartOrder
+    from carawaystep.planner.planner import Planner
+
+
+def _new_term_after_a_start() -> tuple[Planner, StartOrder]:
+    """Return a planner that restored a run which the term before started.
+
+    :returns: the planner at 10 s and the start, which worker w1 received
+    """
+    first = planner_with_workers("w1")
+    spec = workflow_spec(ONE_TASK)
+    first.admit(spec, False)
+    (start,) = plan_and_take_starts(first)
+    planner = new_planner(10.0)
+    planner.restore(spec, first.workflows[spec.id].record())
+    return planner, start
+
 
 class StoredRunsTest(TestCase):
     """Runs that an earlier leader started."""
 
     def test_new_term_waits_for_the_worker_of_a_stored_run(self) -> None:
         """Guards against a second run beside one of an earlier leader."""
-        first = planner_with_workers("w1")
-        spec = workflow_spec(ONE_TASK)
-        first.admit(spec, False)
-        (start,) = plan_and_take_starts(first)
-        record = first.workflows[spec.id].record()
-        planner = new_planner(10.0)
-        planner.restore(spec, record)
+        planner, start = _new_term_after_a_start()
         planner.update_worker_list([worker_record("w1"), worker_record("w2")])
         planner.handle_report(report("w2"), 10.0)
         self.assertEqual([], plan_and_take_starts(planner, 10.0))
@@ -39,12 +53,7 @@
         self,
     ) -> None:
         """Guards against waiting for a start that the new token prevents."""
-        first = planner_with_workers("w1")
-        spec = workflow_spec(ONE_TASK)
-        first.admit(spec, False)
-        plan_and_take_starts(first)
-        planner = new_planner(10.0)
-        planner.restore(spec, first.workflows[spec.id].record())
+        planner, _ = _new_term_after_a_start()
         planner.update_worker_list([worker_record("w1")])
         planner.handle_report(report("w1"), 10.0)
         self.assertEqual(2, plan_and_take_starts(planner, 10.0)[0].run)
@@ -53,12 +62,7 @@
         self,
     ) -> None:
         """Guards against waiting forever for a removed worker."""
-        first = planner_with_workers("w1")
-        spec = workflow_spec(ONE_TASK)
-        first.admit(spec, False)
-        plan_and_take_starts(first)
-        planner = new_planner(10.0)
-        planner.restore(spec, first.workflows[spec.id].record())
+        planner, _ = _new_term_after_a_start()
         planner.update_worker_list([worker_record("w2")])
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner.handle_report(report("w2"), later)
