Adopt a run that a restarted worker started for an earlier term

A worker restarts under its id, executes a start that the leader of before ordered from its earlier lifetime, and that leader is lost. The next one read the placement on the earlier lifetime, took the first report of the later one as the end of it, and placed the task again although the report listed the run.

A run that the report lists is now taken over by the later lifetime. While that is not listed the wait goes on, up to the limit of a new term.

--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from carawaystep.fleet.tracked_run import TrackedRun
+
 if TYPE_CHECKING:
-    from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_report import ReportedRun
+    from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.run_stopper import RunStopper
     from carawaystep.planner.worker_registry import WorkerRegistry
@@ -61,19 +64,26 @@
         for worker in self._workers.without_lease(now):
             self._lose_all(worker, "lease-passed")
 
-    def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
+    def drop_earlier_lifetimes(self, report: WorkerReport, now: float) -> None:
         """Give up the runs of earlier lifetimes of a worker that reported.
 
         A start that was ordered from an earlier lifetime is executed by the
         later one if it arrives after the restart. A run that has not been
         reported is therefore moved to the later one once that is listed.
+
+        :param now: current time, seconds of a monotonic clock
         """
+        key = report.worker
         if not self._workers.record_lifetime(key):
             return
         successor = self._workers.get(key)
         for worker in self._workers.earlier_lifetimes(key):
             self._drop_lifetime(worker, successor)
+        if successor is None:
+            return
         for earlier in self._workers.take_unlisted_before(key):
+            for item in report.running:
+                self._adopt(item, earlier, successor, now)
             self._requeue_unlisted(earlier)
 
     def _drop_lifetime(
@@ -117,6 +127,30 @@
         successor.add(ref, tracked)
         self._stopper.stop_task(workflow, ref, "worker-restarted")
 
+    def _adopt(
+        self,
+        item: ReportedRun,
+        earlier: WorkerKey,
+        successor: TrackedWorker,
+        now: float,
+    ) -> None:
+        """Take over a run that a later lifetime has started.
+
+        :param item: run that the later lifetime reports
+        :param earlier: lifetime from which an earlier term ordered the run
+        :param now: current time, seconds of a monotonic clock
+        """
+        workflow = self._registry.get(item.ref.workflow)
+        if workflow is None or not workflow.is_current_run(item.ref, item.run):
+            return
+        if workflow.task(item.ref).worker != earlier:
+            return
+        workflow.move_run(item.ref, successor.key)
+        self._registry.mark_changed(workflow)
+        step = workflow.step(item.ref)
+        tracked = TrackedRun(item.run, step, workflow.spec.priority, now)
+        successor.add(item.ref, tracked)
+
     def _lose_all(self, worker: TrackedWorker, reason: str) -> None:
         for ref, tracked in list(worker.runs.items()):
             self.lose(worker, ref, tracked.run, reason)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -198,7 +198,7 @@
 
         :param now: current time, seconds of a monotonic clock
         """
-        self._lost_runs.drop_earlier_lifetimes(report.worker)
+        self._lost_runs.drop_earlier_lifetimes(report, now)
         worker = self._workers.get(report.worker)
         if worker is None:
             return
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -229,6 +229,30 @@
         planner.handle_report(report("w1", [running(start)]), 10.1)
         self.assertEqual([], plan_and_take_starts(planner, 10.1))
 
+    def test_new_term_adopts_a_run_of_a_later_lifetime(self) -> None:
+        """Guards against a second run beside one of an earlier leader.
+
+        Its start was ordered from a lifetime of the worker that had ended.
+        """
+        first = _planner_with_workers("w1")
+        spec = workflow_spec(_ONE_TASK)
+        first.admit(spec, False)
+        (start,) = plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        planner.restore(spec, first.workflows[spec.id].record())
+        planner.update_worker_list(
+            [worker_record("w1", started_at_ms=2), worker_record("w2")]
+        )
+        planner.handle_report(report("w2"), 10.0)
+        planner.handle_report(
+            report("w1", [running(start)], started_at_ms=2), 10.1
+        )
+        self.assertEqual([], plan_and_take_starts(planner, 10.1))
+        self.assertEqual([], planner.take_immediate_orders())
+        end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
+        planner.handle_report(report("w1", [], [end], started_at_ms=2), 10.2)
+        self.assertEqual(WorkflowState.DONE, planner.state(spec.id))
+
     def test_new_term_requeues_a_run_that_its_worker_does_not_list(
         self,
     ) -> None:
