--- a/tests/planner/simulated_worker.py
+++ b/tests/planner/simulated_worker.py
@@ -60,6 +60,11 @@
         """Return the highest fencing token that this lifetime has seen."""
         return self._token
 
+    @property
+    def lease_until(self) -> float:
+        """Return the time at which its lease ends, in seconds."""
+        return self._lease_until
+
     @property
     def unacknowledged_ends(self) -> list[EndedRun]:
         """Return the ends of runs that the next report has."""
