--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -85,6 +85,10 @@
         listed = report("w1", [running(start)], started_at_ms=2)
         planner.handle_report(listed, 10.1)
         self.assertEqual([], plan_and_take_starts(planner, 10.1))
+        self.assertEqual([], planner.take_immediate_orders())
+        end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
+        planner.handle_report(report("w1", [], [end], started_at_ms=2), 10.2)
+        self.assertEqual(WorkflowState.DONE, planner.state(spec.id))
 
     def test_new_term_requeues_a_run_that_its_worker_does_not_list(
         self,
