--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -59,7 +59,7 @@
         The faulty member numbers its calls from 1 after each start.
         """
         self._assert_found(
-            "number-calls-from-one", 20, "is accepted and not stored"
+            "number-calls-from-one", 18, "is accepted and not stored"
         )
 
     def test_state_without_its_update_is_detected(self) -> None:
