Use one set-up for tests of stored runs and of best-effort tasks

Cause: two tests of a new term repeated the set-up beside them, and two modules declared the same serving and best-effort step.

Change: they use the shared ones. Assertions are the same.

--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -25,6 +25,17 @@
 
 LIMITS = PlannerLimits(lost_after_s=8.0, takeover_lost_after_s=18.0)
 ONE_TASK = StepSpec(1, cpu_millis=1000, memory_mb=100)
+SERVING = StepSpec(
+    1,
+    cpu_millis=1000,
+    memory_mb=100,
+    long_running=True,
+    image="serving",
+    tail_target_ms=100.0,
+)
+BEST_EFFORT = StepSpec(
+    1, cpu_millis=1000, memory_mb=100, fills=True, image="best-effort"
+)
 
 
 class RecordingLog(DecisionLog):
--- a/tests/planner/test_best_effort.py
+++ b/tests/planner/test_best_effort.py
@@ -10,38 +10,25 @@
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.worker_report import EndedRun
 from carawaystep.workflow.run_end import RunEnd
-from carawaystep.workflow.step_spec import StepSpec
+from tests.planner.planners import BEST_EFFORT
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
 from tests.planner.planners import report
 from tests.planner.planners import running
+from tests.planner.planners import SERVING
 from tests.workflow.workflows import workflow_spec
 
 
 class SharingTest(TestCase):
     """Best-effort tasks beside serving tasks."""
 
-    _SERVING = StepSpec(
-        1,
-        cpu_millis=1000,
-        memory_mb=100,
-        long_running=True,
-        image="serving",
-        tail_target_ms=100.0,
-    )
-    _BEST_EFFORT = StepSpec(
-        1, cpu_millis=1000, memory_mb=100, fills=True, image="best-effort"
-    )
-
     def setUp(self) -> None:
         """Run a serving and a best-effort task on the only worker."""
         super().setUp()
         self.planner = planner_with_workers("w1")
-        self.planner.admit(workflow_spec(self._SERVING, id="a" * 16), False)
+        self.planner.admit(workflow_spec(SERVING, id="a" * 16), False)
         (self.serving,) = plan_and_take_starts(self.planner)
-        self.planner.admit(
-            workflow_spec(self._BEST_EFFORT, id="b" * 16), False
-        )
+        self.planner.admit(workflow_spec(BEST_EFFORT, id="b" * 16), False)
         (self.best_effort,) = plan_and_take_starts(self.planner)
 
     def _report(
@@ -76,7 +63,7 @@
 
     def test_uncertain_images_are_placed_one_at_a_time(self) -> None:
         """Guards against harm that is attributed to the wrong image."""
-        other = replace(self._BEST_EFFORT, image="other")
+        other = replace(BEST_EFFORT, image="other")
         self.planner.admit(workflow_spec(other, id="c" * 16), False)
         self._report(0.5, 50.0)
         self.assertEqual([], plan_and_take_starts(self.planner, 0.5))
@@ -93,9 +80,7 @@
     def test_worker_with_a_harmed_task_gets_no_best_effort_tasks(self) -> None:
         """Guards against new best-effort tasks that prolong the harm."""
         self._report(1.0, 120.0)
-        self.planner.admit(
-            workflow_spec(self._BEST_EFFORT, id="c" * 16), False
-        )
+        self.planner.admit(workflow_spec(BEST_EFFORT, id="c" * 16), False)
         self.assertEqual([], plan_and_take_starts(self.planner, 1.0))
         self._report(2.0, 50.0)
         self.assertEqual([], plan_and_take_starts(self.planner, 2.0))
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -58,12 +58,7 @@
         A start that is on its way while its worker restarts is executed by
         the later lifetime, before the leader changes.
         """
-        first = planner_with_workers("w1")
-        spec = workflow_spec(ONE_TASK)
-        first.admit(spec, False)
-        (start,) = plan_and_take_starts(first)
-        planner = new_planner(10.0)
-        planner.restore(spec, first.workflows[spec.id].record())
+        planner, start = _new_term_after_a_start()
         planner.update_worker_list(
             [worker_record("w1", started_at_ms=2), worker_record("w2")]
         )
@@ -71,16 +66,11 @@
         end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
         planner.handle_report(report("w1", [], [end], started_at_ms=2), 10.1)
         self.assertEqual([], plan_and_take_starts(planner, 10.1))
-        self.assertEqual(WorkflowState.DONE, planner.state(spec.id))
+        self.assertEqual(WorkflowState.DONE, planner.state(start.ref.workflow))
 
     def test_run_on_a_later_lifetime_goes_on(self) -> None:
         """Guards against a second run beside one on a restarted worker."""
-        first = planner_with_workers("w1")
-        spec = workflow_spec(ONE_TASK)
-        first.admit(spec, False)
-        (start,) = plan_and_take_starts(first)
-        planner = new_planner(10.0)
-        planner.restore(spec, first.workflows[spec.id].record())
+        planner, start = _new_term_after_a_start()
         planner.update_worker_list([worker_record("w1", started_at_ms=2)])
         listed = report("w1", [running(start)], started_at_ms=2)
         planner.handle_report(listed, 10.1)
@@ -88,7 +78,7 @@
         self.assertEqual([], planner.take_immediate_orders())
         end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
         planner.handle_report(report("w1", [], [end], started_at_ms=2), 10.2)
-        self.assertEqual(WorkflowState.DONE, planner.state(spec.id))
+        self.assertEqual(WorkflowState.DONE, planner.state(start.ref.workflow))
 
     def test_new_term_requeues_a_run_that_its_worker_does_not_list(
         self,
--- a/tests/planner/test_pace_orders.py
+++ b/tests/planner/test_pace_orders.py
@@ -6,25 +6,15 @@
 
 from carawaystep.fleet.order import PaceOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
-from carawaystep.workflow.step_spec import StepSpec
+from tests.planner.planners import BEST_EFFORT
 from tests.planner.planners import new_planner
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import report
 from tests.planner.planners import running
+from tests.planner.planners import SERVING
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
-_SERVING = StepSpec(
-    1,
-    cpu_millis=1000,
-    memory_mb=100,
-    long_running=True,
-    image="serving",
-    tail_target_ms=100.0,
-)
-_BEST_EFFORT = StepSpec(
-    1, cpu_millis=1000, memory_mb=100, fills=True, image="best-effort"
-)
 _GOOD_TAIL_MS = 50.0
 _HARMED_TAIL_MS = 900.0
 _HARMED_REPORT_TIMES_S = (1.0, 1.9, 2.8, 3.1)
@@ -43,8 +33,8 @@
         self.planner.update_worker_list([worker_record("w1")])
         self.planner.handle_report(report("w1"), 0.0)
         self.specs = (
-            workflow_spec(_SERVING, id="a" * 16),
-            workflow_spec(_BEST_EFFORT, id="b" * 16),
+            workflow_spec(SERVING, id="a" * 16),
+            workflow_spec(BEST_EFFORT, id="b" * 16),
         )
         self.starts = []
         for spec in self.specs:
