Rank the workers of a step once in a pass and end long passes

Cause: each task of a step ranked all workers again, and each waiting step searched all of them again in every pass. A burst of placements was one step of the event loop, so that heartbeats waited for it.

Change: a heap ranks the workers of a step once and the one that gets a task again. Needs that no worker meets are searched for once in a pass, for placement, forced placement and preemption. What is free on a worker after its ending runs is worked out once a pass for held workers. A pass ends after 32 starts, and the next one follows after the commit.

--- a/src/carawaystep/fleet/tracked_worker.py
+++ b/src/carawaystep/fleet/tracked_worker.py
@@ -175,11 +175,12 @@
 
         Best-effort tasks need no unreserved CPU.
         """
-        if step.memory_mb > self.free_memory_mb:
+        # CPU comes first, because it is what most workers lack.
+        if not step.fills and step.cpu_millis > self.free_cpu_millis:
             return False
-        if step.accelerators > self.free_accelerators:
+        if step.memory_mb > self.free_memory_mb:
             return False
-        return step.fills or step.cpu_millis <= self.free_cpu_millis
+        return step.accelerators <= self.free_accelerators
 
     def task_capacity_after(
         self, step: StepSpec, ending: Iterable[TrackedRun]
--- /dev/null
+++ b/src/carawaystep/planner/candidate_search.py
@@ -0,0 +1,171 @@
+"""Search for the workers of steps during one placement pass."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from carawaystep.planner.candidate_ranking import CandidateRanking
+from carawaystep.planner.eligibility import eligible_workers
+from carawaystep.planner.eligibility import may_take
+from carawaystep.planner.eligibility import suitable_workers
+from carawaystep.planner.eligibility import workers_with_capacity
+from carawaystep.planner.preemption import can_preempt
+from carawaystep.planner.preemption import select_victims
+from carawaystep.planner.unmet_needs import UnmetNeeds
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.planner.task_placement_policy import Rank
+    from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
+    from carawaystep.planner.ticket_cache import TicketCache
+    from carawaystep.workflow.task_ref import TaskRef
+    from carawaystep.workflow.workflow import Workflow
+
+
+class CandidateSearch:
+    """Finds the workers for the tasks of steps, and runs to preempt.
+
+    Needs that no worker meets are searched for once in a pass.
+    """
+
+    def __init__(
+        self,
+        placement: TaskPlacementPolicy,
+        ticket_cache: TicketCache,
+        now: float,
+    ) -> None:
+        """Create a search for one pass.
+
+        :param placement: ranks workers
+        :param ticket_cache: keeps the tickets of the placement service
+        :param now: current time, seconds of a monotonic clock
+        """
+        self._placement = placement
+        self._ticket_cache = ticket_cache
+        self._now = now
+        self._unmet_needs = UnmetNeeds()
+        self._unmet_forced_needs = UnmetNeeds()
+        self._unmet_preemptions = UnmetNeeds()
+
+    def rank(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> CandidateRanking:
+        """Return the workers for the tasks of a step, best first.
+
+        If the queue needs tickets, only workers with one qualify, and the
+        ranking is valid for this task alone.
+
+        :param ref: a task of the step
+        :param usable: workers that may get new work
+        """
+        step = workflow.step(ref)
+        rank = partial(self._rank, workflow, ref)
+        if workflow.spec.needs_tickets:
+            return self.rank_for_task(workflow, ref, usable)
+        group = (*_step_group(workflow, ref), step.image)
+        if self._unmet_needs.covers(group, step):
+            return CandidateRanking([], rank)
+        ranking = CandidateRanking(
+            suitable_workers(workflow, ref, usable, self._now), rank
+        )
+        if ranking.is_empty and not step.max_per_worker:
+            self._unmet_needs.add(group, step)
+        return ranking
+
+    def rank_for_task(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> CandidateRanking:
+        """Return the workers for one task, best first.
+
+        :param ref: the task, of a gang or of a queue with tickets
+        :param usable: workers that may get new work
+        """
+        return CandidateRanking(
+            self._eligible_workers(workflow, ref, usable),
+            partial(self._rank, workflow, ref),
+        )
+
+    def choose_despite_harm(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> TrackedWorker | None:
+        """Return the worker on which a task harms others least.
+
+        :param ref: a task that has waited too long
+        :param usable: workers that may get new work
+        """
+        step = workflow.step(ref)
+        group = _step_group(workflow, ref)
+        if self._unmet_forced_needs.covers(group, step):
+            return None
+        ranking = CandidateRanking(
+            self._eligible_workers(workflow, ref, usable),
+            partial(self._placement.rank_despite_harm, step),
+        )
+        for_this_task_only = (
+            step.max_per_worker
+            or workflow.spec.needs_tickets
+            or workflow.task(ref).failed_on
+        )
+        if ranking.is_empty and not for_this_task_only:
+            self._unmet_forced_needs.add(group, step)
+        return ranking.take(frozenset())
+
+    def victims(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> list[tuple[TrackedWorker, TaskRef]]:
+        """Return the runs to stop so that the ready tasks of a step fit.
+
+        :param ref: a task of the step that did not fit
+        :param usable: workers that may get new work
+        """
+        step = workflow.step(ref)
+        group = (*_step_group(workflow, ref), workflow.spec.priority)
+        if self._unmet_preemptions.covers(group, step):
+            return []
+        if can_preempt(workflow, ref, usable):
+            return select_victims(workflow, ref, usable)
+        if not step.max_per_worker:
+            self._unmet_preemptions.add(group, step)
+        return []
+
+    def _rank(
+        self, workflow: Workflow, ref: TaskRef, worker: TrackedWorker
+    ) -> Rank | None:
+        step = workflow.step(ref)
+        if not may_take(step, ref, worker):
+            return None
+        return self._placement.rank(step, worker, self._now)
+
+    def _eligible_workers(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> Iterator[TrackedWorker]:
+        """Iterate over the workers that one task may get now.
+
+        If its queue needs tickets, only workers with one qualify.
+        """
+        with_capacity = workers_with_capacity(workflow, ref, usable, self._now)
+        eligible = eligible_workers(workflow, ref, with_capacity, usable)
+        if not workflow.spec.needs_tickets:
+            return eligible
+        return self._ticket_cache.workers_with_ticket(
+            workflow, ref, eligible, self._now
+        )
+
+
+def _step_group(
+    workflow: Workflow, ref: TaskRef
+) -> tuple[str, str, bool, bool]:
+    """Return what decides which workers suit a step, apart from its needs.
+
+    Workflows with best-effort steps only may also use held workers.
+    """
+    step = workflow.step(ref)
+    return (
+        workflow.spec.service,
+        step.label,
+        step.fills,
+        workflow.spec.best_effort,
+    )
--- a/src/carawaystep/planner/eligibility.py
+++ b/src/carawaystep/planner/eligibility.py
@@ -8,9 +8,11 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Sequence
+    from collections.abc import Set
 
     from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.workflow.step_spec import StepSpec
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
@@ -25,6 +27,27 @@
     )
 
 
+def suitable_workers(
+    workflow: Workflow,
+    ref: TaskRef,
+    usable: Iterable[TrackedWorker],
+    now: float,
+) -> Iterator[TrackedWorker]:
+    """Iterate over the workers that suit a step, whatever runs on them.
+
+    :param ref: any task of the step
+    :param usable: workers that may get new work
+    :param now: current time, seconds of a monotonic clock
+    """
+    fills = workflow.step(ref).fills
+    return (
+        worker
+        for worker in usable
+        if may_run(workflow, ref, worker)
+        and (not fills or worker.accepts_best_effort(now))
+    )
+
+
 def workers_with_capacity(
     workflow: Workflow,
     ref: TaskRef,
@@ -41,13 +64,20 @@
     :param now: current time, seconds of a monotonic clock
     """
     step = workflow.step(ref)
-    return [
-        worker
-        for worker in usable
-        if worker.fits(step)
-        and may_run(workflow, ref, worker)
-        and (not step.fills or worker.accepts_best_effort(now))
-    ]
+    suitable = suitable_workers(workflow, ref, usable, now)
+    return [worker for worker in suitable if worker.fits(step)]
+
+
+def avoided_workers(
+    workflow: Workflow, ref: TaskRef, usable: Sequence[TrackedWorker]
+) -> Set[WorkerKey]:
+    """Return the workers that a task avoids because it has failed there.
+
+    :param usable: all workers that may get new work; a task that has failed
+        on as many avoids none
+    """
+    failed_on = workflow.task(ref).failed_on
+    return failed_on if len(failed_on) < len(usable) else frozenset()
 
 
 def eligible_workers(
@@ -67,12 +97,11 @@
     :param usable: all workers that may get new work
     """
     step = workflow.step(ref)
-    failed_on = workflow.task(ref).failed_on
-    avoided = failed_on if len(failed_on) < len(usable) else set()
+    avoided = avoided_workers(workflow, ref, usable)
     last_resorts: list[TrackedWorker] = []
     found = False
     for worker in candidates:
-        if not _may_take(step, ref, worker):
+        if not may_take(step, ref, worker):
             continue
         if worker.key in avoided:
             last_resorts.append(worker)
@@ -83,7 +112,7 @@
         yield from last_resorts
 
 
-def _may_take(step: StepSpec, ref: TaskRef, worker: TrackedWorker) -> bool:
+def may_take(step: StepSpec, ref: TaskRef, worker: TrackedWorker) -> bool:
     """Tell whether a worker has capacity for one more task of a step."""
     if not worker.fits(step):
         return False
--- a/src/carawaystep/planner/held_workers.py
+++ b/src/carawaystep/planner/held_workers.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from carawaystep.planner.eligibility import may_run
 from carawaystep.planner.eligibility import task_capacity
 from carawaystep.workflow.urgency import UrgencyStage
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
@@ -24,6 +25,23 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _FreeLater:
+    """What is free on a worker once its ending runs have ended.
+
+    :param run_count: number of runs at which it was worked out; in a pass,
+        runs are only added
+    :param cpu_millis: thousandths of a core
+    :param memory_mb: megabytes
+    :param accelerators: number of accelerators
+    """
+
+    run_count: int
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+
 class HeldWorkers:
     """Workers that less urgent workflows may not use.
 
@@ -31,26 +49,22 @@
     need more CPU never find enough on one worker.
     """
 
-    def __init__(self, usable: Sequence[TrackedWorker]) -> None:
+    def __init__(self, usable: list[TrackedWorker]) -> None:
         """Create an empty set for one pass.
 
         :param usable: workers that may get new work
         """
-        self._usable_count = len(usable)
+        self._usable = usable
         self._keys: set[WorkerKey] = set()
+        self._open = usable
+        self._free_later: dict[WorkerKey, _FreeLater] = {}
 
-    def open_to(
-        self, workflow: Workflow, usable: list[TrackedWorker]
-    ) -> list[TrackedWorker]:
+    def open_to(self, workflow: Workflow) -> list[TrackedWorker]:
         """Return the workers that a workflow may use.
 
         Best-effort tasks may use all, because they need no unreserved CPU.
-
-        :param usable: workers that may get new work
         """
-        if not self._keys or all(step.fills for step in workflow.spec.steps):
-            return usable
-        return [worker for worker in usable if worker.key not in self._keys]
+        return self._usable if workflow.spec.best_effort else self._open
 
     def hold_for(
         self,
@@ -70,20 +84,44 @@
         if count <= 0:
             return
         ref = refs[0]
-        suitable = [
+        suitable = (
             worker
-            for worker in open_workers
-            if task_capacity(workflow, ref, worker, _ending_runs(worker))
-        ]
-        suitable.sort(key=lambda worker: -worker.free_cpu_millis)
-        self._keys.update(worker.key for worker in suitable[:count])
+            for worker in sorted(
+                open_workers, key=lambda worker: -worker.free_cpu_millis
+            )
+            if self._may_fit(workflow, ref, worker)
+        )
+        self._keys.update(worker.key for worker in islice(suitable, count))
+        self._open = [w for w in self._usable if w.key not in self._keys]
+
+    def _may_fit(
+        self, workflow: Workflow, ref: TaskRef, worker: TrackedWorker
+    ) -> bool:
+        """Tell whether a task fits once the runs that end by themselves end.
+
+        What is free then is worked out once for each set of runs, because
+        many steps ask for it in a pass.
+        """
+        step = workflow.step(ref)
+        if step.max_per_worker:
+            ending_runs = _ending_runs(worker)
+            return task_capacity(workflow, ref, worker, ending_runs) > 0
+        known = self._free_later.get(worker.key)
+        if known is None or known.run_count != len(worker.runs):
+            known = self._free_later[worker.key] = _free_later(worker)
+        return (
+            step.cpu_millis <= known.cpu_millis
+            and step.memory_mb <= known.memory_mb
+            and step.accelerators <= known.accelerators
+            and may_run(workflow, ref, worker)
+        )
 
     def _limit(self, stage: UrgencyStage) -> int:
         """Return how many workers may be held up to a stage."""
         share = _MAX_HELD_SHARES.get(stage)
         if share is None:
             return 0
-        return max(1, int(share * self._usable_count))
+        return max(1, int(share * len(self._usable)))
 
 
 def _ending_runs(worker: TrackedWorker) -> list[TrackedRun]:
@@ -93,3 +131,14 @@
         for run in worker.runs.values()
         if run.stopping or not run.step.long_running
     ]
+
+
+def _free_later(worker: TrackedWorker) -> _FreeLater:
+    cpu_millis = worker.free_cpu_millis
+    memory_mb = worker.free_memory_mb
+    accelerators = worker.free_accelerators
+    for run in _ending_runs(worker):
+        cpu_millis += 0 if run.step.fills else run.step.cpu_millis
+        memory_mb += run.step.memory_mb
+        accelerators += run.step.accelerators
+    return _FreeLater(len(worker.runs), cpu_millis, memory_mb, accelerators)
--- a/src/carawaystep/planner/interference_aware_placement.py
+++ b/src/carawaystep/planner/interference_aware_placement.py
@@ -7,10 +7,9 @@
 from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.planner.interference_model import InterferenceModel
+    from carawaystep.planner.task_placement_policy import Rank
     from carawaystep.workflow.step_spec import StepSpec
 
 # A best-effort task starts only where at least this share of the CPU that it
@@ -36,61 +35,29 @@
         """
         self._interference = interference
 
-    def shortlist(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker], now: float
-    ) -> list[TrackedWorker]:
-        """Return the candidates on which a step may be placed now."""
-        if not step.fills:
-            return list(candidates)
-        return [
-            worker
-            for worker in candidates
-            if _has_spare_cpu(step, worker)
-            and self._leaves_memory(step, worker)
-            and not self._interference.likely_harms(step.image, worker)
-            and not self._interference.confounds(step.image, worker, now)
-        ]
-
-    def choose(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker], now: float
-    ) -> TrackedWorker | None:
-        """Return the worker for one more task, None to wait."""
+    def rank(
+        self, step: StepSpec, worker: TrackedWorker, now: float
+    ) -> Rank | None:
+        """Return how well a worker suits one more task of a step."""
         if step.fills:
-            return self._choose_best_effort(step, candidates, now)
+            return self._best_effort_rank(step, worker, now)
         if step.tail_target_ms:
-            return max(
-                candidates,
-                key=lambda worker: self._serving_rank(step, worker),
-                default=None,
-            )
+            return self._serving_rank(step, worker)
         # Best fit, which leaves workers with much free CPU to large tasks.
-        return max(
-            candidates,
-            key=lambda worker: (
-                self._on_preferred_rack(step, worker),
-                -worker.free_cpu_millis,
-            ),
-            default=None,
-        )
+        return _off_preferred_rack(step, worker), worker.free_cpu_millis
 
-    def choose_despite_harm(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker]
-    ) -> TrackedWorker | None:
-        """Return the worker on which one more task does the least harm."""
-        return min(
-            (
-                worker
-                for worker in candidates
-                if _has_spare_cpu(step, worker)
-                or worker.free_cpu_millis >= step.cpu_millis
-            ),
-            key=lambda worker: (
-                not _has_spare_cpu(step, worker),
-                not self._leaves_memory(step, worker),
-                self._interference.expected_harm(step.image, worker),
-                -worker.estimated_spare_cpu_millis,
-            ),
-            default=None,
+    def rank_despite_harm(
+        self, step: StepSpec, worker: TrackedWorker
+    ) -> Rank | None:
+        """Return how little one more task of a step harms others."""
+        has_spare_cpu = _has_spare_cpu(step, worker)
+        if not has_spare_cpu and worker.free_cpu_millis < step.cpu_millis:
+            return None
+        return (
+            not has_spare_cpu,
+            not self._leaves_memory(step, worker),
+            self._interference.expected_harm(step.image, worker),
+            -worker.estimated_spare_cpu_millis,
         )
 
     @staticmethod
@@ -98,23 +65,25 @@
         reserved_mb = worker.record.capacity.memory_mb * _RESERVED_MEMORY_SHARE
         return worker.free_memory_mb - step.memory_mb >= reserved_mb
 
-    def _choose_best_effort(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker], now: float
-    ) -> TrackedWorker | None:
-        return min(
-            self.shortlist(step, candidates, now),
-            key=lambda worker: (
-                not self._on_preferred_rack(step, worker),
-                self._interference.expected_harm(step.image, worker),
-                -worker.estimated_spare_cpu_millis,
-            ),
-            default=None,
+    def _best_effort_rank(
+        self, step: StepSpec, worker: TrackedWorker, now: float
+    ) -> Rank | None:
+        if not (
+            _has_spare_cpu(step, worker)
+            and self._leaves_memory(step, worker)
+            and not self._interference.likely_harms(step.image, worker)
+            and not self._interference.confounds(step.image, worker, now)
+        ):
+            return None
+        return (
+            _off_preferred_rack(step, worker),
+            self._interference.expected_harm(step.image, worker),
+            -worker.estimated_spare_cpu_millis,
         )
 
-    def _serving_rank(
-        self, step: StepSpec, worker: TrackedWorker
-    ) -> tuple[bool, int, int]:
-        """Return a sort key that is highest for the best worker.
+    @staticmethod
+    def _serving_rank(step: StepSpec, worker: TrackedWorker) -> Rank:
+        """Return the rank of a worker for a serving task.
 
         After the rack, it favours workers that already run the image and have
         few serving tasks of other images, then those with little free CPU.
@@ -123,14 +92,14 @@
         same_image = images.get(step.image, 0)
         other_images = sum(images.values()) - same_image
         return (
-            self._on_preferred_rack(step, worker),
-            min(same_image, 1) - other_images,
-            -worker.free_cpu_millis,
+            _off_preferred_rack(step, worker),
+            other_images - min(same_image, 1),
+            worker.free_cpu_millis,
         )
 
-    @staticmethod
-    def _on_preferred_rack(step: StepSpec, worker: TrackedWorker) -> bool:
-        return not step.rack or worker.record.rack == step.rack
+
+def _off_preferred_rack(step: StepSpec, worker: TrackedWorker) -> bool:
+    return bool(step.rack) and worker.record.rack != step.rack
 
 
 def _has_spare_cpu(step: StepSpec, worker: TrackedWorker) -> bool:
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -303,15 +303,18 @@
         """
         self._evacuation.stop_tasks(now)
 
-    def plan(self, now: float, wall_now: float) -> None:
+    def plan(self, now: float, wall_now: float) -> bool:
         """Place ready tasks, those of the most urgent workflows first.
 
         :param now: current time, seconds of a monotonic clock
         :param wall_now: current wall-clock time in seconds
+        :returns: whether the limit of starts was reached, so that tasks may
+            be left that fit
         """
         usable = self._workers.usable(now)
-        self._task_placer.place_ready_tasks(usable, now, wall_now)
+        limited = self._task_placer.place_ready_tasks(usable, now, wall_now)
         self._waiting_tasks.check(usable, now, wall_now)
+        return limited
 
     def should_send(self, order: Order) -> bool:
         """Tell whether a stored start is still to be sent.
--- a/src/carawaystep/planner/preemption.py
+++ b/src/carawaystep/planner/preemption.py
@@ -15,6 +15,17 @@
 _Victim = tuple["TrackedWorker", "TaskRef"]
 
 
+def can_preempt(
+    workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+) -> bool:
+    """Tell whether stops on some worker could make a task of a step fit.
+
+    :param ref: a task of the step
+    :param usable: workers that may get new work
+    """
+    return any(_may_gain(workflow, ref, worker) for worker in usable)
+
+
 def select_victims(
     workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
 ) -> list[_Victim]:
--- a/src/carawaystep/planner/task_placement_policy.py
+++ b/src/carawaystep/planner/task_placement_policy.py
@@ -7,53 +7,43 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.workflow.step_spec import StepSpec
 
+# Sort key of a worker for one more task of a step; the lowest is the best.
+Rank = tuple[float, ...]
+
 
 class TaskPlacementPolicy(ABC):
-    """Chooses among the workers that may run a task."""
+    """Ranks the workers that may run a task.
 
-    @abstractmethod
-    def shortlist(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker], now: float
-    ) -> list[TrackedWorker]:
-        """Return the candidates on which a step may be placed now.
-
-        The list is computed once for all tasks of the step. While tasks are
-        placed no other worker can join it, because placements only reduce
-        capacity; the caller checks that its workers still fit.
-
-        :param step: step of the tasks
-        :param candidates: usable workers that suit the step and have
-            capacity for a task of it
-        :param now: current time, seconds of a monotonic clock
-        """
+    The rank of a worker depends on what runs on it and not on other workers,
+    and a placement on a worker never makes it suit a task that it did not
+    suit before.
+    """
 
     @abstractmethod
-    def choose(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker], now: float
-    ) -> TrackedWorker | None:
-        """Return the worker for one more task, None to wait.
+    def rank(
+        self, step: StepSpec, worker: TrackedWorker, now: float
+    ) -> Rank | None:
+        """Return how well a worker suits one more task of a step.
 
         :param step: step of the task
-        :param candidates: usable workers that suit the step and have
-            capacity for a task of it
+        :param worker: usable worker that has capacity for the task
         :param now: current time, seconds of a monotonic clock
+        :returns: the rank, None if the task should not start there now
         """
 
     @abstractmethod
-    def choose_despite_harm(
-        self, step: StepSpec, candidates: Iterable[TrackedWorker]
-    ) -> TrackedWorker | None:
-        """Return the worker on which one more task does the least harm.
+    def rank_despite_harm(
+        self, step: StepSpec, worker: TrackedWorker
+    ) -> Rank | None:
+        """Return how little one more task of a step harms others.
 
         Workers without idle CPU for it count only if they have unreserved
         CPU, which best-effort tasks share.
 
         :param step: step of a task that has waited too long
-        :param candidates: usable workers that suit the step and have
-            capacity for a task of it
+        :param worker: usable worker that has capacity for the task
+        :returns: the rank, None if the task cannot run there
         """
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -6,11 +6,10 @@
 
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.tracked_run import TrackedRun
-from carawaystep.planner.eligibility import eligible_workers
-from carawaystep.planner.eligibility import workers_with_capacity
+from carawaystep.planner.candidate_search import CandidateSearch
+from carawaystep.planner.eligibility import avoided_workers
 from carawaystep.planner.held_workers import HeldWorkers
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
-from carawaystep.planner.preemption import select_victims
 from carawaystep.planner.step_waits import StepWaits
 from carawaystep.workflow.urgency import UrgencyStage
 
@@ -18,6 +17,7 @@
     from collections.abc import Iterator
 
     from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.planner.candidate_ranking import CandidateRanking
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.immediate_orders import ImmediateOrders
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
@@ -26,10 +26,16 @@
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
+_StepKey = tuple[int, int]
+
 # A workflow without any run for this time is placed even where it likely
 # harms other tasks; there it runs at a reduced pace.
 _FORCE_AFTER_S = 1.5
 
+# A pass that has placed this many tasks ends. On the weakest machines a
+# longer one delays heartbeats noticeably.
+MAX_STARTS_PER_PASS = 32
+
 
 class TaskPlacer:
     """Places ready tasks on workers, those of urgent workflows first.
@@ -62,6 +68,8 @@
         self._step_waits = StepWaits(log)
         self._unplaced_since: dict[str, float] = {}
         self._starts: list[StartOrder] = []
+        # Number of collected starts at which the current pass ends.
+        self._pass_limit = MAX_STARTS_PER_PASS
 
     def take_starts(self) -> list[StartOrder]:
         """Return the start orders of placements since the last call."""
@@ -70,24 +78,33 @@
 
     def place_ready_tasks(
         self, usable: list[TrackedWorker], now: float, wall_now: float
-    ) -> None:
+    ) -> bool:
         """Place ready tasks, and preempt runs where none fits.
 
+        One pass places a limited number of tasks, so that the process gets
+        to its other work between two passes.
+
         :param usable: workers that may get new work
         :param now: current time, seconds of a monotonic clock
         :param wall_now: current wall-clock time in seconds
+        :returns: whether the limit has ended the pass
         """
+        self._pass_limit = len(self._starts) + MAX_STARTS_PER_PASS
         held = HeldWorkers(usable)
+        search = CandidateSearch(self._placement, self._ticket_cache, now)
         for workflow in self._registry.awaiting_placement(wall_now):
-            workers = held.open_to(workflow, usable)
-            unplaced = self._place_workflow(workflow, workers, now, wall_now)
-            complete = not unplaced
-            if unplaced:
+            if self._is_pass_full:
+                break
+            workers = held.open_to(workflow)
+            unplaced = self._place_workflow(
+                workflow, workers, search, now, wall_now
+            )
+            if unplaced and not self._is_pass_full:
                 stage = workflow.urgency(wall_now).stage
                 _hold_workers(held, workflow, stage, unplaced, workers)
-            if complete and not workflow.spec.scheduled:
+            if not unplaced and not workflow.spec.scheduled:
                 self._registry.mark_placed(workflow)
-            if complete or workflow.has_placed_tasks:
+            if not unplaced or workflow.has_placed_tasks:
                 self._unplaced_since.pop(workflow.id, None)
             else:
                 self._unplaced_since.setdefault(workflow.id, now)
@@ -96,37 +113,40 @@
             self._unplaced_since.keys() - self._registry.workflows.keys()
         ):
             del self._unplaced_since[workflow_id]
+        return self._is_pass_full
+
+    @property
+    def _is_pass_full(self) -> bool:
+        return len(self._starts) >= self._pass_limit
 
     def _place_workflow(
         self,
         workflow: Workflow,
         usable: list[TrackedWorker],
+        search: CandidateSearch,
         now: float,
         wall_now: float,
-    ) -> dict[tuple[int, int], list[TaskRef]]:
+    ) -> dict[_StepKey, list[TaskRef]]:
         """Place a workflow's ready tasks.
 
-        :returns: tasks that did not fit, by occurrence and step
+        :returns: tasks that did not fit, or were left to the next pass, by
+            occurrence and step
         """
-        unplaced: dict[tuple[int, int], list[TaskRef]] = {}
-        last_placed: dict[tuple[int, int], TaskRef] = {}
-        shortlists: dict[tuple[int, int], list[TrackedWorker]] = {}
+        unplaced: dict[_StepKey, list[TaskRef]] = {}
+        last_placed: dict[_StepKey, TaskRef] = {}
+        rankings: dict[_StepKey, CandidateRanking] = {}
         for ref in list(workflow.ready_tasks(wall_now)):
             step_key = (ref.occurrence, ref.step)
-            if step_key in unplaced:
-                unplaced[step_key].append(ref)
+            if step_key in unplaced or self._is_pass_full:
+                unplaced.setdefault(step_key, []).append(ref)
                 continue
             if workflow.step(ref).gang:
-                placed = self._place_gang(workflow, ref, usable, now)
+                placed = self._place_gang(workflow, ref, usable, search, now)
             else:
-                if step_key not in shortlists:
-                    shortlists[step_key] = self._placement.shortlist(
-                        workflow.step(ref),
-                        workers_with_capacity(workflow, ref, usable, now),
-                        now,
-                    )
+                if step_key not in rankings or workflow.spec.needs_tickets:
+                    rankings[step_key] = search.rank(workflow, ref, usable)
                 placed = self._place_task(
-                    workflow, ref, shortlists[step_key], usable, now
+                    workflow, ref, rankings[step_key], usable, search, now
                 )
             if placed:
                 last_placed[step_key] = ref
@@ -142,25 +162,25 @@
         self,
         workflow: Workflow,
         ref: TaskRef,
-        shortlist: list[TrackedWorker],
+        ranking: CandidateRanking,
         usable: list[TrackedWorker],
+        search: CandidateSearch,
         now: float,
     ) -> bool:
-        step = workflow.step(ref)
-        worker = self._placement.choose(
-            step, self._candidates(workflow, ref, shortlist, usable, now), now
-        )
-        forced = False
-        if worker is None and self._has_waited_too_long(workflow, now):
-            others = workers_with_capacity(workflow, ref, usable, now)
-            worker = self._placement.choose_despite_harm(
-                step, self._candidates(workflow, ref, others, usable, now)
-            )
-            forced = worker is not None
+        worker = ranking.take(avoided_workers(workflow, ref, usable))
+        if worker is None and workflow.step(ref).long_running:
+            # The failures of a long-running task are not limited.
+            worker = ranking.take(frozenset())
         if worker is not None:
-            self._start(workflow, ref, worker, forced, now)
+            self._start(workflow, ref, worker, False, now)
+            ranking.put_back(worker)
             return True
-        for victim_worker, victim in select_victims(workflow, ref, usable):
+        if self._has_waited_too_long(workflow, now):
+            worker = search.choose_despite_harm(workflow, ref, usable)
+            if worker is not None:
+                self._start(workflow, ref, worker, True, now)
+                return True
+        for victim_worker, victim in search.victims(workflow, ref, usable):
             run = victim_worker.runs[victim].run
             self._immediate_orders.stop(
                 victim_worker, victim, run, "preempted"
@@ -172,6 +192,7 @@
         workflow: Workflow,
         ref: TaskRef,
         usable: list[TrackedWorker],
+        search: CandidateSearch,
         now: float,
     ) -> bool:
         """Place all tasks of a gang, or none when one does not fit."""
@@ -180,7 +201,7 @@
             return True
         step = workflow.step(ref)
         for workers in self._gang_candidate_sets(workflow, ref, usable):
-            chosen = self._choose_gang(workflow, ref, workers, now)
+            chosen = self._choose_gang(workflow, ref, workers, search, now)
             if len(chosen) == step.count:
                 for gang_task, worker in chosen:
                     self._start(workflow, gang_task, worker, False, now)
@@ -209,6 +230,7 @@
         workflow: Workflow,
         ref: TaskRef,
         workers: list[TrackedWorker],
+        search: CandidateSearch,
         now: float,
     ) -> list[tuple[TaskRef, TrackedWorker]]:
         """Return workers for as many gang tasks as fit at the same time.
@@ -217,15 +239,9 @@
         """
         step = workflow.step(ref)
         chosen: list[tuple[TaskRef, TrackedWorker]] = []
-        with_capacity = workers_with_capacity(workflow, ref, workers, now)
         for gang_task in workflow.step_tasks(ref):
-            worker = self._placement.choose(
-                step,
-                self._candidates(
-                    workflow, gang_task, with_capacity, workers, now
-                ),
-                now,
-            )
+            ranking = search.rank_for_task(workflow, gang_task, workers)
+            worker = ranking.take(frozenset())
             if worker is None:
                 break
             # Reserves capacity for the rest of the loop, so that two tasks do
@@ -238,29 +254,6 @@
             worker.remove(gang_task, 0)
         return chosen
 
-    def _candidates(
-        self,
-        workflow: Workflow,
-        ref: TaskRef,
-        with_capacity: list[TrackedWorker],
-        usable: list[TrackedWorker],
-        now: float,
-    ) -> Iterator[TrackedWorker]:
-        """Iterate over the workers that may get a task now.
-
-        If starts of its queue need tickets, only workers with one qualify.
-
-        :param with_capacity: workers that had capacity for the step
-        :param usable: all workers that may get new work, for a gang those of
-            the set that is tried
-        """
-        candidates = eligible_workers(workflow, ref, with_capacity, usable)
-        if not workflow.spec.needs_tickets:
-            return candidates
-        return self._ticket_cache.workers_with_ticket(
-            workflow, ref, candidates, now
-        )
-
     def _has_waited_too_long(self, workflow: Workflow, now: float) -> bool:
         if workflow.has_placed_tasks:
             return False
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -292,7 +292,8 @@
         while True:
             await self._plan_requested.wait()
             self._plan_requested.clear()
-            self._planner.plan(self.now, self._ports.clock.wall_now())
+            if self._planner.plan(self.now, self._ports.clock.wall_now()):
+                self._plan_requested.set()
             await self._dispatch_immediate_orders()
             await self._advice_dispatcher.dispatch(
                 self._planner.take_advice_requests(),
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -65,6 +65,11 @@
         """Tell whether it runs until it is cancelled."""
         return any(step.long_running for step in self.steps)
 
+    @property
+    def best_effort(self) -> bool:
+        """Tell whether all steps use only CPU that other tasks leave idle."""
+        return all(step.fills for step in self.steps)
+
     def due_at_s(self, occurrence: int) -> float:
         """Return the wall-clock time from which an occurrence may start.
 
--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -215,7 +215,8 @@
         self._planner.handle_report(report(name, runs, ended), now)
 
     def _plan(self, now: float) -> None:
-        self._planner.plan(now, _EPOCH_S + now)
+        while self._planner.plan(now, _EPOCH_S + now):
+            pass
         changes = self._planner.take_changes()
         for order in changes.orders:
             if isinstance(order, StartOrder):
