Keep a busy leader in contact and take half of its work away

Cause: the leader's loop was late by seconds, and everything that judges silence took its own delay for the silence of others. Followers deposed it after 1.0 s. It replaced the connections to all members after each long step, with the results of its orders in them, and gave up orders. Half of its processor time was zmq.asyncio, which asks a socket for its state several times for each message, and a message with states to each member after each commit. The assignment of all workers was worked out ten times a second. A thread woke for each log line.

Change: tasks that judge silence measure how late they run and wait until what has arrived can be read. A leader announces in its heartbeat how long it may be silent, 1 to 3 s from its recent delays. States go with the heartbeats, and final ones at once to the member that submitted. Sockets are read until empty, without futures. Assignments are worked out when their inputs change, and the leader calls workers only where no other member can. Lines are written in batches. Long steps, late loops and the time of the planner are logged (step.long, loop.late, leader.work). Passes take 48 starts.

--- a/src/carawaystep/adapters/logs/json_decision_log.py
+++ b/src/carawaystep/adapters/logs/json_decision_log.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-from logging.handlers import QueueHandler
-from logging.handlers import QueueListener
-import queue
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -13,6 +9,7 @@
 from absl import logging as absl_logging
 import msgspec
 
+from carawaystep.adapters.logs.line_writer import LineWriter
 from carawaystep.planner.decision_log import DecisionLog
 
 if TYPE_CHECKING:
@@ -21,28 +18,10 @@
 
     _LineObserver = Callable[[str, Mapping[str, str | int | float]], None]
 
-_MAX_QUEUED_LINES = 4000
 # Limit for one event name; a further line states how many were omitted.
 _MAX_LINES_PER_EVENT_PER_S = 200
 
 
-class _DroppingHandler(QueueHandler):
-    """Drops lines when the queue of the writing thread is full."""
-
-    def __init__(self, line_queue: queue.Queue[logging.LogRecord]) -> None:
-        super().__init__(line_queue)
-        self.dropped_lines = 0
-
-    def enqueue(self, record: logging.LogRecord) -> None:
-        try:
-            self.queue.put_nowait(record)
-        except queue.Full:
-            self.dropped_lines += 1
-
-    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        return record
-
-
 class JsonDecisionLog(DecisionLog):
     """Writes one JSON object per line, from a separate thread."""
 
@@ -53,20 +32,12 @@
         """
         self._node = node
         self._encoder = msgspec.json.Encoder()
-        line_queue: queue.Queue[logging.LogRecord] = queue.Queue(
-            _MAX_QUEUED_LINES
-        )
-        self._queue = line_queue
-        self._handler = _DroppingHandler(line_queue)
-        output = logging.StreamHandler(sys.stdout)
-        output.setFormatter(logging.Formatter("%(message)s"))
-        self._listener = QueueListener(line_queue, output)
-        self._listener.start()
-        self._logger = absl_logging.get_absl_logger()
-        for handler in list(self._logger.handlers):
-            self._logger.removeHandler(handler)
-        self._logger.addHandler(self._handler)
-        self._logger.propagate = False
+        self._writer = LineWriter(sys.stdout)
+        logger = absl_logging.get_absl_logger()
+        for handler in list(logger.handlers):
+            logger.removeHandler(handler)
+        logger.addHandler(self._writer)
+        logger.propagate = False
         absl_logging.set_verbosity(absl_logging.INFO)
         self._current_second = 0
         self._counts: dict[str, int] = {}
@@ -103,10 +74,10 @@
         """Write all queued lines and stop the thread."""
         now = time.time()
         self._flush_line_counts(now)
-        # A full queue would take neither the report nor the end mark.
-        self._queue.join()
+        # A full queue would take no report.
+        self._writer.wait_until_written()
         self._report_dropped_lines(now)
-        self._listener.stop()
+        self._writer.stop()
 
     def _flush_line_counts(self, now: float) -> None:
         for event, count in self._counts.items():
@@ -126,12 +97,12 @@
 
     def _report_dropped_lines(self, now: float) -> None:
         """Report dropped lines once; repeat it if the report was dropped."""
-        count = self._handler.dropped_lines
+        count = self._writer.dropped_lines
         if count == 0:
             return
         self._write(now, "log.dropped", self._node, {"count": count})
-        report_dropped = self._handler.dropped_lines > count
-        self._handler.dropped_lines = count if report_dropped else 0
+        report_dropped = self._writer.dropped_lines > count
+        self._writer.dropped_lines = count if report_dropped else 0
 
     def _write(
         self,
@@ -150,4 +121,4 @@
                 for name, value in inputs.items()
             },
         }
-        self._logger.info("%s", self._encoder.encode(fields).decode())
+        self._writer.write(self._encoder.encode(fields).decode())
--- a/src/carawaystep/adapters/zmq/cluster_channel.py
+++ b/src/carawaystep/adapters/zmq/cluster_channel.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
+from zmq import Context
 from zmq import DEALER
 from zmq import IMMEDIATE
 from zmq import LINGER
 from zmq import MAXMSGSIZE
-from zmq import NOBLOCK
 from zmq import RECONNECT_IVL
 from zmq import SNDHWM
-from zmq import ZMQError
-from zmq.asyncio import Context
 
 from carawaystep.adapters.zmq.cluster_codec import ClusterCodec
 from carawaystep.adapters.zmq.cluster_codec import MAX_MESSAGE_BYTES
+from carawaystep.adapters.zmq.message_socket import MessageSocket
 from carawaystep.cluster.member_channel import MemberChannel
 
 if TYPE_CHECKING:
-    from zmq.asyncio import Socket
+    from zmq import Socket
 
     from carawaystep.cluster.messages import Message
 
@@ -45,27 +43,22 @@
 
         That is the case without a connection or with a full queue.
         """
-        try:
-            await self._socket.send(self._codec.encode(message), NOBLOCK)
-        except ZMQError:
-            return False
-        return True
+        return self._socket.send([self._codec.encode(message)])
 
     async def receive(self) -> Message:
-        """Wait for the next message; malformed ones are dropped."""
+        """Wait for the next message; malformed ones are dropped.
+
+        :raises ConnectionError: the channel was closed
+        """
         while True:
             socket = self._socket
-            try:
-                frames = await socket.recv_multipart()
-            except (ZMQError, asyncio.CancelledError):
-                # reconnect() closes the old socket, which cancels the call;
-                # go on with the new one.
-                if socket is self._socket or _is_task_cancelled():
-                    raise
-                continue
-            message = self._codec.decode(frames[-1])
-            if message is not None:
-                return message
+            frames = await socket.receive()
+            if frames is not None:
+                message = self._codec.decode(frames[-1])
+                if message is not None:
+                    return message
+            elif socket is self._socket:
+                raise ConnectionError(f"{self._address} was closed")
 
     async def reconnect(self) -> None:
         """Replace the socket, which drops its queued messages."""
@@ -76,18 +69,12 @@
         """Close the socket."""
         self._socket.close()
 
-    def _connect(self) -> Socket:
-        socket = Context.instance().socket(DEALER)
+    def _connect(self) -> MessageSocket:
+        socket: Socket[bytes] = Context.instance().socket(DEALER)
         socket.setsockopt(LINGER, 0)
         socket.setsockopt(SNDHWM, _MAX_QUEUED_MESSAGES)
         socket.setsockopt(IMMEDIATE, 1)
         socket.setsockopt(MAXMSGSIZE, MAX_MESSAGE_BYTES)
         socket.setsockopt(RECONNECT_IVL, _RECONNECT_INTERVAL_MS)
         socket.connect(self._address)
-        return socket
-
-
-def _is_task_cancelled() -> bool:
-    """Tell whether the current task itself was asked to end."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+        return MessageSocket(socket)
--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -19,6 +19,25 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 
 
+class PublishedStates(
+    msgspec.Struct, tag="Told", array_like=True, frozen=True
+):
+    """Stored workflow states, which members may return to callers.
+
+    :param states: changed states by workflow id
+    :param queued: number of workflows that have not started, by queue; None
+        if the message carries no counts
+    :param number: number of messages with states that the leader has sent to
+        this member in this term, including this one; shows lost messages. A
+        message that only repeats states early does not count.
+    """
+
+    term: int
+    states: dict[str, WorkflowState]
+    queued: dict[str, int] | None = None
+    number: int = 0
+
+
 class LeaderHeartbeat(
     msgspec.Struct, tag="Lead", array_like=True, frozen=True
 ):
@@ -29,12 +48,17 @@
     :param echoed_timestamp: timestamp of this member's last
         :class:`MemberHeartbeat`, 0 if there was none
     :param confirmation_age_s: seconds since the store confirmed the term
+    :param silence_limit_s: seconds without a heartbeat after which members
+        replace the leader
+    :param published: what changed since the last heartbeat, None if nothing
     """
 
     term: int
     leader: str
     echoed_timestamp: float
     confirmation_age_s: float
+    silence_limit_s: float = 1.0
+    published: PublishedStates | None = None
 
 
 class AssignedWorker(msgspec.Struct, array_like=True, frozen=True):
@@ -89,24 +113,6 @@
     number: int
 
 
-class PublishedStates(
-    msgspec.Struct, tag="Told", array_like=True, frozen=True
-):
-    """Stored workflow states, which members may return to callers.
-
-    :param states: changed states by workflow id
-    :param queued: number of workflows that have not started, by queue; None
-        if the message carries no counts
-    :param number: number of messages with states that the leader has sent to
-        all members in this term, including this one; shows lost messages
-    """
-
-    term: int
-    states: dict[str, WorkflowState]
-    queued: dict[str, int] | None = None
-    number: int = 0
-
-
 class Resignation(
     msgspec.Struct, tag="Farewell", array_like=True, frozen=True
 ):
--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from carawaystep.leadership.silence_limit import MAX_SILENCE_LIMIT_S
+from carawaystep.leadership.silence_limit import MIN_SILENCE_LIMIT_S
+
 # Validity of the leader's lease after the store last confirmed the term. It
 # exceeds the usual outages of the store, so that the leases of workers are
 # still extended during one.
@@ -11,8 +14,6 @@
 # heartbeat that the leader has answered.
 GRANT_S = 2.0
 
-# Four times the interval of the leader's heartbeats.
-_LEADER_TIMEOUT_S = 1.0
 _STARTUP_LEADER_TIMEOUT_S = 0.7
 
 # A leader with an older confirmation is replaced by a process that reaches
@@ -79,6 +80,7 @@
         echoed_timestamp: float,
         confirmation_age_s: float,
         now: float,
+        silence_limit_s: float = MIN_SILENCE_LIMIT_S,
     ) -> bool:
         """Record a heartbeat of a leader, unless a higher term is known.
 
@@ -89,6 +91,9 @@
             ``now`` is that of a replaced VM and is ignored
         :param confirmation_age_s: seconds since the store confirmed the term
         :param now: current time in seconds, monotonic
+        :param silence_limit_s: seconds without a heartbeat after which the
+            leader wants to be replaced; only limits from
+            ``MIN_SILENCE_LIMIT_S`` to ``MAX_SILENCE_LIMIT_S`` are accepted
         :returns: False if a higher term is known
         """
         if term < self._term:
@@ -100,7 +105,9 @@
         self._term = term
         self._leader = leader
         self._waiting_since = now
-        self._leader_timeout_s = _LEADER_TIMEOUT_S
+        self._leader_timeout_s = min(
+            max(silence_limit_s, MIN_SILENCE_LIMIT_S), MAX_SILENCE_LIMIT_S
+        )
         if echoed_timestamp <= now:
             self._echoed_timestamp = max(
                 self._echoed_timestamp, echoed_timestamp
@@ -139,7 +146,7 @@
         return (
             self._term > 0
             and not self._leader_resigned
-            and now - self._waiting_since < _LEADER_TIMEOUT_S
+            and now - self._waiting_since < self._leader_timeout_s
         )
 
     def should_campaign(self, now: float) -> bool:
@@ -160,6 +167,15 @@
             > _MAX_CONFIRMATION_AGE_S + self._campaign_delay_s
         )
 
+    def excuse_delay(self, late_s: float) -> None:
+        """Leave a delay of this process out of the leader's silence.
+
+        Heartbeats that arrived meanwhile have not been read yet.
+
+        :param late_s: length of the delay in seconds
+        """
+        self._waiting_since += late_s
+
     def postpone_campaign(self, now: float) -> None:
         """Restart the campaign delay.
 
--- a/src/carawaystep/leadership/worker_assignment.py
+++ b/src/carawaystep/leadership/worker_assignment.py
@@ -14,10 +14,6 @@
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.leadership.member_record import MemberRecord
 
-# The leader also plans, so it starts with this load, in workers per core, and
-# is assigned fewer workers.
-_LEADER_BASE_LOAD = 2.0
-
 
 def assign_workers(
     worker_records: Iterable[WorkerRecord],
@@ -27,7 +23,8 @@
     """Assign each worker to a member, in proportion to the members' cores.
 
     A worker is assigned to a member of its own availability zone if there is
-    one, so that a partition between zones does not separate them.
+    one, so that a partition between zones does not separate them. The leader
+    has the planning to do, and calls workers only where no other member can.
 
     :param worker_records: the workers
     :param members: available members by name, at least one
@@ -35,20 +32,18 @@
     :returns: name of the assigned member by worker
     """
     load = dict.fromkeys(members, 0.0)
-    if leader in load:
-        load[leader] = _LEADER_BASE_LOAD
+    others = [name for name in members if name != leader] or [leader]
+    by_zone: dict[str, list[str]] = {}
+    for name in others:
+        by_zone.setdefault(members[name].availability_zone, []).append(name)
+    if leader in members:
+        by_zone.setdefault(members[leader].availability_zone, [leader])
     member_by_worker: dict[WorkerKey, str] = {}
     for worker_record in sorted(
         worker_records, key=lambda worker_record: worker_record.key
     ):
-        zone = worker_record.availability_zone
-        same_zone = [
-            name
-            for name, record in members.items()
-            if record.availability_zone == zone
-        ]
         name = min(
-            same_zone or members,
+            by_zone.get(worker_record.availability_zone, others),
             key=lambda n: (load[n], weight(worker_record.key.id, n)),
         )
         member_by_worker[worker_record.key] = name
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -34,7 +34,7 @@
 
 # A pass that has placed this many tasks ends. On the weakest machines a
 # longer one delays heartbeats noticeably.
-MAX_STARTS_PER_PASS = 32
+MAX_STARTS_PER_PASS = 48
 
 
 class TaskPlacer:
--- a/src/carawaystep/scheduler/leader_context.py
+++ b/src/carawaystep/scheduler/leader_context.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
+    from carawaystep.entry.clock import Clock
     from carawaystep.scheduler.member_session import MemberSession
 
 
@@ -24,6 +25,11 @@
     def term(self) -> int:
         """Return the number of the term."""
 
+    @property
+    @abstractmethod
+    def clock(self) -> Clock:
+        """Return the clock of the process."""
+
     @property
     @abstractmethod
     def now(self) -> float:
@@ -37,6 +43,10 @@
     def confirmation_age(self, now: float) -> float:
         """Return the seconds since the store last confirmed the term."""
 
+    @abstractmethod
+    def silence_limit_s(self, now: float) -> float:
+        """Return the seconds of silence after which it is to be replaced."""
+
     @abstractmethod
     def request_term_check(self) -> None:
         """Request a check of the leader row ahead of the periodic one."""
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -10,7 +10,6 @@
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import OrderResult
-from carawaystep.cluster.messages import PublishedStates
 from carawaystep.cluster.messages import QueryState
 from carawaystep.cluster.messages import Report
 from carawaystep.cluster.messages import ReportPollRejected
@@ -19,6 +18,7 @@
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.predecessors import Predecessors
+from carawaystep.leadership.silence_limit import SilenceLimit
 from carawaystep.planner.interference_aware_placement import (
     InterferenceAwarePlacement,
 )
@@ -28,11 +28,13 @@
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.advice_dispatcher import AdviceDispatcher
 from carawaystep.scheduler.change_feed import ChangeFeed
+from carawaystep.scheduler.interval_timer import IntervalTimer
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.member import WORKER_LEASE_S
 from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
+from carawaystep.scheduler.step_timer import StepTimer
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.workflow_repository import parse_spec
 from carawaystep.scheduler.workflow_repository import TermEnded
@@ -40,6 +42,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
+    from carawaystep.entry.clock import Clock
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.leadership.election import Election
     from carawaystep.leadership.leadership import Leadership
@@ -60,6 +63,8 @@
 _BATCH_WINDOW_S = 0.015
 _QUEUE_COUNT_INTERVAL_S = 0.5
 _STOP_RETRY_INTERVAL_S = 0.5
+# Time that messages which came during a delay get to be read at most.
+_MAX_READING_DELAY_S = 1.0
 _FEED_LONG_POLL_S = 2.0
 _WORKER_LIST_MIN_INTERVAL_S = 0.3
 _INTERFERENCE_SAVE_INTERVAL_S = 4.0
@@ -137,8 +142,10 @@
         self._loaded = False
         self._stopping = False
         self._resigned = asyncio.Event()
-        # Messages with states that were sent to all members.
-        self._published_count = 0
+        self._step_timer = StepTimer(ports.clock, ports.log, settings.name)
+        self._silence_limit = SilenceLimit()
+        # Until then, messages that came during a delay may not be read yet.
+        self._unread_until = 0.0
         self._queue_counts_sent_at = 0.0
         self._stops_retried_at = 0.0
 
@@ -152,6 +159,11 @@
         """Return the number of the term."""
         return self._term
 
+    @property
+    def clock(self) -> Clock:
+        """Return the clock of the process."""
+        return self._ports.clock
+
     @property
     def now(self) -> float:
         """Return the current time of the boot-time clock in seconds."""
@@ -172,6 +184,10 @@
         """Return the seconds since the store last confirmed the term."""
         return now - self._repository.confirmed_at
 
+    def silence_limit_s(self, now: float) -> float:
+        """Return the seconds of silence after which it is to be replaced."""
+        return self._silence_limit.seconds(now)
+
     def request_term_check(self) -> None:
         """Request a check of the leader row ahead of the periodic one."""
         self._term_check_requested.set()
@@ -288,27 +304,39 @@
         raise TermEnded
 
     async def _run_planner(self) -> None:
-        """Plan whenever requested, then commit and publish the changes."""
+        """Plan whenever requested, then commit and publish the changes.
+
+        Passes take at most half of the time, so that reports and heartbeats
+        are handled between them.
+        """
         while True:
             await self._plan_requested.wait()
             self._plan_requested.clear()
-            if self._planner.plan(self.now, self._ports.clock.wall_now()):
+            began_at = self.now
+            with self._step_timer.measure("plan"):
+                limited = self._planner.plan(
+                    began_at, self._ports.clock.wall_now()
+                )
+            if limited:
                 self._plan_requested.set()
+            pause_s = max(_BATCH_WINDOW_S, self.now - began_at)
             await self._dispatch_immediate_orders()
             await self._advice_dispatcher.dispatch(
                 self._planner.take_advice_requests(),
                 self._sessions.sessions,
                 self.now,
             )
-            changes = self._planner.take_changes()
-            if changes.is_empty:
-                continue
-            if changes.needs_commit:
-                for workflow_id in await self._repository.commit(changes):
-                    self._planner.apply_stored_cancellation(workflow_id)
-                    self._plan_requested.set()
-            await self._publish_changes(changes)
-            await asyncio.sleep(_BATCH_WINDOW_S)
+            await self._store_and_publish(self._planner.take_changes())
+            await asyncio.sleep(pause_s)
+
+    async def _store_and_publish(self, changes: Changes) -> None:
+        if changes.is_empty:
+            return
+        if changes.needs_commit:
+            for workflow_id in await self._repository.commit(changes):
+                self._planner.apply_stored_cancellation(workflow_id)
+                self._plan_requested.set()
+        await self._publish_changes(changes)
 
     async def _publish_changes(self, changes: Changes) -> None:
         """Send the orders, acknowledgements and states of stored changes."""
@@ -317,15 +345,10 @@
             session = self._assignments.session_for(key)
             if session is not None:
                 await session.send(Acknowledge(self._term, key, number))
-        if changes.states:
-            self._calls.record_published(changes.states)
-            self._published_count += 1
-            await self._sessions.broadcast(
-                PublishedStates(
-                    self._term, changes.states, number=self._published_count
-                )
-            )
-            await self._calls.reply_to_waiting(changes.states)
+        self._calls.record_published(changes.states)
+        await self._calls.reply_to_waiting(changes.states)
+        await self._calls.notify_submitters(changes.states)
+        self._sessions.publish_states(changes.states)
 
     async def _dispatch_immediate_orders(self) -> None:
         await self._order_dispatcher.dispatch(
@@ -333,31 +356,43 @@
         )
 
     async def _run_periodic_work(self) -> None:
+        timer = IntervalTimer(self._ports.clock)
         while True:
-            await asyncio.sleep(_TICK_INTERVAL_S)
+            late_s = await timer.wait(_TICK_INTERVAL_S)
             now = self.now
-            self._order_dispatcher.expire(now)
-            self._planner.requeue_lost_runs(
-                now, self._assignments.contact_times
-            )
+            if late_s:
+                self._record_delay(late_s, now)
+            if now >= self._unread_until:
+                self._judge_silence(now)
             self._planner.evacuate(now)
+            self._step_timer.log_summary(now)
             if now - self._stops_retried_at > _STOP_RETRY_INTERVAL_S:
                 self._stops_retried_at = now
                 self._planner.retry_stops()
             await self._dispatch_immediate_orders()
-            await self._assignments.update(now)
+            if now >= self._unread_until:
+                await self._assignments.update(now)
             if now - self._queue_counts_sent_at > _QUEUE_COUNT_INTERVAL_S:
                 self._queue_counts_sent_at = now
-                await self._sessions.broadcast(
-                    PublishedStates(
-                        self._term,
-                        {},
-                        self._planner.count_queued(),
-                        self._published_count,
-                    )
+                self._sessions.publish_queue_counts(
+                    self._planner.count_queued()
                 )
             self._plan_requested.set()
 
+    def _record_delay(self, late_s: float, now: float) -> None:
+        """Record that the event loop was busy or the process paused.
+
+        What has arrived meanwhile gets as long to be read, up to a limit.
+        """
+        self._unread_until = now + min(late_s, _MAX_READING_DELAY_S)
+        self._silence_limit.record_delay(late_s, now)
+        self._ports.log.line("loop.late", self.name, seconds=late_s)
+
+    def _judge_silence(self, now: float) -> None:
+        """Give up orders and runs of which nothing was heard for too long."""
+        self._order_dispatcher.expire(now)
+        self._planner.requeue_lost_runs(now, self._assignments.contact_times)
+
     def _open_feed(self, table: str, since: int = 0) -> ChangeFeed:
         """Return a feed of a table.
 
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -185,11 +185,7 @@
             if proxy is not None:
                 proxy.acknowledge(message.number)
         elif isinstance(message, PublishedStates):
-            self.published_states.update_states(message.states, message.number)
-            if message.queued is not None:
-                self.published_states.replace_queue_counts(
-                    message.queued, self.now
-                )
+            self._apply_published(message)
         elif isinstance(message, Assign):
             self._apply_assignment(message)
         elif isinstance(message, ForwardedAdviceRequest):
@@ -207,6 +203,7 @@
             message.echoed_timestamp,
             message.confirmation_age_s,
             self.now,
+            message.silence_limit_s,
         )
         if followed:
             if message.term > previous_term:
@@ -216,6 +213,8 @@
                     "leader.followed", message.leader, term=message.term
                 )
             self._leader_identity = leader
+            if message.published is not None:
+                self._apply_published(message.published)
         heartbeat = MemberHeartbeat(
             self._settings.name,
             self._leadership.term,
@@ -225,6 +224,13 @@
         )
         await self._ports.leader_port.send(leader, heartbeat)
 
+    def _apply_published(self, message: PublishedStates) -> None:
+        self.published_states.update_states(message.states, message.number)
+        if message.queued is not None:
+            self.published_states.replace_queue_counts(
+                message.queued, self.now
+            )
+
     async def _forward_orders(self, message: Orders) -> None:
         for item in message.orders:
             proxy = self._proxies.get(item.order.worker)
--- a/src/carawaystep/scheduler/member_calls.py
+++ b/src/carawaystep/scheduler/member_calls.py
@@ -49,6 +49,8 @@
         self._plan_requested = plan_requested
         self._published_states: dict[str, WorkflowState] = {}
         self._waiting_calls = WaitingCalls()
+        # Member through which each unfinished workflow was submitted.
+        self._submitters: dict[str, MemberSession] = {}
 
     async def submit(
         self, session: MemberSession, message: Submit, now: float
@@ -70,6 +72,7 @@
             await session.send(CallReply(message.call, False, refused=new))
             return
         self._planner.admit(message.spec, stored=False)
+        self._submitters[workflow_id] = session
         self._waiting_calls.add(
             workflow_id,
             WaitingCall(session, message.call, is_cancellation=False),
@@ -108,3 +111,20 @@
         for workflow_id, state in states.items():
             for call in self._waiting_calls.take_answered(workflow_id, state):
                 await call.session.send(CallReply(call.number, True, state))
+
+    async def notify_submitters(
+        self, states: Mapping[str, WorkflowState]
+    ) -> None:
+        """Send final states at once to the members that callers likely ask.
+
+        A caller mostly asks where it has submitted.
+        """
+        by_session: dict[MemberSession, dict[str, WorkflowState]] = {}
+        for workflow_id, state in states.items():
+            if not state.final:
+                continue
+            session = self._submitters.pop(workflow_id, None)
+            if session is not None:
+                by_session.setdefault(session, {})[workflow_id] = state
+        for session, final_states in by_session.items():
+            await session.send_states_early(final_states)
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -9,13 +9,18 @@
 from carawaystep.cluster.messages import Assign
 from carawaystep.cluster.messages import LeaderHeartbeat
 from carawaystep.cluster.messages import MemberHeartbeat
+from carawaystep.cluster.messages import PublishedStates
+from carawaystep.scheduler.interval_timer import IntervalTimer
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from carawaystep.cluster.member_channel import MemberChannel
     from carawaystep.cluster.messages import AssignedWorker
     from carawaystep.cluster.messages import Message
     from carawaystep.leadership.member_record import MemberRecord
     from carawaystep.scheduler.leader_context import LeaderContext
+    from carawaystep.workflow.workflow_state import WorkflowState
 
 _HEARTBEAT_INTERVAL_S = 0.25
 # Retry interval of the heartbeat while the connection is not open yet.
@@ -53,12 +58,17 @@
         self._last_heartbeat_at: float | None = None
         self._member_timestamp = 0.0
         self._draining = False
-        self._reconnected_at = context.now
+        # Time from which the member's silence counts.
+        self._silence_from = context.now
         # Times of the last heartbeats before the connection was replaced,
         # which may have lost messages of the member.
         self._silent_since: deque[float] = deque(maxlen=_MAX_SILENCES)
         self._assignment_version = 0
         self._workers: list[AssignedWorker] = []
+        self._unpublished_states: dict[str, WorkflowState] = {}
+        self._queue_counts: dict[str, int] | None = None
+        # Heartbeats with states that were sent.
+        self._published_count = 0
 
     @property
     def record(self) -> MemberRecord:
@@ -102,6 +112,27 @@
         """
         return await self._channel.send(message)
 
+    def publish_states(self, states: Mapping[str, WorkflowState]) -> None:
+        """Send stored states with the next heartbeat.
+
+        States that are sent in two heartbeats are numbered in order.
+        """
+        self._unpublished_states.update(states)
+
+    def publish_queue_counts(self, counts: dict[str, int]) -> None:
+        """Send the queue counts with the next heartbeat."""
+        self._queue_counts = counts
+
+    async def send_states_early(
+        self, states: dict[str, WorkflowState]
+    ) -> None:
+        """Send states at once that a later heartbeat repeats."""
+        await self._channel.send(
+            PublishedStates(
+                self._context.term, states, number=self._published_count
+            )
+        )
+
     async def assign(self, workers: list[AssignedWorker]) -> None:
         """Set the member's workers and send them if they have changed."""
         if workers == self._workers:
@@ -120,28 +151,54 @@
             await self._channel.close()
 
     async def _send_heartbeats(self) -> None:
+        timer = IntervalTimer(self._context.clock)
         while True:
             now = self._context.now
             sent = True
             if self._context.may_lead(now):
-                sent = await self._channel.send(
-                    LeaderHeartbeat(
-                        self._context.term,
-                        self._context.name,
-                        self._member_timestamp,
-                        self._context.confirmation_age(now),
-                    )
-                )
+                sent = await self._send_heartbeat(now)
             silent_since = max(
-                self._last_heartbeat_at or 0.0, self._reconnected_at
+                self._last_heartbeat_at or 0.0, self._silence_from
             )
             if now - silent_since > _RECONNECT_AFTER_S:
-                self._reconnected_at = now
+                self._silence_from = now
                 self._record_silence()
                 await self._channel.reconnect()
-            await asyncio.sleep(
+            late_s = await timer.wait(
                 _HEARTBEAT_INTERVAL_S if sent else _CONNECT_RETRY_INTERVAL_S
             )
+            if late_s:
+                # Heartbeats that came meanwhile have not been read yet.
+                self._silence_from = self._context.now
+
+    async def _send_heartbeat(self, now: float) -> bool:
+        """Send a heartbeat with what is to be published.
+
+        :returns: False if it certainly does not arrive
+        """
+        published = None
+        if self._unpublished_states or self._queue_counts is not None:
+            published = PublishedStates(
+                self._context.term,
+                self._unpublished_states,
+                self._queue_counts,
+                self._published_count + bool(self._unpublished_states),
+            )
+        sent = await self._channel.send(
+            LeaderHeartbeat(
+                self._context.term,
+                self._context.name,
+                self._member_timestamp,
+                self._context.confirmation_age(now),
+                self._context.silence_limit_s(now),
+                published,
+            )
+        )
+        if sent and published is not None:
+            self._published_count = published.number
+            self._unpublished_states = {}
+            self._queue_counts = None
+        return sent
 
     def _record_silence(self) -> None:
         heard_at = self._last_heartbeat_at
--- a/src/carawaystep/scheduler/member_sessions.py
+++ b/src/carawaystep/scheduler/member_sessions.py
@@ -17,6 +17,7 @@
     from carawaystep.scheduler.leader_context import LeaderContext
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.store.row import Row
+    from carawaystep.workflow.workflow_state import WorkflowState
 
 
 class MemberSessions:
@@ -87,6 +88,16 @@
         for session in self._sessions.values():
             await session.send(message)
 
+    def publish_states(self, states: Mapping[str, WorkflowState]) -> None:
+        """Send stored states to all members with the next heartbeats."""
+        for session in self._sessions.values():
+            session.publish_states(states)
+
+    def publish_queue_counts(self, counts: dict[str, int]) -> None:
+        """Send the queue counts to all members with the next heartbeats."""
+        for session in self._sessions.values():
+            session.publish_queue_counts(counts)
+
     async def raise_error(self) -> None:
         """Wait for an error that ends a session, and raise it.
 
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -16,6 +16,7 @@
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.candidate import Candidate
 from carawaystep.scheduler.feed_position import NewestRowsPosition
+from carawaystep.scheduler.interval_timer import IntervalTimer
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.member import Member
 from carawaystep.scheduler.store_health import StoreHealth
@@ -142,8 +143,11 @@
     async def _run_elections(self) -> None:
         """Campaign whenever there is no working leader; lead if elected."""
         await self._candidate.read_leader_row()
+        timer = IntervalTimer(self._ports.clock)
         while True:
-            await asyncio.sleep(_CAMPAIGN_CHECK_INTERVAL_S)
+            late_s = await timer.wait(_CAMPAIGN_CHECK_INTERVAL_S)
+            if late_s:
+                self._leadership.excuse_delay(late_s)
             now = self._ports.clock.now()
             if self._draining or not self._leadership.should_campaign(now):
                 continue
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -9,6 +9,8 @@
 
 if TYPE_CHECKING:
     from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_record import WorkerRecord
+    from carawaystep.leadership.member_record import MemberRecord
     from carawaystep.planner.planner import Planner
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.member_sessions import MemberSessions
@@ -30,6 +32,9 @@
         self._sessions = sessions
         self._leader = leader
         self._member_by_worker: dict[WorkerKey, str] = {}
+        # Inputs of the assignments, which change only with them.
+        self._records: dict[WorkerKey, WorkerRecord] = {}
+        self._available: dict[str, MemberRecord] = {}
         # Sessions with all members that a worker was assigned to.
         self._callers: dict[WorkerKey, frozenset[MemberSession]] = {}
 
@@ -62,6 +67,10 @@
         records = {
             key: worker.record for key, worker in self._planner.workers.items()
         }
+        if records == self._records and available == self._available:
+            return
+        self._records = records
+        self._available = available
         member_by_worker = assign_workers(
             records.values(), available, self._leader
         )
--- a/tests/adapters/zmq/test_cluster_channel.py
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -79,3 +79,46 @@
             self.assertTrue(received.cancelled())
 
         self._run(check)
+
+    def test_messages_between_sends_all_arrive(self) -> None:
+        """Guards against a message whose signal a send has consumed.
+
+        It would wait until the next message of the same peer.
+        """
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            # Nothing is sent before the connection is open.
+            await asyncio.sleep(_CONNECT_S)
+            self.assertTrue(await channel.send(_HEARTBEAT))
+            leader, _ = await server.receive()
+            for _ in range(300):
+                self.assertTrue(await server.send(leader, _ANSWER))
+                self.assertTrue(await channel.send(_HEARTBEAT))
+                self.assertEqual(_ANSWER, await channel.receive())
+                await server.receive()
+
+        self._run(check)
+
+    def test_messages_wait_while_nobody_takes_them(self) -> None:
+        """Guards against losing messages above the limit of a batch."""
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            # Nothing is sent before the connection is open.
+            await asyncio.sleep(_CONNECT_S)
+            self.assertTrue(await channel.send(_HEARTBEAT))
+            leader, _ = await server.receive()
+            for number in range(1000):
+                answer = MemberHeartbeat("edge-2", number, 1.0, 0, False)
+                await server.send(leader, answer)
+            await asyncio.sleep(0.2)
+            received = [await channel.receive() for _ in range(1000)]
+            self.assertEqual(
+                list(range(1000)),
+                [m.term for m in received if isinstance(m, MemberHeartbeat)],
+            )
+
+        self._run(check)
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -6,6 +6,7 @@
 
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import Leadership
+from carawaystep.leadership.silence_limit import SilenceLimit
 
 
 class LeadershipTest(TestCase):
@@ -91,3 +92,39 @@
         leadership.record_resignation(5)
         self.assertFalse(leadership.leader_reachable(10.1))
         self.assertTrue(leadership.should_campaign(10.8))
+
+    def test_leader_that_runs_late_is_not_replaced_at_once(self) -> None:
+        """Guards against followers that depose a busy leader that works.
+
+        Eight leaders in 70 s were deposed while each was in a long step.
+        """
+        limit = SilenceLimit()
+        self.assertEqual(1.0, limit.seconds(10.0))
+        limit.record_delay(0.6, 10.0)
+        leadership = Leadership("edge-1", 1.0, 0.0)
+        leadership.record_heartbeat(
+            5, "edge-2", 9.9, 0.1, 10.0, limit.seconds(10.0)
+        )
+        self.assertFalse(leadership.should_campaign(12.1))
+        self.assertTrue(leadership.leader_reachable(12.1))
+        self.assertTrue(leadership.should_campaign(12.9))
+
+    def test_silence_limit_is_bounded_and_falls_again(self) -> None:
+        """Guards against a leader that announces a silence without end."""
+        limit = SilenceLimit()
+        limit.record_delay(60.0, 10.0)
+        self.assertEqual(3.0, limit.seconds(10.0))
+        self.assertEqual(1.0, limit.seconds(21.0))
+        leadership = Leadership("edge-1", 1.0, 0.0)
+        leadership.record_heartbeat(5, "edge-2", 9.9, 0.1, 10.0, 1e9)
+        self.assertTrue(leadership.should_campaign(14.0))
+
+    def test_own_delay_is_not_the_silence_of_the_leader(self) -> None:
+        """Guards against a paused follower that deposes a working leader.
+
+        The heartbeats that came meanwhile are still unread.
+        """
+        leadership = self._with_leader()
+        leadership.excuse_delay(4.0)
+        self.assertFalse(leadership.should_campaign(14.9))
+        self.assertTrue(leadership.should_campaign(15.6))
--- a/tests/leadership/test_worker_assignment.py
+++ b/tests/leadership/test_worker_assignment.py
@@ -46,3 +46,24 @@
         self.assertEqual(["here"], list(member_by_worker.values()))
         unmatched = replace(worker_record("w2"), availability_zone="nowhere")
         self.assertEqual(1, len(assign_workers([unmatched], members, "far")))
+
+    def test_leader_gets_workers_only_in_a_zone_of_its_own(self) -> None:
+        """Guards against a weak leader that also calls its share of workers.
+
+        The calls to three workers took as much processor as the planning.
+        """
+        members = {
+            "leader": _member("leader", "zone", 2.1),
+            "other": _member("other", "zone", 0.3),
+            "far": _member("far", "elsewhere", 2.1),
+        }
+        records = [worker_record(f"w{number}") for number in range(8)]
+        for leader, expected in (
+            ("leader", {"other"}),
+            ("far", {"leader", "other"}),
+        ):
+            assigned = assign_workers(records, members, leader)
+            self.assertEqual(expected, set(assigned.values()))
+        del members["other"]
+        assigned = assign_workers(records, members, "leader")
+        self.assertEqual({"leader"}, set(assigned.values()))
