Let no input from outside end a task that reads it

Cause: decoders caught errors of msgspec and no RecursionError, and numbers had no bounds. A row nested 2,000 deep passed the table feed and ended the leader's task group, as did a member's row with an address that zmq refuses. A worker's row with born of 10^30 could not be sent to a member, one with a capacity of 10^18 would have attracted all tasks. Progress that could not be read ended each term, or started the workflow's runs again.

Numbers and addresses have bounds (validation/bounds.py). An odd row of a worker or member is left out alone and logged once. A workflow whose progress is unreadable is left as it is.

--- a/src/carawaystep/leadership/leader_record.py
+++ b/src/carawaystep/leadership/leader_record.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# The codecs read the annotations at run time.
+from carawaystep.validation.bounds import Seconds  # noqa: TC001
+
 
 class LeaderRecord(msgspec.Struct, frozen=True):
     """The elected leader.
@@ -18,4 +21,4 @@
     name: str = ""
     incarnation: str = ""
     address: str = ""
-    predecessors: dict[str, float] = {}
+    predecessors: dict[str, Seconds] = {}
--- a/src/carawaystep/leadership/member_record.py
+++ b/src/carawaystep/leadership/member_record.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# The codecs read the annotations at run time.
+from carawaystep.validation.bounds import Cores  # noqa: TC001
+
 
 class MemberRecord(msgspec.Struct, frozen=True):
     """A process that leaders can connect to.
@@ -17,4 +20,4 @@
     name: str
     address: str
     availability_zone: str
-    cores: float
+    cores: Cores
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -14,6 +14,7 @@
 from carawaystep.scheduler import tables
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
+from carawaystep.validation.boundary_decoder import BoundaryDecoder
 
 if TYPE_CHECKING:
     from carawaystep.leadership.leadership import Leadership
@@ -21,6 +22,7 @@
     from carawaystep.scheduler.store_health import StoreHealth
     from carawaystep.store.row import Row
 
+_LEADER_DECODER = BoundaryDecoder[LeaderRecord](LeaderRecord)
 # Time that a newly elected leader needs to reach the members.
 _ANNOUNCE_GRACE_S = 0.8
 # Store calls that a new leader makes before it sends its first heartbeat.
@@ -158,10 +160,7 @@
     @staticmethod
     def _parse_leader(row: Row) -> LeaderRecord | None:
         """Return the leader named in the row, None if it is malformed."""
-        try:
-            return msgspec.convert(row.value, LeaderRecord)
-        except msgspec.ValidationError:
-            return None
+        return _LEADER_DECODER.convert(row.value).ok()
 
     def _in_grace_period(self, row: Row | None) -> bool:
         """Tell whether the leader in the row must be given more time.
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -417,7 +417,9 @@
             if feed.is_full_read:
                 self._worker_records.clear()
             for row in rows:
-                record = source.record_from_row(row) if row.value else None
+                record = None
+                if row.value is not None:
+                    record = source.record_from_row(row)
                 if record is None:
                     self._worker_records.pop(row.key, None)
                 else:
@@ -430,7 +432,8 @@
         feed = self._open_feed(tables.SUBMISSIONS, revision)
         while True:
             for row in await feed.read():
-                if not row.value or self._planner.state(row.key) is not None:
+                known = self._planner.state(row.key) is not None
+                if row.value is None or known:
                     continue
                 spec = parse_spec(row)
                 if spec is not None:
--- a/src/carawaystep/scheduler/member_sessions.py
+++ b/src/carawaystep/scheduler/member_sessions.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.scheduler.member_session import MemberSession
+from carawaystep.validation.boundary_decoder import BoundaryDecoder
+from carawaystep.validation.bounds import find_address_problem
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -19,6 +19,8 @@
     from carawaystep.store.row import Row
     from carawaystep.workflow.workflow_state import WorkflowState
 
+_ADDRESS_SCHEME = "tcp://"
+
 
 class MemberSessions:
     """Runs one session for each member, in a task of its own.
@@ -36,6 +38,8 @@
         self._context = context
         self._sessions: dict[str, MemberSession] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._decoder = BoundaryDecoder[MemberRecord](MemberRecord)
+        self._rejected_versions: dict[str, int] = {}
         self._errors: asyncio.Queue[Exception] = asyncio.Queue()
 
     @property
@@ -64,9 +68,8 @@
         :param row: stored row of the member; a malformed or deleted one is
             ignored
         """
-        try:
-            record = msgspec.convert(row.value, MemberRecord)
-        except msgspec.ValidationError:
+        record = self._decode(row)
+        if record is None:
             return
         known = self._sessions.get(record.name)
         if known is not None and known.record == record:
@@ -83,6 +86,20 @@
             self._run(session), name=f"member {record.name}"
         )
 
+    def _decode(self, row: Row) -> MemberRecord | None:
+        if row.value is None:
+            return None
+        decoded = self._decoder.convert(row.value)
+        problem = decoded.err() or _find_problem(decoded.unwrap(), row)
+        if problem:
+            if row.version != self._rejected_versions.get(row.key):
+                self._rejected_versions[row.key] = row.version
+                self._ports.log.line(
+                    "member.rejected", row.key, problem=problem
+                )
+            return None
+        return decoded.unwrap()
+
     async def broadcast(self, message: Message) -> None:
         """Send a message to all members."""
         for session in self._sessions.values():
@@ -116,3 +133,12 @@
             await session.run()
         except Exception as error:
             self._errors.put_nowait(error)
+
+
+def _find_problem(record: MemberRecord, row: Row) -> str:
+    """Return what is wrong with a member's record, or an empty text."""
+    if record.name != row.key:
+        return f"its name is {record.name!r}"
+    if not record.address.startswith(_ADDRESS_SCHEME):
+        return f"address {record.address!r} does not begin with tcp://"
+    return find_address_problem(record.address.removeprefix(_ADDRESS_SCHEME))
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -16,6 +15,7 @@
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
+from carawaystep.validation.boundary_decoder import BoundaryDecoder
 from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -45,6 +45,20 @@
 _RETRY_INTERVAL_S = 0.1
 
 
+class _FinalRecord(msgspec.Struct):
+    """Value of a row of the table of final states."""
+
+    state: WorkflowState
+
+
+_FINAL_DECODER = BoundaryDecoder[_FinalRecord](_FinalRecord)
+_RECORD_DECODER = BoundaryDecoder[WorkflowRecord](WorkflowRecord)
+_SPEC_DECODER = BoundaryDecoder[WorkflowSpec](WorkflowSpec)
+_INTERFERENCE_DECODER = BoundaryDecoder[list[tuple[str, str, float]]](
+    list[tuple[str, str, float]]
+)
+
+
 class TermEnded(Exception):
     """Another process was elected, or this one resigned."""
 
@@ -113,19 +127,46 @@
         ended, _ = await self._read_table(tables.ENDED)
         cancels, cancels_revision = await self._read_table(tables.CANCELS)
         for row in ended:
-            planner.restore_final(row.key, WorkflowState(row.value["state"]))
-        records = {}
-        for row in progress:
-            records[row.key] = msgspec.convert(row.value, WorkflowRecord)
-            self._progress_versions[row.key] = row.version
+            final = _FINAL_DECODER.convert(row.value)
+            if isinstance(final, Ok):
+                planner.restore_final(row.key, final.ok_value.state)
+            else:
+                self._log_unreadable(tables.ENDED, row, final.err_value)
+        records = self._read_records(progress)
         for row in submissions:
             spec = parse_spec(row)
-            if spec is not None and planner.state(spec.id) is None:
+            if spec is None:
+                self._log_unreadable(tables.SUBMISSIONS, row, "no workflow")
+            elif planner.state(spec.id) is None and not (
+                # Without its progress, a workflow would start runs again.
+                row.key in self._progress_versions and row.key not in records
+            ):
                 planner.restore(spec, records.get(row.key))
         for row in cancels:
             planner.apply_stored_cancellation(row.key)
         return LoadedRevisions(submissions_revision, cancels_revision)
 
+    def _read_records(self, rows: list[Row]) -> dict[str, WorkflowRecord]:
+        """Return the readable progress of workflows by id."""
+        records = {}
+        for row in rows:
+            self._progress_versions[row.key] = row.version
+            record = _RECORD_DECODER.convert(row.value)
+            if isinstance(record, Ok):
+                records[row.key] = record.ok_value
+            else:
+                self._log_unreadable(tables.PROGRESS, row, record.err_value)
+        return records
+
+    def _log_unreadable(self, table: str, row: Row, problem: str) -> None:
+        self._log.line(
+            "row.unreadable",
+            row.key,
+            table=table,
+            version=row.version,
+            problem=problem,
+        )
+
     async def load_interference(self) -> list[tuple[str, str, float]]:
         """Return the stored probabilities of harm between images.
 
@@ -139,10 +180,7 @@
         row = await self._read_interference_row()
         if row is None:
             return []
-        try:
-            return msgspec.convert(row.value, list[tuple[str, str, float]])
-        except msgspec.ValidationError:
-            return []
+        return _INTERFERENCE_DECODER.convert(row.value).unwrap_or([])
 
     async def save_interference(
         self, pairs: list[tuple[str, str, float]]
@@ -343,7 +381,7 @@
             if isinstance(result, Ok):
                 self._store_health.record_answer(self._clock.now())
                 page = result.ok_value
-                rows = [row for row in page.rows if row.value]
+                rows = [row for row in page.rows if row.value is not None]
                 return rows, page.revision
             self._store_health.record_failure(
                 result.err_value.detail, self._clock.now()
@@ -387,11 +425,7 @@
 
 def parse_spec(row: Row) -> WorkflowSpec | None:
     """Return the workflow in a row, None if the row is malformed."""
-    value: Any = row.value
-    try:
-        return msgspec.convert(value, WorkflowSpec)
-    except msgspec.ValidationError:
-        return None
+    return _SPEC_DECODER.convert(row.value).ok()
 
 
 async def insert_submission(
--- a/tests/scheduler/test_member_sessions.py
+++ b/tests/scheduler/test_member_sessions.py
@@ -11,6 +11,7 @@
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.store.row import Row
+from tests.planner.planners import RecordingLog
 
 _CONTEXT = SimpleNamespace(now=0.0, may_lead=lambda now: False)
 
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self.channels: list[_Channel] = []
+        self.log = RecordingLog()
 
     def open_member_channel(self, address: str) -> _Channel:
         self.channels.append(_Channel(address))
@@ -48,7 +50,7 @@
 
 
 def _row(address: str) -> Row:
-    record = MemberRecord("edge-2", address, "zone", 1.0)
+    record = MemberRecord("edge-2", f"tcp://{address}:1", "zone", 1.0)
     return Row("edge-2", msgspec.to_builtins(record), 5, 5)
 
 
@@ -79,15 +81,23 @@
 
         asyncio.run(open_sessions())
         old, new = self.ports.channels
-        self.assertEqual(("old", "new"), (old.address, new.address))
+        self.assertEqual(
+            ("tcp://old:1", "tcp://new:1"), (old.address, new.address)
+        )
         self.assertTrue(old.closed)
         self.assertEqual((0, 1), (len(old.sent), len(new.sent)))
 
     def test_malformed_or_deleted_row_opens_no_session(self) -> None:
-        """Guards against one row that ends each term."""
-        for value in (None, {"name": 5}):
-            self.sessions.open(Row("edge-2", value, 5, 5))
+        """Guards against one row that ends each term, and against log floods.
+
+        A row is logged again only when it was written again.
+        """
+        for version in (5, 5, 6):
+            for value in (None, {"name": 5}):
+                self.sessions.open(Row("edge-2", value, version, version))
         self.assertEqual({}, self.sessions.sessions)
+        rejected = ("member.rejected", "edge-2")
+        self.assertEqual([rejected, rejected], self.ports.log.events)
 
     def test_error_of_a_session_is_raised(self) -> None:
         """Guards against a leader that goes on without one of its members."""
--- a/tests/users_platform/test_decoding.py
+++ b/tests/users_platform/test_decoding.py
@@ -24,6 +24,7 @@
 from carawaystep_platform.submissions import SubmissionReader
 from carawaystep_platform.task_names import parse_task_name
 from carawaystep_platform.task_names import task_name
+from tests.planner.planners import RecordingLog
 from tests.users_platform.deployment import MANIFEST
 
 _ROUTE = QueueRoute("r-1", "desk.example", "/b/", "desk", 0, 3, 1.5, 0.25)
@@ -138,7 +139,7 @@
 
     def test_invalid_worker_rows_are_skipped(self) -> None:
         """Guards against starts on a worker with an invalid row."""
-        rows = ServerTable()
+        rows = ServerTable(RecordingLog())
         record = rows.record_from_row(Row("i-1", _WORKER, 1, 1))
         assert record is not None
         self.assertEqual(WorkerKey("i-1", 12), record.key)
