--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -13,6 +13,7 @@
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import LeaderHeartbeat
+from carawaystep.cluster.messages import Orders
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.leadership.leadership import Leadership
@@ -258,3 +259,29 @@
         self.assertEqual(2, len(links))
         self.assertIn(("proxy.failed", "w1"), log.events)
         self.assertIn("IndexError", str(log.fields["proxy.failed"]["detail"]))
+
+
+class EarlierLeaderTest(TestCase):
+    """Messages around a change of the leader."""
+
+    def test_orders_of_another_term_are_not_executed(self) -> None:
+        """Guards against orders of two leaders that both believe to lead."""
+        port = _LeaderPort(
+            [
+                LeaderHeartbeat(5, "edge-2", 0.0, 0.0),
+                Orders(4, []),
+                Orders(6, []),
+                Orders(5, []),
+            ]
+        )
+
+        async def run() -> list[int]:
+            member = _new_member(port)
+            with patch.object(member, "_forward_orders") as forward:
+                task = asyncio.create_task(member.run())
+                await port.all_handled.wait()
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+            return [call.args[0].term for call in forward.mock_calls]
+
+        self.assertEqual([5], asyncio.run(run()))
--- a/tests/scheduler/test_member_session.py
+++ b/tests/scheduler/test_member_session.py
@@ -188,3 +188,30 @@
             await asyncio.wait([task])
 
         asyncio.run(run())
+
+    def test_leader_whose_lease_has_ended_sends_no_heartbeat(self) -> None:
+        """Guards against grants of a leader that was paused past its lease."""
+        self.context.may_lead = lambda now: now < 101.0
+
+        async def run() -> list[int]:
+            channel = _Channel()
+            session = MemberSession(
+                MemberRecord("edge-2", "tcp://edge-2", "zone", 1.0),
+                channel,  # type: ignore[arg-type]
+                self.context,  # type: ignore[arg-type]
+            )
+            counts = []
+            with patch.object(member_session, "_HEARTBEAT_INTERVAL_S", 0.01):
+                task = asyncio.create_task(session.run())
+                for now in (100.0, 102.0):
+                    self.context.now = now
+                    channel.sent.clear()
+                    await asyncio.sleep(0.1)
+                    counts.append(len(channel.sent))
+                task.cancel()
+                await asyncio.wait([task])
+            return counts
+
+        before, after = asyncio.run(run())
+        self.assertGreater(before, 0)
+        self.assertEqual(0, after)
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -42,13 +42,14 @@
 
     term = _TERM
     now = _DECIDED_AT
+    granted = True
 
     def __init__(self) -> None:
         self.outcomes: list[OrderOutcome] = []
         self.order_answered = asyncio.Event()
 
     def holds_grant(self, term: int) -> bool:
-        return True
+        return self.granted
 
     async def send(self, message: FromMember) -> bool:
         if isinstance(message, OrderResult):
@@ -268,3 +269,37 @@
 def _later(link: _Link) -> set[int]:
     """Return what all polls but the first have acknowledged."""
     return set(link.acknowledged[1:])
+
+
+class GrantTest(TestCase):
+    """Orders of a member whose grant has ended."""
+
+    def test_waiting_order_is_not_sent_without_a_grant(self) -> None:
+        """Guards against a paused member that acts on an old permission.
+
+        Another member may call the worker by then.
+        """
+
+        async def run() -> tuple[_Member, _Link]:
+            member = _Member()
+            link = _Link()
+            proxy = WorkerProxy(
+                AssignedWorker(_WORKER, "127.0.0.1:1"),
+                link,
+                member,
+                RecordingLog(),
+            )
+            task = asyncio.create_task(proxy.run())
+            await link.polled_again.wait()
+            member.granted = False
+            order = StartOrder(_WORKER, _REF, 1, "", "", "")
+            proxy.enqueue_order(NumberedOrder(1, order), None)
+            async with asyncio.timeout(2.0):
+                await member.order_answered.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            return member, link
+
+        member, link = asyncio.run(run())
+        self.assertEqual([OrderOutcome.NOT_SENT], member.outcomes)
+        self.assertEqual([], link.orders)
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -118,6 +118,18 @@
             answer = _conflict(table, _SPEC.id, 3)
             self.assertEqual(Ok(None), self._insert(answer))
 
+    def test_insert_requires_that_the_workflow_has_not_ended(self) -> None:
+        """Guards against work that runs again after a lost answer.
+
+        The caller repeats the submission, or the store applies it late.
+        """
+        store = _Store(Ok(TableCommit(9, (9, 9))))
+        asyncio.run(insert_submission(store, _SPEC))  # type: ignore[arg-type]
+        (operations,) = store.transactions
+        self.assertIn(CheckRow(tables.ENDED, _SPEC.id, 0), operations)
+        expected = [o.expected for o in operations if isinstance(o, PutRow)]
+        self.assertEqual([0], expected)
+
     def test_conflict_without_rows_proves_nothing(self) -> None:
         """Guards against accepting a submission that is not stored."""
         result = self._insert(Err(TableConflict("no rows", {})))
@@ -147,6 +159,22 @@
         self.assertEqual([], plan_and_take_starts(planner))
         self.assertEqual(WorkflowState.CANCELLED, planner.state(_SPEC.id))
 
+    def test_unreadable_rows_end_no_term_and_start_nothing(self) -> None:
+        """Guards against a row with which no term can start.
+
+        Without its progress, a workflow would start its runs again.
+        """
+        spec = msgspec.to_builtins(_SPEC)
+        for odd in ({}, {"tasks": 5}, {"tasks": [[0, 0, 0, "placed"]]}):
+            planner = self._load(
+                {
+                    tables.SUBMISSIONS: {_SPEC.id: spec, "odd": odd},
+                    tables.PROGRESS: {_SPEC.id: odd},
+                    tables.ENDED: {"b" * 16: odd, "c" * 16: {"state": "?"}},
+                }
+            )
+            self.assertEqual([], plan_and_take_starts(planner), str(odd))
+
     def test_progress_of_another_submission_with_the_id_is_skipped(
         self,
     ) -> None:
