Look for room once for all images of a pass

Cause: under overload each image that waits searched all workers in each pass, and each worker was checked for room twice.

Change: the workers with room for a step are kept for later steps of the pass that need no less, and are ranked without another check of their room.

--- a/src/carawaystep/planner/candidate_ranking.py
+++ b/src/carawaystep/planner/candidate_ranking.py
@@ -29,13 +29,15 @@
         self,
         workers: Iterable[TrackedWorker],
         rank: Callable[[TrackedWorker], Rank | None],
+        rank_again: Callable[[TrackedWorker], Rank | None],
     ) -> None:
         """Rank the workers.
 
         :param rank: returns the rank of a worker, lower is better; None if
             it does not suit the step
+        :param rank_again: the same for a worker that has got a task
         """
-        self._rank = rank
+        self._rank_again = rank_again
         self._entries: list[tuple[Rank, int, TrackedWorker]] = []
         self._positions: dict[WorkerKey, int] = {}
         for position, worker in enumerate(workers):
@@ -71,7 +73,7 @@
 
     def put_back(self, worker: TrackedWorker) -> None:
         """Rank a worker again that was taken."""
-        value = self._rank(worker)
+        value = self._rank_again(worker)
         if value is not None:
             position = self._positions[worker.key]
             heappush(self._entries, (value, position, worker))
--- a/src/carawaystep/planner/candidate_search.py
+++ b/src/carawaystep/planner/candidate_search.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -15,16 +16,35 @@
 from carawaystep.planner.unmet_needs import UnmetNeeds
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.planner.task_placement_policy import Rank
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.ticket_cache import TicketCache
+    from carawaystep.workflow.step_spec import StepSpec
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
 
+_StepGroup = tuple[str, str, bool, bool]
+
+
+@dataclass(frozen=True, slots=True)
+class _WorkersWithRoom:
+    """Workers that had the resources for a step earlier in the pass.
+
+    :param step: the step
+    :param usable: workers among which they were searched
+    :param workers: those with the resources
+    """
+
+    step: StepSpec
+    usable: list[TrackedWorker]
+    workers: list[TrackedWorker]
+
+
 class CandidateSearch:
     """Finds the workers for the tasks of steps, and runs to preempt.
 
@@ -46,6 +66,7 @@
         self._placement = placement
         self._ticket_cache = ticket_cache
         self._now = now
+        self._workers_by_group: dict[_StepGroup, _WorkersWithRoom] = {}
         self._unmet_needs = UnmetNeeds()
         self._unmet_forced_needs = UnmetNeeds()
         self._unmet_preemptions = UnmetNeeds()
@@ -62,14 +83,18 @@
         :param usable: workers that may get new work
         """
         step = workflow.step(ref)
-        rank = partial(self._rank, workflow, ref)
         if workflow.spec.needs_tickets:
             return self.rank_for_task(workflow, ref, usable)
         group = (*_step_group(workflow, ref), step.image)
-        if self._unmet_needs.covers(group, step):
-            return CandidateRanking([], rank)
+        workers: Iterable[TrackedWorker] = ()
+        if not self._unmet_needs.covers(group, step):
+            workers = self._workers_with_room(workflow, ref, usable)
+        if step.max_per_worker:
+            workers = [w for w in workers if may_take(step, ref, w)]
         ranking = CandidateRanking(
-            suitable_workers(workflow, ref, usable, self._now), rank
+            workers,
+            partial(self._placement.rank, step, now=self._now),
+            partial(self._rank, workflow, ref),
         )
         if ranking.is_empty and not step.max_per_worker:
             self._unmet_needs.add(group, step)
@@ -83,10 +108,9 @@
         :param ref: the task, of a gang or of a queue with tickets
         :param usable: workers that may get new work
         """
-        return CandidateRanking(
-            self._eligible_workers(workflow, ref, usable),
-            partial(self._rank, workflow, ref),
-        )
+        rank = partial(self._rank, workflow, ref)
+        workers = self._eligible_workers(workflow, ref, usable)
+        return CandidateRanking(workers, rank, rank)
 
     def choose_despite_harm(
         self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
@@ -100,9 +124,9 @@
         group = _step_group(workflow, ref)
         if self._unmet_forced_needs.covers(group, step):
             return None
+        rank = partial(self._placement.rank_despite_harm, step)
         ranking = CandidateRanking(
-            self._eligible_workers(workflow, ref, usable),
-            partial(self._placement.rank_despite_harm, step),
+            self._eligible_workers(workflow, ref, usable), rank, rank
         )
         for_this_task_only = (
             step.max_per_worker
@@ -131,12 +155,43 @@
             self._unmet_preemptions.add(group, step)
         return []
 
+    def _workers_with_room(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> list[TrackedWorker]:
+        """Return the workers with the resources for a task of a step.
+
+        Those of an earlier step that needs no more are looked through in
+        place of all workers: no other can have gained resources in the pass.
+        """
+        step = workflow.step(ref)
+        group = _step_group(workflow, ref)
+        known = self._workers_by_group.get(group)
+        narrowed = (
+            known is not None
+            and known.usable is usable
+            and step.needs_at_least(known.step)
+        )
+        workers: Iterable[TrackedWorker]
+        if known is not None and narrowed:
+            workers = known.workers
+        else:
+            workers = suitable_workers(workflow, ref, usable, self._now)
+        with_room = [w for w in workers if self._placement.has_room(step, w)]
+        if not narrowed:
+            self._workers_by_group[group] = _WorkersWithRoom(
+                step, usable, with_room
+            )
+        return with_room
+
     def _rank(
         self, workflow: Workflow, ref: TaskRef, worker: TrackedWorker
     ) -> Rank | None:
+        """Return the rank of a worker on which more may run by now."""
         step = workflow.step(ref)
         if not may_take(step, ref, worker):
             return None
+        if not self._placement.has_room(step, worker):
+            return None
         return self._placement.rank(step, worker, self._now)
 
     def _eligible_workers(
@@ -155,9 +210,7 @@
         )
 
 
-def _step_group(
-    workflow: Workflow, ref: TaskRef
-) -> tuple[str, str, bool, bool]:
+def _step_group(workflow: Workflow, ref: TaskRef) -> _StepGroup:
     """Return what decides which workers suit a step, apart from its needs.
 
     Workflows with best-effort steps only may also use held workers.
--- a/src/carawaystep/planner/interference_aware_placement.py
+++ b/src/carawaystep/planner/interference_aware_placement.py
@@ -35,6 +35,14 @@
         """
         self._interference = interference
 
+    def has_room(self, step: StepSpec, worker: TrackedWorker) -> bool:
+        """Tell whether a worker has the resources that a task should find."""
+        if not worker.fits(step):
+            return False
+        return not step.fills or (
+            _has_spare_cpu(step, worker) and self._leaves_memory(step, worker)
+        )
+
     def rank(
         self, step: StepSpec, worker: TrackedWorker, now: float
     ) -> Rank | None:
@@ -68,12 +76,9 @@
     def _best_effort_rank(
         self, step: StepSpec, worker: TrackedWorker, now: float
     ) -> Rank | None:
-        if not (
-            _has_spare_cpu(step, worker)
-            and self._leaves_memory(step, worker)
-            and not self._interference.likely_harms(step.image, worker)
-            and not self._interference.confounds(step.image, worker, now)
-        ):
+        if self._interference.likely_harms(
+            step.image, worker
+        ) or self._interference.confounds(step.image, worker, now):
             return None
         return (
             _off_preferred_rack(step, worker),
--- a/src/carawaystep/planner/task_placement_policy.py
+++ b/src/carawaystep/planner/task_placement_policy.py
@@ -22,6 +22,17 @@
     suit before.
     """
 
+    @abstractmethod
+    def has_room(self, step: StepSpec, worker: TrackedWorker) -> bool:
+        """Tell whether a worker has the resources that a task should find.
+
+        Where it is False, it is False for each step of the same kind that
+        needs more.
+
+        :param step: step of the task
+        :param worker: usable worker
+        """
+
     @abstractmethod
     def rank(
         self, step: StepSpec, worker: TrackedWorker, now: float
@@ -29,7 +40,7 @@
         """Return how well a worker suits one more task of a step.
 
         :param step: step of the task
-        :param worker: usable worker that has capacity for the task
+        :param worker: usable worker for which :meth:`has_room` is True
         :param now: current time, seconds of a monotonic clock
         :returns: the rank, None if the task should not start there now
         """
--- a/src/carawaystep/planner/unmet_needs.py
+++ b/src/carawaystep/planner/unmet_needs.py
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         """Create an empty record for one pass."""
-        self._needs: dict[Hashable, list[tuple[int, int, int]]] = {}
+        self._needs: dict[Hashable, list[StepSpec]] = {}
 
     def add(self, group: Hashable, step: StepSpec) -> None:
         """Record that no worker meets the needs of a step.
@@ -28,22 +28,13 @@
         :param group: what else decides which workers suit the step; only
             steps of one group are compared
         """
-        self._needs.setdefault(group, []).append(_needs(step))
+        self._needs.setdefault(group, []).append(step)
 
     def covers(self, group: Hashable, step: StepSpec) -> bool:
         """Tell whether a step needs at least as much as a recorded one.
 
         :param group: as for :meth:`add`
         """
-        needed = _needs(step)
         return any(
-            all(
-                need >= other
-                for need, other in zip(needed, unmet, strict=True)
-            )
-            for unmet in self._needs.get(group, ())
+            step.needs_at_least(unmet) for unmet in self._needs.get(group, ())
         )
-
-
-def _needs(step: StepSpec) -> tuple[int, int, int]:
-    return step.cpu_millis, step.memory_mb, step.accelerators
--- a/src/carawaystep/workflow/step_spec.py
+++ b/src/carawaystep/workflow/step_spec.py
@@ -53,3 +53,11 @@
     tail_target_ms: float = 0.0
     fills: bool = False
     max_unavailable: int = 0
+
+    def needs_at_least(self, other: StepSpec) -> bool:
+        """Tell whether a task needs no less of any resource than another."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
--- a/tests/planner/test_candidate_search.py
+++ b/tests/planner/test_candidate_search.py
@@ -22,7 +22,9 @@
 from tests.workflow.workflows import workflow_spec
 
 if TYPE_CHECKING:
+    from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.planner.planner import Planner
+    from carawaystep.planner.task_placement_policy import Rank
 
 _WORKERS = 100
 
@@ -74,6 +76,26 @@
             plan_and_take_starts(planner)
         self.assertEqual(1, searched.call_count)
 
+    def test_steps_of_other_images_look_only_where_there_is_room(self) -> None:
+        """Guards against a search of all workers for each waiting image."""
+        planner = _full_planner(cpu_millis=4000)
+        for number in range(5):
+            step = StepSpec(
+                1,
+                cpu_millis=7000 + number,
+                memory_mb=1,
+                fills=True,
+                image=f"image-{number}",
+            )
+            spec = workflow_spec(step, id=f"{number:016x}")
+            planner.admit(spec, stored=True)
+        with patch(
+            "carawaystep.planner.candidate_search.suitable_workers",
+            return_value=iter(()),
+        ) as searched:
+            plan_and_take_starts(planner)
+        self.assertEqual(1, searched.call_count)
+
     def test_a_pass_ends_after_a_number_of_starts(self) -> None:
         """Guards against a burst that keeps the leader from its heartbeats."""
         planner = _full_planner(cpu_millis=4000)
@@ -96,7 +118,11 @@
         planner = _full_planner(cpu_millis=4000)
         workers = list(planner.workers.values())[:3]
         ranks = {worker.key: float(n) for n, worker in enumerate(workers)}
-        ranking = CandidateRanking(workers, lambda w: (ranks[w.key],))
+
+        def rank(worker: TrackedWorker) -> Rank:
+            return (ranks[worker.key],)
+
+        ranking = CandidateRanking(workers, rank, rank)
         first = ranking.take(frozenset())
         self.assertIs(workers[0], first)
         ranks[workers[0].key] = 1.5
@@ -108,7 +134,7 @@
         """Guards against losing a worker on which one task has failed."""
         planner = _full_planner(cpu_millis=4000)
         workers = list(planner.workers.values())[:2]
-        ranking = CandidateRanking(workers, lambda _: (0.0,))
+        ranking = CandidateRanking(workers, lambda _: (0.0,), lambda _: None)
         self.assertIs(workers[1], ranking.take({workers[0].key}))
         self.assertIs(workers[0], ranking.take(frozenset()))
         self.assertTrue(ranking.is_empty)
