Split the list of workers and the decoders of rows out of large modules

Change: WorkerListFollower follows the list of workers, stored_rows.py has the decoders of rows. Behaviour is the same.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -35,15 +35,15 @@
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.step_timer import StepTimer
+from carawaystep.scheduler.stored_rows import parse_spec
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
-from carawaystep.scheduler.workflow_repository import parse_spec
+from carawaystep.scheduler.worker_list_follower import WorkerListFollower
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
     from carawaystep.entry.clock import Clock
-    from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.leadership.election import Election
     from carawaystep.leadership.leadership import Leadership
     from carawaystep.planner.changes import Changes
@@ -66,7 +66,6 @@
 # Time that messages which came during a delay get to be read at most.
 _MAX_READING_DELAY_S = 1.0
 _FEED_LONG_POLL_S = 2.0
-_WORKER_LIST_MIN_INTERVAL_S = 0.3
 _INTERFERENCE_SAVE_INTERVAL_S = 4.0
 # Image pairs with a lower probability of harm are left out of the log.
 _LOGGED_MIN_PROBABILITY = 0.3
@@ -136,7 +135,12 @@
             ports.log,
         )
         self._advice_dispatcher = AdviceDispatcher(term)
-        self._worker_records: dict[str, WorkerRecord] = {}
+        self._worker_list_follower = WorkerListFollower(
+            ports.worker_list,
+            self._open_feed(ports.worker_list.table),
+            self._planner,
+            self._plan_requested,
+        )
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
         self._term_check_requested = asyncio.Event()
         self._loaded = False
@@ -215,7 +219,7 @@
                 group.create_task(self._end_when_resigned())
                 group.create_task(self._sessions.raise_error())
                 revisions = await self._load()
-                group.create_task(self._follow_workers())
+                group.create_task(self._worker_list_follower.run())
                 group.create_task(
                     self._follow_submissions(revisions.submissions)
                 )
@@ -409,25 +413,6 @@
             for row in await feed.read():
                 self._sessions.open(row)
 
-    async def _follow_workers(self) -> None:
-        source = self._ports.worker_list
-        feed = self._open_feed(source.table)
-        while True:
-            rows = await feed.read()
-            if feed.is_full_read:
-                self._worker_records.clear()
-            for row in rows:
-                record = None
-                if row.value is not None:
-                    record = source.record_from_row(row)
-                if record is None:
-                    self._worker_records.pop(row.key, None)
-                else:
-                    self._worker_records[row.key] = record
-            self._planner.update_worker_list(self._worker_records.values())
-            self._plan_requested.set()
-            await asyncio.sleep(_WORKER_LIST_MIN_INTERVAL_S)
-
     async def _follow_submissions(self, revision: int) -> None:
         feed = self._open_feed(tables.SUBMISSIONS, revision)
         while True:
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -10,15 +10,12 @@
 from result import Err
 from result import Ok
 
+from carawaystep.scheduler import stored_rows
 from carawaystep.scheduler import tables
 from carawaystep.store.operation import CheckRow
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
-from carawaystep.validation.boundary_decoder import BoundaryDecoder
-from carawaystep.workflow.workflow_record import WorkflowRecord
-from carawaystep.workflow.workflow_spec import WorkflowSpec
-from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,6 +31,8 @@
     from carawaystep.store.row import Row
     from carawaystep.store.table_failure import TableFailure
     from carawaystep.store.table_service import TableService
+    from carawaystep.workflow.workflow_record import WorkflowRecord
+    from carawaystep.workflow.workflow_spec import WorkflowSpec
 
 # The store accepts 100 entries per transaction and counts a condition on a
 # row and a change of that row separately. A workflow needs at most six
@@ -45,20 +44,6 @@
 _RETRY_INTERVAL_S = 0.1
 
 
-class _FinalRecord(msgspec.Struct):
-    """Value of a row of the table of final states."""
-
-    state: WorkflowState
-
-
-_FINAL_DECODER = BoundaryDecoder[_FinalRecord](_FinalRecord)
-_RECORD_DECODER = BoundaryDecoder[WorkflowRecord](WorkflowRecord)
-_SPEC_DECODER = BoundaryDecoder[WorkflowSpec](WorkflowSpec)
-_INTERFERENCE_DECODER = BoundaryDecoder[list[tuple[str, str, float]]](
-    list[tuple[str, str, float]]
-)
-
-
 class TermEnded(Exception):
     """Another process was elected, or this one resigned."""
 
@@ -127,14 +112,14 @@
         ended, _ = await self._read_table(tables.ENDED)
         cancels, cancels_revision = await self._read_table(tables.CANCELS)
         for row in ended:
-            final = _FINAL_DECODER.convert(row.value)
+            final = stored_rows.FINAL_STATES.convert(row.value)
             if isinstance(final, Ok):
                 planner.restore_final(row.key, final.ok_value.state)
             else:
                 self._log_unreadable(tables.ENDED, row, final.err_value)
         records = self._read_records(progress)
         for row in submissions:
-            spec = parse_spec(row)
+            spec = stored_rows.parse_spec(row)
             if spec is None:
                 self._log_unreadable(tables.SUBMISSIONS, row, "no workflow")
             elif planner.state(spec.id) is None and not (
@@ -151,7 +136,7 @@
         records = {}
         for row in rows:
             self._progress_versions[row.key] = row.version
-            record = _RECORD_DECODER.convert(row.value)
+            record = stored_rows.PROGRESS.convert(row.value)
             if isinstance(record, Ok):
                 records[row.key] = record.ok_value
             else:
@@ -180,7 +165,7 @@
         row = await self._read_interference_row()
         if row is None:
             return []
-        return _INTERFERENCE_DECODER.convert(row.value).unwrap_or([])
+        return stored_rows.INTERFERENCE.convert(row.value).unwrap_or([])
 
     async def save_interference(
         self, pairs: list[tuple[str, str, float]]
@@ -423,11 +408,6 @@
     return sizes
 
 
-def parse_spec(row: Row) -> WorkflowSpec | None:
-    """Return the workflow in a row, None if the row is malformed."""
-    return _SPEC_DECODER.convert(row.value).ok()
-
-
 async def insert_submission(
     store: TableService, spec: WorkflowSpec
 ) -> Result[None, TableFailure]:
