--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")"
-export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=..
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=..
 exec python3 case.py
