Draw no conclusion from a report with truncated ends

Cause: a worker lists at most 500 unacknowledged ends at a time. The first report of a term was taken for a proof that the runs that it does not list never started, and two reports after a confirmed stop for the same proof of a run in doubt. The runs whose ends were left out were started again; their ends came with the next reports and were acknowledged.

Change: a report states whether its ends are truncated. Such a report counts for neither proof. Runs of earlier terms are marked as inherited until a complete report has confirmed or ruled them out, so that the first complete report does not touch runs that were placed since. A line report.truncated says which reports were cut.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -26,6 +26,8 @@
     :param reports_without_run: number of consecutive reports that do not list
         it since its stop was confirmed; None before that, and always for a
         run that is not in doubt
+    :param inherited: whether an earlier leader placed it and no complete
+        report of this term has confirmed it
     :param forced: whether it was placed beside tasks that it likely harms,
         because its workflow had no other run
     :param progress_percent: last reported progress
@@ -48,6 +50,7 @@
     stopping: bool = False
     in_doubt: bool = False
     reports_without_run: int | None = None
+    inherited: bool = False
     forced: bool = False
     progress_percent: float = 0.0
     tail_ms_or_cpu_millis: float = 0.0
--- a/src/carawaystep/fleet/worker_report.py
+++ b/src/carawaystep/fleet/worker_report.py
@@ -55,9 +55,13 @@
         numbers
     :param remaining_s: minimum time until a draining worker leaves, None
         when it is not draining
+    :param ends_truncated: whether the worker may have more unacknowledged
+        ends than the report lists; such a report does not tell which runs
+        do not exist
     """
 
     worker: WorkerKey
     running: list[ReportedRun]
     ended: list[EndedRun]
     remaining_s: float | None = None
+    ends_truncated: bool = False
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -204,15 +204,12 @@
         worker = self._workers.get(report.worker)
         if worker is None:
             return
-        first = worker.last_report_at is None
         worker.record_report(now, report.remaining_s is not None)
         for ended in report.ended:
             self._reported_runs.apply_end(worker, ended, now)
         if report.ended:
             self._changes.acknowledged[report.worker] = report.ended[-1].number
-        self._reported_runs.apply_running(worker, report.running)
-        if first:
-            self._reported_runs.lose_unreported(worker, report.running)
+        self._reported_runs.apply_running(worker, report)
         self._protect_serving_tasks(worker, now)
 
     def handle_order_outcome(
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -13,6 +13,7 @@
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.fleet.worker_report import ReportedRun
+    from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.immediate_orders import ImmediateOrders
     from carawaystep.planner.lost_runs import LostRuns
@@ -27,7 +28,8 @@
     """Applies ended, running and missing runs to workflows and workers.
 
     A run that a report does not list is lost only when the report proves
-    that it will never start.
+    that it will never start. A report with truncated ends proves nothing
+    about it: its end may be among those that are left out.
     """
 
     def __init__(
@@ -99,33 +101,27 @@
             self._stopper.stop_workflow(workflow, "workflow-ended")
 
     def apply_running(
-        self, worker: TrackedWorker, running: list[ReportedRun]
+        self, worker: TrackedWorker, report: WorkerReport
     ) -> None:
         """Apply the runs that a report lists, and those that it does not.
 
-        :param running: all runs on the worker
+        :param report: a report of the worker whose ends have been applied
         """
         unexpected = [
-            item for item in running if not self._update(worker, item)
+            item for item in report.running if not self._update(worker, item)
         ]
         worker.set_unexpected_runs(self._known_steps(unexpected))
-        self._resolve_in_doubt(worker, running)
-
-    def lose_unreported(
-        self, worker: TrackedWorker, running: list[ReportedRun]
-    ) -> None:
-        """Requeue the runs that a worker's first report does not list.
-
-        The worker now refuses starts with older tokens, so that a run of an
-        earlier term that it does not list will never start. A run in doubt
-        was ordered in this term.
-
-        :param running: all runs on the worker
-        """
-        listed = _listed_runs(running)
-        for ref, tracked in list(worker.runs.items()):
-            if (ref, tracked.run) not in listed and not tracked.in_doubt:
-                self._lost_runs.lose(worker, ref, tracked.run, "not-started")
+        if report.ends_truncated:
+            self._log.line(
+                "report.truncated",
+                worker.key.id,
+                running=len(report.running),
+                ends=len(report.ended),
+            )
+            return
+        listed = {(item.ref, item.run) for item in report.running}
+        self._resolve_in_doubt(worker, listed)
+        self._resolve_inherited(worker, listed)
 
     def _update(self, worker: TrackedWorker, item: ReportedRun) -> bool:
         """Apply the reported state of a run, and stop an unexpected one.
@@ -162,10 +158,12 @@
         return found
 
     def _resolve_in_doubt(
-        self, worker: TrackedWorker, running: list[ReportedRun]
+        self, worker: TrackedWorker, listed: set[tuple[TaskRef, int]]
     ) -> None:
-        """Requeue runs that a confirmed stop has kept from starting."""
-        listed = _listed_runs(running)
+        """Requeue runs that a confirmed stop has kept from starting.
+
+        :param listed: task and run number of all runs on the worker
+        """
         for ref, tracked in list(worker.runs.items()):
             tracked.record_report((ref, tracked.run) in listed)
             if tracked.start_ruled_out:
@@ -173,10 +171,24 @@
                     worker, ref, tracked.run, "stopped-before-start"
                 )
 
+    def _resolve_inherited(
+        self, worker: TrackedWorker, listed: set[tuple[TaskRef, int]]
+    ) -> None:
+        """Requeue the inherited runs that do not exist, and keep the others.
+
+        The worker now refuses starts with older tokens, so that a run of an
+        earlier term that neither list of a complete report has will never
+        start. A run in doubt was ordered in this term.
+
+        :param listed: task and run number of all runs on the worker
+        """
+        for ref, tracked in list(worker.runs.items()):
+            if not tracked.inherited or tracked.in_doubt:
+                continue
+            tracked.inherited = False
+            if (ref, tracked.run) not in listed:
+                self._lost_runs.lose(worker, ref, tracked.run, "not-started")
+
     def _remove_from_all_workers(self, ref: TaskRef, run: int) -> None:
         for worker in self._workers:
             worker.remove(ref, run)
-
-
-def _listed_runs(running: list[ReportedRun]) -> set[tuple[TaskRef, int]]:
-    return {(item.ref, item.run) for item in running}
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -227,6 +227,7 @@
             step,
             workflow.spec.priority,
             self._term_started_at,
+            inherited=True,
             # An earlier leader may have slowed it.
             pace_in_doubt=step.fills,
         )
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -116,10 +116,14 @@
     running: list[ReportedRun] | None = None,
     ended: list[EndedRun] | None = None,
     started_at_ms: int = 1,
+    ends_truncated: bool = False,
 ) -> WorkerReport:
     """Return a worker's report."""
     return WorkerReport(
-        WorkerKey(name, started_at_ms), running or [], ended or []
+        WorkerKey(name, started_at_ms),
+        running or [],
+        ended or [],
+        ends_truncated=ends_truncated,
     )
 
 
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -36,6 +36,7 @@
 
     from carawaystep.fleet.order import Order
     from carawaystep.fleet.worker_key import WorkerKey
+    from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.planner.changes import Changes
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow_record import WorkflowRecord
@@ -72,20 +73,25 @@
     """One simulation, which is reproducible by its seed."""
 
     def __init__(
-        self, seed: int, planner: type[Planner] = Planner, workers: int = 5
+        self,
+        seed: int,
+        planner: type[Planner] = Planner,
+        workers: int = 5,
+        ends_per_report: int = 500,
     ) -> None:
         """Create a simulation at time 0.
 
         :param seed: seed of all random choices
         :param planner: class under test, such as a faulty variant
         :param workers: number of workers
+        :param ends_per_report: how many ends a worker reports at most
         """
         self._random = Random(seed)
         self._planner_class = planner
         self.violations: list[str] = []
         self.now = 0.0
         self.workers = {
-            name: SimulatedWorker(name)
+            name: SimulatedWorker(name, ends_per_report)
             for name in (f"w{number}" for number in range(workers))
         }
         self._specs: dict[str, WorkflowSpec] = {}
@@ -93,6 +99,7 @@
         self._final_states: dict[str, str] = {}
         self._done: set[TaskRef] = set()
         self._failures: dict[TaskRef, int] = {}
+        self._last_started_runs: dict[TaskRef, int] = {}
         self._acknowledged: dict[tuple[str, int], int] = {}
         self._scheduled_calls: list[tuple[float, Callable[[], None]]] = []
         self._term = 0
@@ -263,8 +270,12 @@
             number = self._acknowledged.get(
                 (worker.name, worker.started_at_ms), 0
             )
+            known_ends = worker.unacknowledged_ends
             report = worker.report(self._term, number, self.now)
             if report is not None:
+                for ended in known_ends:
+                    if ended.number <= number:
+                        self._check_acknowledged_end(worker, ended)
                 self._planner.handle_report(report, self.now)
 
     def _send(
@@ -359,6 +370,7 @@
         return self._random.uniform(0.2, 4.0)
 
     def _check_invariants(self, ref: TaskRef, at: SimulatedWorker) -> None:
+        self._last_started_runs[ref] = at.runs[ref].run
         for worker in self.workers.values():
             if worker is not at and worker.running and ref in worker.runs:
                 self._record_violation(
@@ -376,6 +388,17 @@
         if sum(run.cpu_millis for run in at.runs.values()) > _CAPACITY_MILLIS:
             self._record_violation(f"{at.name} runs more than its capacity")
 
+    def _check_acknowledged_end(
+        self, worker: SimulatedWorker, ended: EndedRun
+    ) -> None:
+        """Check that no later run of a task that was done has started."""
+        if ended.end is not RunEnd.DONE or not worker.held_lease_since(ended):
+            return
+        if self._last_started_runs.get(ended.ref, 0) > ended.run:
+            self._record_violation(
+                f"{ended.ref} has started again after run {ended.run} was done"
+            )
+
     def _record_violation(self, text: str) -> None:
         self.violations.append(f"{self.now:.2f}: {text}")
 
--- a/tests/planner/simulated_worker.py
+++ b/tests/planner/simulated_worker.py
@@ -37,9 +37,13 @@
 class SimulatedWorker:
     """Checks fencing tokens, run numbers and deadlines, but no capacity."""
 
-    def __init__(self, name: str) -> None:
-        """Create a worker without runs."""
+    def __init__(self, name: str, ends_per_report: int = 500) -> None:
+        """Create a worker without runs.
+
+        :param ends_per_report: how many ends a report lists at most
+        """
         self.name = name
+        self._ends_per_report = ends_per_report
         self.started_at_ms = 1
         self.running = True
         self.unreachable_until = 0.0
@@ -161,7 +165,13 @@
             ReportedRun(ref, simulated.run, "", 50.0, 0.0)
             for ref, simulated in self.runs.items()
         ]
-        return WorkerReport(self.key, reported_runs, list(self._ended))
+        listed_ends = self._ended[: self._ends_per_report]
+        return WorkerReport(
+            self.key,
+            reported_runs,
+            listed_ends,
+            ends_truncated=len(listed_ends) == self._ends_per_report,
+        )
 
     def crash(self) -> None:
         """Stop the worker and drop its runs."""
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -89,6 +89,42 @@
         planner.handle_report(report("w1"), 10.0)
         self.assertEqual(2, plan_and_take_starts(planner, 10.0)[0].run)
 
+    def test_truncated_ends_do_not_show_that_a_run_never_started(
+        self,
+    ) -> None:
+        """Guards against a second run of a task whose end is not listed yet.
+
+        A worker lists a limited number of ends at a time.
+        """
+        planner, start = _new_term_after_a_start()
+        planner.update_worker_list([worker_record("w1")])
+        planner.handle_report(report("w1", ends_truncated=True), 10.0)
+        self.assertEqual([], plan_and_take_starts(planner, 10.0))
+        end = EndedRun(501, start.ref, start.run, RunEnd.DONE, "")
+        planner.handle_report(report("w1", [], [end]), 10.1)
+        self.assertEqual([], plan_and_take_starts(planner, 10.1))
+        self.assertEqual(WorkflowState.DONE, planner.state(start.ref.workflow))
+
+    def test_run_is_requeued_by_the_first_complete_report(self) -> None:
+        """Guards against waiting for a run after truncated reports."""
+        planner, _ = _new_term_after_a_start()
+        planner.update_worker_list([worker_record("w1")])
+        planner.handle_report(report("w1", ends_truncated=True), 10.0)
+        planner.handle_report(report("w1"), 10.1)
+        self.assertEqual(2, plan_and_take_starts(planner, 10.1)[0].run)
+
+    def test_run_of_this_term_outlasts_the_first_complete_report(
+        self,
+    ) -> None:
+        """Guards against losing a start that a late report does not list."""
+        planner = new_planner()
+        planner.update_worker_list([worker_record("w1")])
+        planner.handle_report(report("w1", ends_truncated=True), 0.0)
+        planner.admit(workflow_spec(ONE_TASK), False)
+        self.assertEqual(1, len(plan_and_take_starts(planner)))
+        planner.handle_report(report("w1"), 0.1)
+        self.assertEqual([], plan_and_take_starts(planner, 0.1))
+
     def test_stored_run_on_a_vanished_worker_is_placed_after_the_limit(
         self,
     ) -> None:
--- a/tests/planner/test_order_outcomes.py
+++ b/tests/planner/test_order_outcomes.py
@@ -9,6 +9,7 @@
 from carawaystep.fleet.worker_report import EndedRun
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.step_spec import StepSpec
+from carawaystep.workflow.workflow_state import WorkflowState
 from tests.planner.planners import ONE_TASK
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
@@ -59,6 +60,25 @@
         planner.handle_report(report("w1", [], [ended]), 2.0)
         self.assertEqual(2, plan_and_take_starts(planner, 2.0)[0].run)
 
+    def test_truncated_ends_do_not_rule_out_an_unanswered_start(self) -> None:
+        """Guards against a second run of a task whose end is not listed yet.
+
+        A worker lists a limited number of ends at a time.
+        """
+        planner = planner_with_workers("w1")
+        planner.admit(workflow_spec(ONE_TASK), False)
+        (start,) = plan_and_take_starts(planner)
+        planner.handle_order_outcome(start, OrderOutcome.UNKNOWN, 0.1)
+        (stop,) = planner.take_immediate_orders()
+        planner.handle_order_outcome(stop, OrderOutcome.DONE, 0.2)
+        for now in (0.3, 0.4, 0.5):
+            planner.handle_report(report("w1", ends_truncated=True), now)
+        self.assertEqual([], plan_and_take_starts(planner, 2.0))
+        end = EndedRun(501, start.ref, start.run, RunEnd.DONE, "")
+        planner.handle_report(report("w1", [], [end]), 2.0)
+        self.assertEqual([], plan_and_take_starts(planner, 2.0))
+        self.assertEqual(WorkflowState.DONE, planner.state(start.ref.workflow))
+
     def test_refused_start_is_placed_again(self) -> None:
         """Guards against a task that is forgotten after a refusal."""
         planner = planner_with_workers("w1", "w2")
--- a/tests/planner/test_random_simulation.py
+++ b/tests/planner/test_random_simulation.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
+import msgspec
 from testtools import TestCase
 
 from carawaystep.errors.broken_invariant import BrokenInvariant
@@ -23,11 +24,14 @@
     from unittest.mock import _patch
 
     from carawaystep.fleet.order import Order
+    from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
 _SEEDS = range(12)
+# With truncated lists of ends, each change of the leader is a case.
+_TRUNCATION_SEEDS = range(4)
 _FAULT_PHASE_S = 40.0
 _FAULT_FREE_PHASE_S = 60.0
 
@@ -107,10 +111,24 @@
         super().set_predecessor_stop_time(at - LEASE_S)
 
 
-def _count_violations(planner: type[Planner]) -> int:
+class _TrustsTruncatedReports(Planner):
+    """Takes the listed ends of a worker for all its ends."""
+
+    def handle_report(self, report: WorkerReport, now: float) -> None:
+        complete = msgspec.structs.replace(report, ends_truncated=False)
+        super().handle_report(complete, now)
+
+
+def _count_violations(
+    planner: type[Planner],
+    seeds: range = _SEEDS,
+    ends_per_report: int = 500,
+) -> int:
     found = 0
-    for seed in _SEEDS:
-        simulation = RandomSimulation(seed, planner)
+    for seed in seeds:
+        simulation = RandomSimulation(
+            seed, planner, ends_per_report=ends_per_report
+        )
         try:
             simulation.advance(_FAULT_PHASE_S, faults=True)
         except BrokenInvariant:
@@ -137,6 +155,24 @@
                 simulation.settled, f"seed {seed} has unfinished work"
             )
 
+    def test_invariants_hold_with_truncated_lists_of_ends(self) -> None:
+        """Guards against conclusions from ends that a report leaves out."""
+        for seed in _TRUNCATION_SEEDS:
+            simulation = RandomSimulation(seed, ends_per_report=1)
+            simulation.advance(_FAULT_PHASE_S, faults=True)
+            simulation.advance(_FAULT_FREE_PHASE_S, faults=False)
+            self.assertEqual([], simulation.violations, f"seed {seed}")
+            self.assertTrue(
+                simulation.settled, f"seed {seed} has unfinished work"
+            )
+
+    def test_trust_in_truncated_lists_of_ends_is_detected(self) -> None:
+        """Guards against simulations without truncated lists."""
+        found = _count_violations(
+            _TrustsTruncatedReports, _TRUNCATION_SEEDS, ends_per_report=1
+        )
+        self.assertGreater(found, 0)
+
     def test_faulty_planners_are_detected(self) -> None:
         """Guards against simulations that pass with a faulty planner."""
         for variant in (
--- a/tests/users_platform/test_worker_client.py
+++ b/tests/users_platform/test_worker_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -62,3 +63,11 @@
         body = '{"clock_ms":1,"born":8,"running":[],"finished":[]}'
         report = asyncio.run(_fetch_report(body))
         self.assertEqual(Ok(WorkerReport(WorkerKey("i-1", 8), [], [])), report)
+
+    def test_full_list_of_ends_is_reported_as_truncated(self) -> None:
+        """Guards against taking 500 listed ends for all ends."""
+        for count, truncated in ((499, False), (500, True)):
+            ends = [[n, _TASK, 1, "done", ""] for n in range(1, count + 1)]
+            body = {"clock_ms": 1, "born": 7, "finished": ends}
+            report = asyncio.run(_fetch_report(json.dumps(body)))
+            self.assertEqual(truncated, report.unwrap().ends_truncated, count)
