Store progress in as many rows as it needs, and outlast refused ones

Cause: the progress of a workflow was one row. Its size was estimated as 80 bytes a task, although ids of workers have up to 200 bytes and checkpoints no stated limit: 800 tasks with ids of 36 bytes take 72,000 bytes. The store refused the transaction for its content, and the leader repeated it like one that met an outage, ten times a second and before anything else.

Change: progress that does not fit is divided into rows by the bytes that are written, all of them in one transaction; unchanged rows are not written again. Checkpoints that do not fit in 384 KiB are left out, the longest first. The limit of a row comes from the settings. A refusal for the content is a failure of its own, TableRejected: the group is divided into one transaction for each workflow, and a workflow that is refused alone is stored as failed and its runs are stopped. The row of learned harm, which grows with the square of the images, keeps the most harmful pairs that fit. A submission that the store refuses when no leader is there is answered 400 in place of 504.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -178,6 +178,18 @@
         """
         return self._cancellations.cancel(workflow_id, "caller")
 
+    def fail(self, workflow_id: str, reason: str) -> None:
+        """Fail a workflow that cannot go on, and stop its runs.
+
+        :param reason: reason for the log
+        """
+        workflow = self._registry.get(workflow_id)
+        if workflow is None or not workflow.fail():
+            return
+        self._log.line("workflow.failed", workflow_id, reason=reason)
+        self._registry.mark_changed(workflow)
+        self._stopper.stop_workflow(workflow, "workflow-ended")
+
     def apply_stored_cancellation(self, workflow_id: str) -> bool:
         """Cancel a workflow whose cancellation another process has stored.
 
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -40,6 +40,7 @@
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
+from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import Message
@@ -102,7 +103,7 @@
             election.predecessors, ports.clock.now()
         )
         self._repository = WorkflowRepository(
-            ports.store, ports.clock, store_health, ports.log, term
+            settings, ports.store, ports.clock, store_health, ports.log, term
         )
         self._store_health = store_health
         lease_s = (
@@ -337,9 +338,16 @@
         if changes.is_empty:
             return
         if changes.needs_commit:
-            for workflow_id in await self._repository.commit(changes):
+            outcome = await self._repository.commit(changes)
+            for workflow_id in outcome.cancelled:
                 self._planner.apply_stored_cancellation(workflow_id)
                 self._plan_requested.set()
+            for workflow_id in outcome.rejected:
+                self._planner.fail(workflow_id, "rejected-by-the-store")
+                changes.states[workflow_id] = (
+                    self._planner.state(workflow_id) or WorkflowState.FAILED
+                )
+                self._plan_requested.set()
         await self._publish_changes(changes)
 
     async def _publish_changes(self, changes: Changes) -> None:
--- a/src/carawaystep/scheduler/node_settings.py
+++ b/src/carawaystep/scheduler/node_settings.py
@@ -15,6 +15,7 @@
     :param cluster_address: ZeroMQ address on which leaders reach it
     :param max_lease_s: longest lease that a worker grants, seconds
     :param drain_s: seconds between the start of the drain and the stop
+    :param max_row_bytes: largest value of a row that the store accepts
     """
 
     name: str
@@ -23,3 +24,4 @@
     cluster_address: str
     max_lease_s: float
     drain_s: float
+    max_row_bytes: int = 65_536
--- a/src/carawaystep/scheduler/stored_rows.py
+++ b/src/carawaystep/scheduler/stored_rows.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from carawaystep.validation.boundary_decoder import BoundaryDecoder
-from carawaystep.workflow.workflow_record import WorkflowRecord
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 
 # The codecs read the annotations at run time.
@@ -24,7 +23,6 @@
 
 
 FINAL_STATES = BoundaryDecoder[FinalRecord](FinalRecord)
-PROGRESS = BoundaryDecoder[WorkflowRecord](WorkflowRecord)
 # Image of the best-effort task, image of the serving task, probability.
 INTERFERENCE = BoundaryDecoder[list[tuple[str, str, float]]](
     list[tuple[str, str, float]]
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,10 +13,16 @@
 
 from carawaystep.scheduler import stored_rows
 from carawaystep.scheduler import tables
+from carawaystep.scheduler.progress_rows import JSON_SHARE_OF_ROW
+from carawaystep.scheduler.progress_rows import ProgressRows
+from carawaystep.scheduler.workflow_change import transactions
+from carawaystep.scheduler.workflow_change import workflow_changes
 from carawaystep.store.operation import CheckRow
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableConflict
+from carawaystep.store.table_failure import TableRejected
+from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,21 +33,15 @@
     from carawaystep.planner.changes import Changes
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.planner import Planner
+    from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.store_health import StoreHealth
+    from carawaystep.scheduler.workflow_change import WorkflowChange
     from carawaystep.store.operation import Operation
     from carawaystep.store.row import Row
     from carawaystep.store.table_failure import TableFailure
     from carawaystep.store.table_service import TableService
-    from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
-# The store accepts 100 entries per transaction and counts a condition on a
-# row and a change of that row separately. A workflow needs at most six
-# entries and the check of the leader row one.
-_WORKFLOWS_PER_COMMIT = 16
-# Size of the JSON in a transaction, unless one workflow alone is larger. The
-# store accepts 1 MB; this much arrives in time on a link of 5 Mbit/s.
-_MAX_COMMIT_BYTES = 256 * 1024
 _RETRY_INTERVAL_S = 0.1
 
 
@@ -48,6 +49,20 @@
     """Another process was elected, or this one resigned."""
 
 
+@dataclass(slots=True)
+class CommitOutcome:
+    """What a commit has shown of workflows besides that they are stored.
+
+    :param cancelled: ids of workflows with starts in the batch whose
+        cancellation was stored earlier
+    :param rejected: ids of workflows that the store does not accept; they
+        are stored as failed, or as cancelled
+    """
+
+    cancelled: set[str] = field(default_factory=set)
+    rejected: set[str] = field(default_factory=set)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadedRevisions:
     """Revisions at which tables were read at the start of a term."""
@@ -62,11 +77,13 @@
     Every transaction checks the version of the leader row, so delayed writes
     of a deposed leader are rejected. Progress rows are written conditionally
     on their versions, so a transaction whose answer was lost cannot be
-    applied twice.
+    applied twice. A workflow that the store does not accept fails, and holds
+    up no other.
     """
 
     def __init__(
         self,
+        settings: NodeSettings,
         store: TableService,
         clock: Clock,
         store_health: StoreHealth,
@@ -75,18 +92,23 @@
     ) -> None:
         """Create a repository; nothing is read yet.
 
+        :param settings: settings of this process
         :param store: the store
         :param clock: clock of the process
         :param store_health: records the answers and failures of the store
         :param log: receives an event for each failed commit
         :param term: number of the term, which is the leader row's version
         """
+        self._settings = settings
         self._log = log
         self._store = store
         self._clock = clock
         self._store_health = store_health
         self._term = term
-        self._progress_versions: dict[str, int] = {}
+        self._progress_rows = ProgressRows(log)
+        self._rejected: set[str] = set()
+        # Workflows of which it was logged that checkpoints do not fit.
+        self._without_checkpoints: set[str] = set()
         self._confirmed_at = clock.now()
 
     @property
@@ -117,32 +139,21 @@
                 planner.restore_final(row.key, final.ok_value.state)
             else:
                 self._log_unreadable(tables.ENDED, row, final.err_value)
-        records = self._read_records(progress)
+        records = self._progress_rows.restore(progress)
         for row in submissions:
             spec = stored_rows.parse_spec(row)
             if spec is None:
                 self._log_unreadable(tables.SUBMISSIONS, row, "no workflow")
             elif planner.state(spec.id) is None and not (
                 # Without its progress, a workflow would start runs again.
-                row.key in self._progress_versions and row.key not in records
+                self._progress_rows.row_count(row.key)
+                and row.key not in records
             ):
                 planner.restore(spec, records.get(row.key))
         for row in cancels:
             planner.apply_stored_cancellation(row.key)
         return LoadedRevisions(submissions_revision, cancels_revision)
 
-    def _read_records(self, rows: list[Row]) -> dict[str, WorkflowRecord]:
-        """Return the readable progress of workflows by id."""
-        records = {}
-        for row in rows:
-            self._progress_versions[row.key] = row.version
-            record = stored_rows.PROGRESS.convert(row.value)
-            if isinstance(record, Ok):
-                records[row.key] = record.ok_value
-            else:
-                self._log_unreadable(tables.PROGRESS, row, record.err_value)
-        return records
-
     def _log_unreadable(self, table: str, row: Row, problem: str) -> None:
         self._log.line(
             "row.unreadable",
@@ -172,24 +183,27 @@
     ) -> bool:
         """Store probabilities of harm; a failure is not retried.
 
+        Of more pairs than a row holds, the most harmful are stored: without
+        them, the next leader would place their images together.
+
         :param pairs: as returned by :meth:`load_interference`
         :returns: whether they are known to be stored
         """
-        value = [
-            (best_effort, serving, round(probability, 3))
-            for best_effort, serving, probability in pairs
+        value = _most_harmful(pairs, self._settings.max_row_bytes)
+        operations = [
+            CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term),
+            PutRow(tables.CONTROL, tables.INTERFERENCE_KEY, None, value),
         ]
-        result = await self._store.transact(
-            [
-                CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term),
-                PutRow(tables.CONTROL, tables.INTERFERENCE_KEY, None, value),
-            ]
-        )
+        result = await self._store.transact(operations)
         if isinstance(result, Ok):
             return True
-        self._store_health.record_failure(
-            result.err_value.detail, self._clock.now()
-        )
+        if isinstance(result.err_value, TableRejected):
+            self._store_health.record_answer(self._clock.now())
+            self._log_rejected(operations, result.err_value)
+        else:
+            self._store_health.record_failure(
+                result.err_value.detail, self._clock.now()
+            )
         return False
 
     async def confirm(self) -> bool:
@@ -211,119 +225,173 @@
         self._record_confirmation(began_at)
         return True
 
-    async def commit(self, changes: Changes) -> set[str]:
+    async def commit(self, changes: Changes) -> CommitOutcome:
         """Store a batch of changes, retrying until all of it is stored.
 
         A placement is not stored without notice after the cancellation of
         its workflow, so that no start depends on how fast the feed of
         cancellations is.
 
-        :returns: ids of workflows with starts in the batch whose
-            cancellation was stored earlier
         :raises TermEnded: another process was elected
         """
-        cancelled: set[str] = set()
-        for chunk in _chunks(changes):
-            cancelled |= await self._commit_chunk(changes, chunk)
-        return cancelled
-
-    async def _commit_chunk(
-        self, changes: Changes, workflow_ids: set[str]
-    ) -> set[str]:
-        inserts = {
-            spec.id: spec
-            for spec in changes.accepted
-            if spec.id in workflow_ids
-        }
-        started = {order.ref.workflow for order in changes.orders}
-        started &= workflow_ids
-        cancelled: set[str] = set()
+        outcome = CommitOutcome()
+        found = workflow_changes(
+            changes, self._progress_rows, self._settings.max_row_bytes
+        )
+        for change in found:
+            self._log_dropped_checkpoints(change)
+        for group in transactions(found):
+            await self._commit_group(group, outcome)
+        return outcome
+
+    async def _commit_group(
+        self, group: list[WorkflowChange], outcome: CommitOutcome
+    ) -> None:
+        """Store the changes of some workflows in one transaction.
+
+        If the store does not accept it, each of them is stored alone, so
+        that those with acceptable rows are.
+        """
+        inserts = {c.workflow_id: c.spec for c in group if c.spec is not None}
         while True:
-            operations = self._operations(changes, workflow_ids, inserts)
-            operations.extend(
-                CheckRow(tables.CANCELS, workflow_id, 0)
-                for workflow_id in sorted(started - cancelled)
-            )
+            operations = self._operations(group, inserts, outcome)
             began_at = self._clock.now()
             result = await self._store.transact(operations)
             now = self._clock.now()
             if isinstance(result, Ok):
                 self._record_confirmation(began_at)
-                self._record_versions(operations, result.ok_value.revision)
-                return cancelled
+                self._progress_rows.record_commit(
+                    operations, result.ok_value.revision
+                )
+                return
             failure = result.err_value
             # A conflict that names no row leaves nothing to resolve.
             if isinstance(failure, TableConflict) and failure.versions:
                 self._store_health.record_answer(now)
                 self._resolve_conflict(failure, inserts)
-                cancelled.update(
+                outcome.cancelled.update(
                     key
                     for table, key in failure.versions
                     if table == tables.CANCELS
                 )
                 continue
-            self._store_health.record_failure(failure.detail, now)
-            self._log.line(
-                "commit.failed",
-                str(self._term),
-                workflows=len(workflow_ids),
-                detail=failure.detail,
-            )
+            if isinstance(failure, TableRejected):
+                self._store_health.record_answer(now)
+                self._log_rejected(operations, failure)
+                if len(group) > 1:
+                    for change in group:
+                        await self._commit_group([change], outcome)
+                    return
+                if group[0].workflow_id not in self._rejected:
+                    self._rejected.add(group[0].workflow_id)
+                    outcome.rejected.add(group[0].workflow_id)
+                    continue
+            else:
+                self._store_health.record_failure(failure.detail, now)
+                self._log_failed(group, failure)
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
     def _operations(
         self,
-        changes: Changes,
-        workflow_ids: set[str],
+        group: list[WorkflowChange],
         inserts: dict[str, WorkflowSpec],
+        outcome: CommitOutcome,
     ) -> list[Operation]:
         operations: list[Operation] = [
             CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term)
         ]
-        for workflow_id, spec in inserts.items():
-            if workflow_id not in changes.settled:
-                value = msgspec.to_builtins(spec)
-                # Without this check, an insert that the store applies late
-                # could follow the end of the workflow.
-                operations.append(CheckRow(tables.ENDED, workflow_id, 0))
-                operations.append(
-                    PutRow(tables.SUBMISSIONS, workflow_id, 0, value)
-                )
-        for workflow_id, record in changes.progress.items():
-            if workflow_id not in workflow_ids:
-                continue
-            version = self._progress_versions.get(workflow_id, 0)
-            final = changes.settled.get(workflow_id)
-            if final is None:
-                operations.append(
-                    PutRow(
-                        tables.PROGRESS,
-                        workflow_id,
-                        version,
-                        msgspec.to_builtins(record),
-                    )
+        for change in group:
+            workflow_id = change.workflow_id
+            if change.final_state is not None:
+                operations.extend(
+                    self._settle_operations(workflow_id, change.final_state)
                 )
-                continue
-            operations.append(
-                PutRow(tables.ENDED, workflow_id, None, {"state": final.value})
-            )
-            operations.append(DeleteRow(tables.SUBMISSIONS, workflow_id, None))
-            if version:
-                operations.append(
-                    DeleteRow(tables.PROGRESS, workflow_id, version)
+            elif workflow_id in self._rejected:
+                state = (
+                    WorkflowState.CANCELLED
+                    if change.cancelled
+                    else WorkflowState.FAILED
                 )
+                operations.extend(self._settle_operations(workflow_id, state))
+            else:
+                operations.extend(self._progress_operations(change, inserts))
+                if change.has_starts and workflow_id not in outcome.cancelled:
+                    operations.append(CheckRow(tables.CANCELS, workflow_id, 0))
         return operations
 
-    def _record_versions(
-        self, operations: list[Operation], revision: int
+    def _progress_operations(
+        self, change: WorkflowChange, inserts: dict[str, WorkflowSpec]
+    ) -> Iterator[Operation]:
+        workflow_id = change.workflow_id
+        spec = inserts.get(workflow_id)
+        if spec is not None:
+            # Without this check, an insert that the store applies late
+            # could follow the end of the workflow.
+            yield CheckRow(tables.ENDED, workflow_id, 0)
+            yield PutRow(
+                tables.SUBMISSIONS, workflow_id, 0, msgspec.to_builtins(spec)
+            )
+        if change.progress is not None:
+            yield from self._progress_rows.put_operations(
+                workflow_id, change.progress
+            )
+
+    def _settle_operations(
+        self, workflow_id: str, state: WorkflowState
+    ) -> Iterator[Operation]:
+        yield PutRow(tables.ENDED, workflow_id, None, {"state": state.value})
+        yield DeleteRow(tables.SUBMISSIONS, workflow_id, None)
+        yield from self._progress_rows.delete_operations(workflow_id)
+
+    def _log_failed(
+        self, group: list[WorkflowChange], failure: TableFailure
     ) -> None:
-        for operation in operations:
-            if operation.table != tables.PROGRESS:
-                continue
-            if isinstance(operation, PutRow):
-                self._progress_versions[operation.key] = revision
-            else:
-                self._progress_versions.pop(operation.key, None)
+        self._log.line(
+            "commit.failed",
+            str(self._term),
+            workflows=len(group),
+            detail=failure.detail,
+        )
+
+    def _log_rejected(
+        self, operations: list[Operation], failure: TableRejected
+    ) -> None:
+        """Log a transaction that the store does not accept.
+
+        The line names the row with the largest value, which is the most
+        likely cause.
+        """
+        sizes = {
+            f"{operation.table}/{operation.key}": len(
+                msgspec.json.encode(operation.value)
+            )
+            for operation in operations
+            if isinstance(operation, PutRow)
+        }
+        largest = max(sizes, key=sizes.__getitem__, default="")
+        self._log.line(
+            "commit.rejected",
+            str(self._term),
+            rows=len(sizes),
+            size=sum(sizes.values()),
+            largest=largest,
+            largest_size=sizes.get(largest, 0),
+            detail=failure.detail,
+        )
+
+    def _log_dropped_checkpoints(self, change: WorkflowChange) -> None:
+        """Log once a term that checkpoints of a workflow do not fit."""
+        layout = change.progress
+        if layout is None or not layout.dropped_checkpoints:
+            return
+        if change.workflow_id in self._without_checkpoints:
+            return
+        self._without_checkpoints.add(change.workflow_id)
+        self._log.line(
+            "checkpoints.dropped",
+            change.workflow_id,
+            count=layout.dropped_checkpoints,
+        )
 
     def _resolve_conflict(
         self, conflict: TableConflict, inserts: dict[str, WorkflowSpec]
@@ -343,10 +411,8 @@
                 inserts.pop(key, None)
             elif table != tables.PROGRESS:
                 continue
-            elif version:
-                self._progress_versions[key] = version
             else:
-                self._progress_versions.pop(key, None)
+                self._progress_rows.adopt_version(key, version)
 
     async def _read_interference_row(self) -> Row | None:
         while True:
@@ -378,34 +444,22 @@
         self._store_health.record_answer(self._clock.now())
 
 
-def _chunks(changes: Changes) -> Iterator[set[str]]:
-    """Iterate over sets of workflows that fit in one transaction."""
-    chunk: set[str] = set()
-    chunk_bytes = 0
-    for workflow_id, size in _encoded_sizes(changes).items():
-        is_full = (
-            len(chunk) == _WORKFLOWS_PER_COMMIT
-            or chunk_bytes + size > _MAX_COMMIT_BYTES
-        )
-        if chunk and is_full:
-            yield chunk
-            chunk = set()
-            chunk_bytes = 0
-        chunk.add(workflow_id)
-        chunk_bytes += size
-    if chunk:
-        yield chunk
-
-
-def _encoded_sizes(changes: Changes) -> dict[str, int]:
-    """Return the bytes of JSON to store, by workflow id."""
-    sizes: dict[str, int] = {}
-    for spec in changes.accepted:
-        sizes[spec.id] = len(msgspec.json.encode(spec))
-    for workflow_id, record in changes.progress.items():
-        size = len(msgspec.json.encode(record))
-        sizes[workflow_id] = sizes.get(workflow_id, 0) + size
-    return sizes
+def _most_harmful(
+    pairs: list[tuple[str, str, float]], max_row_bytes: int
+) -> list[tuple[str, str, float]]:
+    """Return the pairs with the highest probabilities that fit in a row.
+
+    :returns: pairs in their order, with rounded probabilities
+    """
+    rounded = [(a, b, round(probability, 3)) for a, b, probability in pairs]
+    size = len(msgspec.json.encode(rounded))
+    limit = int(max_row_bytes * JSON_SHARE_OF_ROW)
+    for pair in sorted(rounded, key=lambda pair: pair[2]):
+        if size <= limit:
+            break
+        rounded.remove(pair)
+        size -= len(msgspec.json.encode(pair)) + 1
+    return rounded
 
 
 async def insert_submission(
--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -12,6 +12,7 @@
 from carawaystep.scheduler.workflow_repository import insert_submission
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableRefused
+from carawaystep.store.table_failure import TableRejected
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
@@ -191,6 +192,13 @@
             self._store_health.record_answer(self._clock.now())
             return CallOutcome.ACCEPTED
         failure = result.err_value
+        if isinstance(failure, TableRejected):
+            self._store_health.record_answer(self._clock.now())
+            return (
+                CallOutcome.INVALID
+                if refusal_is_certain
+                else CallOutcome.UNKNOWN
+            )
         self._store_health.record_failure(failure.detail, self._clock.now())
         if refusal_is_certain and isinstance(failure, TableRefused):
             return CallOutcome.REFUSED
--- a/src/carawaystep/store/table_failure.py
+++ b/src/carawaystep/store/table_failure.py
@@ -33,6 +33,14 @@
     """The call was not sent or was refused; nothing was written."""
 
 
+@dataclass(frozen=True, slots=True)
+class TableRejected(TableFailure):
+    """The content of the call is not accepted; nothing was written.
+
+    The same call will be rejected again.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class TableOutcomeUnknown(TableFailure):
     """No valid response arrived; a write may have been applied."""
--- a/src/carawaystep/store/table_service.py
+++ b/src/carawaystep/store/table_service.py
@@ -33,7 +33,8 @@
 
         :param operations: at most 100 operations
         :returns: the commit, or :class:`TableConflict`,
-            :class:`TableRefused` or :class:`TableOutcomeUnknown`
+            :class:`TableRefused`, :class:`TableRejected` or
+            :class:`TableOutcomeUnknown`
         """
 
     @abstractmethod
--- a/src/carawaystep/validation/bounds.py
+++ b/src/carawaystep/validation/bounds.py
@@ -24,6 +24,8 @@
 Factor = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 # Versions and counters; MessagePack and the tables hold 64 bits.
 Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# The smallest holds a submission with a text of the usual length.
+RowBytes = Annotated[int, msgspec.Meta(ge=4096, le=2**30)]
 Cores = Annotated[float, msgspec.Meta(gt=0, le=4096)]
 
 Port = Annotated[int, msgspec.Meta(ge=_MIN_PORT, le=_MAX_PORT)]
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -351,6 +351,16 @@
         self._cancelled = True
         return True
 
+    def fail(self) -> bool:
+        """Fail the workflow, which cannot go on.
+
+        :returns: False when it has already ended
+        """
+        if self.ended:
+            return False
+        self._failed = True
+        return True
+
     def record(self) -> WorkflowRecord:
         """Return the progress to store."""
         tasks = [
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -29,6 +29,22 @@
 _SPEC = workflow_spec(StepSpec(2, cpu_millis=500, memory_mb=10))
 
 
+_WIDE_SUBMISSION = {
+    "spec": "text",
+    "steps": [{"count": 60, "cpu": 60, "mem_mb": 10}],
+}
+_OTHER_PATH = f"/bookings/{'a' * 16}"
+
+
+def _progress_keys(deployment: Deployment) -> list[str]:
+    """Return the keys of all stored rows of progress."""
+    return [
+        key
+        for (table, _, key), (value, _) in deployment.store.rows.items()
+        if table == tables.PROGRESS and value is not None
+    ]
+
+
 class SystemTest(TestCase):
     """Submissions from their acceptance to their end."""
 
@@ -60,6 +76,55 @@
         self.assertEqual({1}, set(runs.values()))
         self.assertEqual(4, len(runs))
 
+    def test_progress_that_exceeds_a_row_is_stored(self) -> None:
+        """Guards against a submission that stops all others.
+
+        Its progress did not fit in a row, and the refused transaction was
+        repeated without end.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in deployment.workers:
+                worker.checkpoint = "c" * 100
+            await deployment.nodes[0].call(
+                "POST", SUBMISSION_PATH, _WIDE_SUBMISSION
+            )
+            await deployment.nodes[1].call(
+                "POST", _OTHER_PATH, SUBMISSION_BODY
+            )
+            await wait_for_state(deployment.nodes[0], "completed")
+            await wait_for_state(
+                deployment.nodes[0], "completed", path=_OTHER_PATH
+            )
+
+        deployment = run_scenario(scenario, run_s=0.5, max_row_bytes=4096)
+        self.assertEqual(0, deployment.store.rejected_transactions)
+        runs = count_starts_by_task(deployment)
+        self.assertEqual({1}, set(runs.values()))
+        self.assertEqual([], _progress_keys(deployment))
+
+    def test_submission_that_cannot_be_stored_fails_alone(self) -> None:
+        """Guards against a refused transaction that stops all others.
+
+        The nodes expect larger rows than the store accepts here.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            deployment.store.max_row_bytes = 2048
+            await deployment.nodes[0].call(
+                "POST", SUBMISSION_PATH, _WIDE_SUBMISSION
+            )
+            await deployment.nodes[1].call(
+                "POST", _OTHER_PATH, SUBMISSION_BODY
+            )
+            await wait_for_state(
+                deployment.nodes[0], "completed", path=_OTHER_PATH
+            )
+            await wait_for_state(deployment.nodes[1], "failed")
+
+        deployment = run_scenario(scenario, run_s=0.5)
+        self.assertEqual([], _progress_keys(deployment))
+
     def test_submission_is_completed_through_any_node(self) -> None:
         """Guards against any failure between submission and completion."""
 
