Acknowledge no end to a worker that may have started again

The review had noticed that a stale number is sent to a new lifetime.

Cause: a worker numbers its ends anew in each lifetime, and calls name only its id. A call with the number that was acknowledged to the earlier lifetime made the new one forget ends that no leader had stored; the next leader took their runs for never started and started them again.

Change: after a failed call, the next call for a report acknowledges nothing. It shows which lifetime answers; ends that are listed again are acknowledged again.

--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -95,6 +95,7 @@
         # Whether another lifetime of the worker sent the last report. Calls
         # name the worker's id, which a later lifetime may have too.
         self._replaced = False
+        self._last_poll_failed = False
         self._prompt_reports_left = 0
 
     def acknowledge(self, number: int) -> None:
@@ -134,14 +135,18 @@
                 or self._prompt_reports_left > 0
             )
             self._prompt_reports_left = max(0, self._prompt_reports_left - 1)
+            # After a failed call the worker may have started again, and its
+            # new lifetime numbers its ends from 1.
+            may_be_replaced = self._last_poll_failed or self._replaced
             result = await self._link.fetch_report(
                 self._term,
-                0 if self._replaced else self._acknowledged_end,
+                0 if may_be_replaced else self._acknowledged_end,
                 answered_recently,
                 0.0
                 if prompt or not answered_recently
                 else _REPORT_LONG_POLL_S,
             )
+            self._last_poll_failed = isinstance(result, Err)
             if isinstance(result, Err):
                 await self._handle_link_failure(result.err_value)
                 continue
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -73,6 +73,7 @@
         self.orders: list[Order] = []
         self.acknowledged: list[int] = []
         self.extensions: list[bool] = []
+        self.polled = asyncio.Event()
         self.polled_again = asyncio.Event()
         self.silent = False
 
@@ -81,6 +82,7 @@
     ) -> Result[WorkerReport, LinkFailure]:
         self.acknowledged.append(acknowledged)
         self.extensions.append(extend_lease)
+        self.polled.set()
         if len(self.acknowledged) > 1:
             self.polled_again.set()
         await asyncio.sleep(0)
@@ -88,6 +90,11 @@
             return Err(LinkFailure("no answer"))
         return Ok(WorkerReport(self._worker, [], []))
 
+    async def wait_for_polls(self, count: int) -> None:
+        while len(self.acknowledged) < count:
+            self.polled.clear()
+            await self.polled.wait()
+
     async def execute_order(self, order: Order, token: int) -> OrderOutcome:
         self.orders.append(order)
         return OrderOutcome.DONE
@@ -211,6 +218,34 @@
         self.assertEqual((57, {0}), (link.acknowledged[0], _later(link)))
         self.assertFalse(any(link.extensions))
 
+    def test_call_after_a_failed_one_acknowledges_nothing(self) -> None:
+        """Guards against ends that are forgotten before they are stored.
+
+        The worker may have started again meanwhile: its new lifetime would
+        forget its ends up to a number of the earlier one.
+        """
+        link = _Link()
+
+        async def run() -> None:
+            assigned = AssignedWorker(_WORKER, "127.0.0.1:1")
+            proxy = WorkerProxy(assigned, link, _Member(), RecordingLog())
+            proxy.acknowledge(57)
+            task = asyncio.create_task(proxy.run())
+            async with asyncio.timeout(5.0):
+                await link.polled_again.wait()
+                link.silent = True
+                calls = len(link.acknowledged)
+                await link.wait_for_polls(calls + 2)
+                link.silent = False
+                await link.wait_for_polls(calls + 4)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        first_zero = link.acknowledged.index(0)
+        self.assertEqual({57}, set(link.acknowledged[:first_zero]))
+        self.assertIn(57, link.acknowledged[first_zero:])
+
     def test_expected_lifetime_is_served(self) -> None:
         """Guards against a worker that is taken for another lifetime."""
         start = StartOrder(_WORKER, _REF, 1, "text")
