Wait for the leases that were given, not for a leader that is gone

Cause: a new leader waited for all that its predecessor might still do: 10 s of its right to lead, 2 s of a grant, 6.1 s of a lease and 0.4 s. Only a process at the predecessor's own address ended this early, and each election began it anew. No member could prove more, because an old leader may assign the worker to any process that nobody hears, itself included.

Change: a member is told to call a worker only after it is stored as one of its callers, in a transaction that checks the leader's row, so that a replaced or paused leader lets nobody else call it. A new leader reads the callers and waits for these alone. When a process first follows it, it states its last extension of each lease before its first heartbeat; a restarted process does not speak for the one before. A former caller stays stored until its leases have ended. A caller that does not follow is waited for as before. Workers are assigned in a task of their own, at the pace of the store.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -15,6 +15,9 @@
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.fleet.worker_report import WorkerReport
 from carawaystep.planner.advice_request import AdviceRequest
+
+# The codecs read the annotations at run time.
+from carawaystep.validation.bounds import Seconds  # noqa: TC001
 from carawaystep.workflow.workflow_spec import WorkflowSpec
 from carawaystep.workflow.workflow_state import WorkflowState
 
@@ -168,6 +171,21 @@
     draining: bool
 
 
+class LeaseAges(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """What a member has extended before it followed the term.
+
+    The member sends it once it calls no worker for an earlier leader.
+
+    :param ages_s: seconds since the last extension, by id of the worker
+    :param process_age_s: seconds since the member's process started; it has
+        extended no other lease in this time
+    """
+
+    term: int
+    ages_s: dict[str, Seconds]
+    process_age_s: Seconds
+
+
 class Report(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """A worker's report, fetched with the term's fencing token."""
 
@@ -250,6 +268,7 @@
 )
 FromMember = (
     MemberHeartbeat
+    | LeaseAges
     | Report
     | ReportPollRejected
     | OrderResult
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -10,6 +10,7 @@
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.changes import Changes
+from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.evacuation import Evacuation
 from carawaystep.planner.immediate_orders import ImmediateOrders
 from carawaystep.planner.interference_guard import InterferenceGuard
@@ -74,7 +75,10 @@
         self._guard = InterferenceGuard(interference)
         self._log = log
         self._registry = WorkflowRegistry()
-        self._workers = WorkerRegistry(self._registry, limits, now)
+        self._earlier_leases = EarlierLeases(limits, now)
+        self._workers = WorkerRegistry(
+            self._registry, limits, self._earlier_leases, now
+        )
         self._immediate_orders = ImmediateOrders(log)
         self._ticket_cache = TicketCache(log)
         self._task_placer = TaskPlacer(
@@ -108,6 +112,16 @@
         """Return the workers that are listed or may still have runs."""
         return self._workers.workers
 
+    @property
+    def unlisted_worker_ids(self) -> set[str]:
+        """Return the ids of workers with stored runs that are not listed."""
+        return self._workers.unlisted_ids
+
+    @property
+    def earlier_leases(self) -> EarlierLeases:
+        """Return what is known of leases that earlier leaders extended."""
+        return self._earlier_leases
+
     @property
     def workflows(self) -> Mapping[str, Workflow]:
         """Return the workflows that are not settled, by id."""
@@ -292,7 +306,7 @@
         :param at: seconds of a monotonic clock; a later time than the known
             one is ignored
         """
-        self._workers.set_predecessor_stop_time(at)
+        self._earlier_leases.set_predecessor_stop_time(at)
 
     def requeue_lost_runs(
         self, now: float, contact_times: ContactTimes
--- a/src/carawaystep/planner/planner_limits.py
+++ b/src/carawaystep/planner/planner_limits.py
@@ -9,6 +9,8 @@
 class PlannerLimits:
     """Times after which every run on a silent worker must have ended.
 
+    :param lease_ends_after_s: time since the last extension of a lease;
+        covers its length and clock drift
     :param lost_after_s: time since the worker's last report in this term;
         covers the last extension of its lease and clock drift
     :param takeover_lost_after_s: time since the start of the term, for
@@ -16,5 +18,6 @@
         leaders of earlier terms, which may act until their own leases end
     """
 
+    lease_ends_after_s: float
     lost_after_s: float
     takeover_lost_after_s: float
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -15,6 +15,7 @@
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.planner.contact_times import ContactTimes
+    from carawaystep.planner.earlier_leases import EarlierLeases
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.workflow_registry import WorkflowRegistry
     from carawaystep.workflow.task_ref import TaskRef
@@ -29,22 +30,25 @@
     """
 
     def __init__(
-        self, workflows: WorkflowRegistry, limits: PlannerLimits, now: float
+        self,
+        workflows: WorkflowRegistry,
+        limits: PlannerLimits,
+        earlier_leases: EarlierLeases,
+        now: float,
     ) -> None:
         """Create a registry without workers at the start of a term.
 
         :param workflows: the workflows, whose tasks may be placed on workers
             that are not listed yet
         :param limits: times after which a silent worker has no runs
+        :param earlier_leases: tells until when workers without a report may
+            hold leases
         :param now: current time, seconds of a monotonic clock
         """
         self._workflows = workflows
         self._limits = limits
         self._term_started_at = now
-        # In the worst case, an earlier leader has sent its last heartbeat at
-        # the end of its own lease, a member has used the grant in it to the
-        # end, and the lease of the worker then runs its full length.
-        self._earlier_leases_end_at = now + limits.takeover_lost_after_s
+        self._earlier_leases = earlier_leases
         self._workers: dict[WorkerKey, TrackedWorker] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
         # of the worker have been dropped.
@@ -68,6 +72,11 @@
         """Return a worker, None when it is unknown."""
         return self._workers.get(key)
 
+    @property
+    def unlisted_ids(self) -> set[str]:
+        """Return the ids of workers that are awaited and not listed."""
+        return {key.id for key in self._unlisted}
+
     def usable(self, now: float) -> list[TrackedWorker]:
         """Return the workers that may get new work.
 
@@ -79,19 +88,6 @@
         """Wait for a worker with stored runs until it has no lease."""
         self._unlisted[key] = None
 
-    def set_predecessor_stop_time(self, at: float) -> None:
-        """Set the time after which no leader of an earlier term acts.
-
-        Their last grants and the leases extended with them end as long after
-        this as those of a leader after a worker's last report.
-
-        :param at: seconds of a monotonic clock; a later time than the known
-            one is ignored
-        """
-        self._earlier_leases_end_at = min(
-            self._earlier_leases_end_at, at + self._limits.lost_after_s
-        )
-
     def update_list(self, records: Iterable[WorkerRecord]) -> list[WorkerKey]:
         """Apply the current list of workers.
 
@@ -159,9 +155,13 @@
 
         :param now: current time, seconds of a monotonic clock
         """
-        if now <= self._earlier_leases_end_at:
-            return []
-        return self._take_unlisted(list(self._unlisted))
+        return self._take_unlisted(
+            [
+                key
+                for key in self._unlisted
+                if now > self._earlier_leases.end_at(key.id)
+            ]
+        )
 
     def without_lease(
         self, now: float, contact_times: ContactTimes
@@ -198,7 +198,7 @@
         """Return when the lease ends that the leader knows of."""
         last_report_at = worker.last_report_at
         if last_report_at is None:
-            return self._earlier_leases_end_at
+            return self._earlier_leases.end_at(worker.key.id)
         return last_report_at + self._limits.lost_after_s
 
     def _take_unlisted(self, keys: list[WorkerKey]) -> list[WorkerKey]:
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -9,6 +9,7 @@
 from carawaystep.cluster.messages import AdviceReply
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
+from carawaystep.cluster.messages import LeaseAges
 from carawaystep.cluster.messages import OrderResult
 from carawaystep.cluster.messages import QueryState
 from carawaystep.cluster.messages import Report
@@ -19,6 +20,7 @@
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.predecessors import Predecessors
 from carawaystep.leadership.silence_limit import SilenceLimit
+from carawaystep.planner.earlier_leases import LastExtensions
 from carawaystep.planner.interference_aware_placement import (
     InterferenceAwarePlacement,
 )
@@ -27,6 +29,7 @@
 from carawaystep.planner.planner_limits import PlannerLimits
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.advice_dispatcher import AdviceDispatcher
+from carawaystep.scheduler.caller_repository import CallerRepository
 from carawaystep.scheduler.change_feed import ChangeFeed
 from carawaystep.scheduler.interval_timer import IntervalTimer
 from carawaystep.scheduler.leader_context import LeaderContext
@@ -37,6 +40,7 @@
 from carawaystep.scheduler.step_timer import StepTimer
 from carawaystep.scheduler.stored_rows import parse_spec
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
+from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
 from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
@@ -113,10 +117,15 @@
         # the grant ends. When the worker does not answer, the member stops
         # earlier, after the extension window of WorkerProxy. The last
         # extension then runs for lease_s.
-        lost_after_s = GRANT_S + lease_s + _LOST_MARGIN_S
+        lease_ends_after_s = lease_s + _LOST_MARGIN_S
+        lost_after_s = GRANT_S + lease_ends_after_s
         self._interference = InterferenceModel()
         self._planner = Planner(
-            PlannerLimits(lost_after_s, LEADER_LEASE_S + lost_after_s),
+            PlannerLimits(
+                lease_ends_after_s,
+                lost_after_s,
+                LEADER_LEASE_S + lost_after_s,
+            ),
             InterferenceAwarePlacement(self._interference),
             self._interference,
             ports.log,
@@ -125,7 +134,12 @@
         self._plan_requested = asyncio.Event()
         self._sessions = MemberSessions(ports, self)
         self._assignments = WorkerAssignments(
-            self._planner, self._sessions, self.name
+            self._planner,
+            self._sessions,
+            self.name,
+            WorkerCallers(lease_ends_after_s),
+            CallerRepository(ports, store_health, term),
+            self._predecessors,
         )
         self._order_dispatcher = OrderDispatcher(
             term,
@@ -199,6 +213,7 @@
 
     def record_follower(self, address: str) -> None:
         """Record a follower, which may be the last earlier leader."""
+        self._planner.earlier_leases.record_follower(address, self.now)
         last = self._predecessors.record_follower(address, self.now)
         self._planner.set_predecessor_stop_time(self._predecessors.stop_time)
         if last:
@@ -226,6 +241,7 @@
                 )
                 group.create_task(self._follow_cancels(revisions.cancels))
                 group.create_task(self._run_periodic_work())
+                group.create_task(self._assign_workers())
                 group.create_task(self._run_planner())
                 group.create_task(self._save_interference())
         except* TermEnded:
@@ -236,6 +252,7 @@
 
     async def _load(self) -> LoadedRevisions:
         """Restore the stored state and let the members' messages in."""
+        await self._assignments.load()
         revisions = await self._repository.load(self._planner)
         self._interference.restore(await self._repository.load_interference())
         self._publish_restored_states()
@@ -256,6 +273,10 @@
         Until the stored state is read, calls are answered with "not stored":
         the member then uses the store itself.
         """
+        if isinstance(message, LeaseAges):
+            if message.term == self._term:
+                self._record_lease_ages(session.record.address, message)
+            return
         if not self._loaded:
             if isinstance(message, Submit | Cancel | QueryState):
                 await session.send(CallReply(message.call, False))
@@ -285,6 +306,24 @@
         elif isinstance(message, ReportPollRejected) and message.fenced:
             self.request_term_check()
 
+    def _record_lease_ages(self, address: str, message: LeaseAges) -> None:
+        """Record which leases a follower has extended before the term.
+
+        The message may have been on its way for some time, so that the
+        computed times are late rather than early.
+        """
+        now = self.now
+        self._planner.earlier_leases.record_extensions(
+            address,
+            LastExtensions(
+                {
+                    worker_id: now - age_s
+                    for worker_id, age_s in message.ages_s.items()
+                },
+                now - message.process_age_s,
+            ),
+        )
+
     async def _save_interference(self) -> None:
         saved: list[tuple[str, str, float]] = []
         while True:
@@ -382,8 +421,6 @@
                 self._stops_retried_at = now
                 self._planner.retry_stops()
             await self._dispatch_immediate_orders()
-            if now >= self._unread_until:
-                await self._assignments.update(now)
             if now - self._queue_counts_sent_at > _QUEUE_COUNT_INTERVAL_S:
                 self._queue_counts_sent_at = now
                 self._sessions.publish_queue_counts(
@@ -391,6 +428,14 @@
                 )
             self._plan_requested.set()
 
+    async def _assign_workers(self) -> None:
+        """Assign workers to members, at the pace of the store."""
+        while True:
+            now = self.now
+            if now >= self._unread_until:
+                await self._assignments.update(now)
+            await asyncio.sleep(_TICK_INTERVAL_S)
+
     def _record_delay(self, late_s: float, now: float) -> None:
         """Record that the event loop was busy or the process paused.
 
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -15,6 +15,7 @@
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import ForwardedAdviceRequest
 from carawaystep.cluster.messages import LeaderHeartbeat
+from carawaystep.cluster.messages import LeaseAges
 from carawaystep.cluster.messages import MemberHeartbeat
 from carawaystep.cluster.messages import OrderResult
 from carawaystep.cluster.messages import Orders
@@ -24,6 +25,7 @@
 from carawaystep.cluster.messages import Submit
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.scheduler.advice_proxy import AdviceProxy
+from carawaystep.scheduler.lease_extensions import LeaseExtensions
 from carawaystep.scheduler.member_context import MemberContext
 from carawaystep.scheduler.published_state_cache import PublishedStateCache
 from carawaystep.scheduler.worker_proxy import WorkerProxy
@@ -74,6 +76,7 @@
         # whose numbers must not be those of calls of this process.
         self._call_numbers = count(randbits(_CALL_NUMBER_BITS))
         self._draining = False
+        self._lease_extensions = LeaseExtensions(ports.clock)
         self._advice_proxy = AdviceProxy(ports.advisor, self, ports.log)
         self.published_states = PublishedStateCache()
 
@@ -87,6 +90,11 @@
         """Return the highest known term."""
         return self._leadership.term
 
+    @property
+    def lease_extensions(self) -> LeaseExtensions:
+        """Return the record of the leases that this process extends."""
+        return self._lease_extensions
+
     def holds_grant(self, term: int) -> bool:
         """Tell whether the grant to call workers for a term is valid."""
         return self._leadership.holds_grant(term, self.now)
@@ -213,6 +221,8 @@
                     "leader.followed", message.leader, term=message.term
                 )
             self._leader_identity = leader
+            if message.term > previous_term:
+                await self._send_lease_ages()
             if message.published is not None:
                 self._apply_published(message.published)
         heartbeat = MemberHeartbeat(
@@ -224,6 +234,17 @@
         )
         await self._ports.leader_port.send(leader, heartbeat)
 
+    async def _send_lease_ages(self) -> None:
+        """Tell a new leader which leases may last, before any heartbeat."""
+        now = self.now
+        await self.send(
+            LeaseAges(
+                self.term,
+                self._lease_extensions.ages_s(now),
+                self._lease_extensions.process_age_s(now),
+            )
+        )
+
     def _apply_published(self, message: PublishedStates) -> None:
         self.published_states.update_states(message.states, message.number)
         if message.queued is not None:
--- a/src/carawaystep/scheduler/member_context.py
+++ b/src/carawaystep/scheduler/member_context.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from carawaystep.cluster.messages import FromMember
+    from carawaystep.scheduler.lease_extensions import LeaseExtensions
 
 
 class MemberContext(ABC):
@@ -23,6 +24,11 @@
     def term(self) -> int:
         """Return the highest known term."""
 
+    @property
+    @abstractmethod
+    def lease_extensions(self) -> LeaseExtensions:
+        """Return the record of the leases that this process extends."""
+
     @abstractmethod
     def holds_grant(self, term: int) -> bool:
         """Tell whether the grant to call workers for a term is valid."""
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -64,6 +64,8 @@
         # which may have lost messages of the member.
         self._silent_since: deque[float] = deque(maxlen=_MAX_SILENCES)
         self._assignment_version = 0
+        # None before the member follows the term.
+        self._confirmed_version: int | None = None
         self._workers: list[AssignedWorker] = []
         self._unpublished_states: dict[str, WorkflowState] = {}
         self._queue_counts: dict[str, int] | None = None
@@ -94,6 +96,15 @@
             return []
         return [*self._silent_since, self._last_heartbeat_at]
 
+    def has_dropped(self, worker_id: str) -> bool:
+        """Tell whether the member has confirmed not to call a worker.
+
+        :param worker_id: id of the worker, in any lifetime
+        """
+        return self._confirmed_version == self._assignment_version and all(
+            worker.key.id != worker_id for worker in self._workers
+        )
+
     def available(self, now: float) -> bool:
         """Tell whether the member can be assigned workers and requests.
 
@@ -225,6 +236,8 @@
         self._member_timestamp = message.timestamp
         if self._draining != message.draining:
             self._draining = message.draining
+        if message.term == self._context.term:
+            self._confirmed_version = message.assignment_version
         if message.assignment_version != self._assignment_version:
             # The member restarted, changed leaders or missed a message.
             await self._send_assignment()
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -5,38 +5,67 @@
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import AssignedWorker
+from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.worker_assignment import assign_workers
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.leadership.member_record import MemberRecord
+    from carawaystep.leadership.predecessors import Predecessors
     from carawaystep.planner.planner import Planner
+    from carawaystep.scheduler.caller_repository import CallerRepository
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.member_sessions import MemberSessions
+    from carawaystep.scheduler.worker_callers import WorkerCallers
+
+# Former callers are dropped from the store at this interval.
+_CLEANUP_INTERVAL_S = 1.0
 
 
 class WorkerAssignments:
-    """Assigns each worker to one of the available members."""
+    """Assigns each worker to one of the available members.
+
+    Invariant: a member is told to call a worker only while it is stored as
+    one of the worker's callers.
+    """
 
     def __init__(
-        self, planner: Planner, sessions: MemberSessions, leader: str
+        self,
+        planner: Planner,
+        sessions: MemberSessions,
+        leader: str,
+        callers: WorkerCallers,
+        repository: CallerRepository,
+        predecessors: Predecessors,
     ) -> None:
         """Create assignments of no worker.
 
         :param planner: knows the workers and hears of reassignments
         :param sessions: sessions with the members
         :param leader: name of the leader's node
+        :param callers: the stored callers of the workers
+        :param repository: stores the callers
+        :param predecessors: tells when the last earlier leader has stopped
         """
         self._planner = planner
         self._sessions = sessions
         self._leader = leader
+        self._worker_callers = callers
+        self._repository = repository
+        self._predecessors = predecessors
         self._member_by_worker: dict[WorkerKey, str] = {}
         # Inputs of the assignments, which change only with them.
         self._records: dict[WorkerKey, WorkerRecord] = {}
         self._available: dict[str, MemberRecord] = {}
+        self._wanted: dict[WorkerKey, str] = {}
         # Sessions with all members that a worker was assigned to.
         self._callers: dict[WorkerKey, frozenset[MemberSession]] = {}
+        # Last heartbeat in this term, by address of the member.
+        self._heard_at: dict[str, float] = {}
+        self._cleaned_up_at = 0.0
 
     def member_name(self, key: WorkerKey) -> str:
         """Return the member that calls a worker, empty when none does."""
@@ -54,38 +83,132 @@
             for heard_at in session.contact_times
         ]
 
+    async def load(self) -> None:
+        """Read the stored callers, before any member is assigned a worker."""
+        callers = await self._repository.load()
+        self._worker_callers.restore(callers)
+        self._planner.earlier_leases.restore(callers)
+
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
 
-        Without an available member the assignments stay as they are.
+        Without an available member the assignments stay as they are, and a
+        worker stays with its member until the next one is stored.
 
         :param now: current time in seconds, monotonic
         """
+        self._record_contacts()
         available = self._sessions.available(now)
         if not available:
             return
         records = {
             key: worker.record for key, worker in self._planner.workers.items()
         }
-        if records == self._records and available == self._available:
-            return
-        self._records = records
-        self._available = available
-        member_by_worker = assign_workers(
-            records.values(), available, self._leader
+        if records != self._records or available != self._available:
+            self._records = records
+            self._available = available
+            self._wanted = assign_workers(
+                records.values(), available, self._leader
+            )
+        if self._wanted != self._member_by_worker:
+            if self._permitted() != self._member_by_worker:
+                # What needs no write does not wait for the store.
+                await self._assign()
+            await self._store_callers(now)
+            await self._assign()
+        elif now - self._cleaned_up_at >= _CLEANUP_INTERVAL_S:
+            self._cleaned_up_at = now
+            await self._store_callers(now)
+
+    async def _store_callers(self, now: float) -> None:
+        """Store the wanted callers; what fails is tried with the next update.
+
+        :param now: current time in seconds, monotonic
+        """
+        wanted: dict[str, set[str]] = {}
+        for key, name in self._wanted.items():
+            address = self._available[name].address
+            wanted.setdefault(key.id, set()).add(address)
+        changes = self._worker_callers.changes(
+            wanted,
+            lambda worker_id, address: self._has_stopped(
+                worker_id, address, now
+            ),
+            now,
         )
+        if not changes:
+            return
+        stored = await self._repository.store(changes)
+        for worker_id, addresses in stored.items():
+            self._worker_callers.record_stored(worker_id, addresses)
+
+    def _permitted(self) -> dict[WorkerKey, str]:
+        """Return the wanted members, or the present ones until they may call.
+
+        A worker without either is left out.
+        """
+        member_by_worker = {}
+        for key, name in self._wanted.items():
+            address = self._available[name].address
+            if not self._worker_callers.allows(key.id, address):
+                name = self.member_name(key)
+            if name:
+                member_by_worker[key] = name
+        return member_by_worker
+
+    async def _assign(self) -> None:
+        """Tell the members which workers to call, among stored callers."""
+        member_by_worker = self._permitted()
         assignments: dict[str, list[AssignedWorker]] = {
-            name: [] for name in available
+            name: [] for name in self._available
         }
         for key, name in member_by_worker.items():
-            assignments[name].append(AssignedWorker(key, records[key].address))
+            if name in assignments:
+                assignments[name].append(
+                    AssignedWorker(key, self._records[key].address)
+                )
             if self._member_by_worker.get(key) != name:
                 self._planner.handle_reassignment(key)
         self._member_by_worker = member_by_worker
-        self._callers = {
+        self._callers = self._sessions_of_callers(member_by_worker)
+        for name, workers in assignments.items():
+            await self._sessions.sessions[name].assign(workers)
+
+    def _sessions_of_callers(
+        self, member_by_worker: Mapping[WorkerKey, str]
+    ) -> dict[WorkerKey, frozenset[MemberSession]]:
+        """Return the sessions with all members that were assigned a worker."""
+        return {
             key: self._callers.get(key, frozenset())
             | {self._sessions.sessions[name]}
             for key, name in member_by_worker.items()
         }
-        for name, workers in assignments.items():
-            await self._sessions.sessions[name].assign(workers)
+
+    def _record_contacts(self) -> None:
+        for session in self._sessions.sessions.values():
+            if session.contact_times:
+                self._heard_at[session.record.address] = max(
+                    session.contact_times
+                )
+
+    def _has_stopped(self, worker_id: str, address: str, now: float) -> bool:
+        """Tell whether a member certainly does not call a worker any more.
+
+        It does not when it has confirmed an assignment without the worker,
+        and when its last grant has ended. Its extensions of a worker whose
+        runs are awaited still count in any case.
+
+        :param address: address of the member
+        :param now: current time in seconds, monotonic
+        """
+        if worker_id in self._planner.unlisted_worker_ids:
+            return False
+        for session in self._sessions.sessions.values():
+            if session.record.address == address and session.has_dropped(
+                worker_id
+            ):
+                return True
+        last_grant_at = self._heard_at.get(
+            address, self._predecessors.stop_time
+        )
+        return now > last_grant_at + GRANT_S
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import nullcontext
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,10 +18,15 @@
 from carawaystep.leadership.leadership import GRANT_S
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
+    from result import Result
+
     from carawaystep.cluster.messages import AssignedWorker
     from carawaystep.cluster.messages import NumberedOrder
     from carawaystep.fleet.link_failure import LinkFailure
     from carawaystep.fleet.worker_link import WorkerLink
+    from carawaystep.fleet.worker_report import WorkerReport
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.scheduler.member_context import MemberContext
 
@@ -135,17 +141,10 @@
                 or self._prompt_reports_left > 0
             )
             self._prompt_reports_left = max(0, self._prompt_reports_left - 1)
-            # After a failed call the worker may have started again, and its
-            # new lifetime numbers its ends from 1.
-            may_be_replaced = self._last_poll_failed or self._replaced
-            result = await self._link.fetch_report(
-                self._term,
-                0 if may_be_replaced else self._acknowledged_end,
-                answered_recently,
-                0.0
-                if prompt or not answered_recently
-                else _REPORT_LONG_POLL_S,
+            wait_s = (
+                0.0 if prompt or not answered_recently else _REPORT_LONG_POLL_S
             )
+            result = await self._fetch_report(answered_recently, wait_s)
             self._last_poll_failed = isinstance(result, Err)
             if isinstance(result, Err):
                 await self._handle_link_failure(result.err_value)
@@ -160,6 +159,21 @@
                 await self._wait_until_acknowledged(report.ended[-1].number)
             await asyncio.sleep(_BATCH_WINDOW_S)
 
+    async def _fetch_report(
+        self, extend_lease: bool, wait_s: float
+    ) -> Result[WorkerReport, LinkFailure]:
+        # After a failed call the worker may have started again, and its new
+        # lifetime numbers its ends from 1.
+        may_be_replaced = self._last_poll_failed or self._replaced
+        acknowledged = 0 if may_be_replaced else self._acknowledged_end
+        with self._extension() if extend_lease else nullcontext():
+            return await self._link.fetch_report(
+                self._term, acknowledged, extend_lease, wait_s
+            )
+
+    def _extension(self) -> AbstractContextManager[None]:
+        return self._context.lease_extensions.call(self._worker.key.id)
+
     def _has_answered_recently(self) -> bool:
         """Tell whether the worker's leases may be extended."""
         silent_s = self._context.now - self._answered_at
@@ -216,7 +230,9 @@
             return OrderOutcome.NOT_SENT
         if isinstance(order, StartOrder) and self._is_silent:
             return OrderOutcome.NOT_SENT
-        outcome = await self._link.execute_order(order, self._term)
+        is_start = isinstance(order, StartOrder)
+        with self._extension() if is_start else nullcontext():
+            outcome = await self._link.execute_order(order, self._term)
         if isinstance(order, StopOrder):
             self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
         return outcome
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -15,6 +15,7 @@
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.progress_rows import JSON_SHARE_OF_ROW
 from carawaystep.scheduler.progress_rows import ProgressRows
+from carawaystep.scheduler.table_reader import read_table
 from carawaystep.scheduler.workflow_change import transactions
 from carawaystep.scheduler.workflow_change import workflow_changes
 from carawaystep.store.operation import CheckRow
@@ -427,17 +428,9 @@
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
     async def _read_table(self, table: str) -> tuple[list[Row], int]:
-        while True:
-            result = await self._store.changes(table, 0)
-            if isinstance(result, Ok):
-                self._store_health.record_answer(self._clock.now())
-                page = result.ok_value
-                rows = [row for row in page.rows if row.value is not None]
-                return rows, page.revision
-            self._store_health.record_failure(
-                result.err_value.detail, self._clock.now()
-            )
-            await asyncio.sleep(_RETRY_INTERVAL_S)
+        return await read_table(
+            self._store, self._clock, self._store_health, table
+        )
 
     def _record_confirmation(self, began_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, began_at)
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -52,6 +52,7 @@
 _GRANT_S = 2.0
 _LOST_AFTER_S = LEASE_S + _GRANT_S
 _LIMITS = PlannerLimits(
+    lease_ends_after_s=LEASE_S,
     lost_after_s=_LOST_AFTER_S,
     takeover_lost_after_s=_LEADER_LEASE_S + _LOST_AFTER_S,
 )
--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -9,14 +9,19 @@
 from unittest.mock import patch
 
 from carawaystep.planner.cancellations import Cancellations
+from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.scheduler import member
 from carawaystep.scheduler import tables
+from carawaystep.scheduler.caller_repository import CallerRepository
+from carawaystep.scheduler.lease_extensions import LeaseExtensions
 from carawaystep.scheduler.published_state_cache import PublishedStateCache
 from carawaystep.scheduler.waiting_calls import WaitingCalls
+from carawaystep.scheduler.worker_callers import WorkerCallers
 from tests.scheduler.simulation.simulated_store import SimulatedStore
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
     from collections.abc import Sequence
     from contextlib import AbstractContextManager
 
@@ -80,12 +85,67 @@
     )
 
 
+def _store_first_callers_only() -> AbstractContextManager[object]:
+    """Let members call workers that have other stored callers."""
+    store = CallerRepository.store
+
+    async def store_first(
+        repository: CallerRepository,
+        callers: Mapping[str, frozenset[str]],
+    ) -> dict[str, frozenset[str]]:
+        first = {
+            worker_id: addresses
+            for worker_id, addresses in callers.items()
+            if not repository._versions.get(worker_id)
+        }
+        await store(repository, first)
+        return dict(callers)
+
+    return patch.object(CallerRepository, "store", store_first)
+
+
+def _drop_former_callers() -> AbstractContextManager[object]:
+    """Forget a former caller while it may still call the worker."""
+
+    def is_droppable(*_: object) -> bool:
+        return True
+
+    return patch.object(WorkerCallers, "_is_droppable", is_droppable)
+
+
+def _ignore_silent_callers() -> AbstractContextManager[object]:
+    """Take a caller that does not follow the term for a stopped one."""
+    caller_end = EarlierLeases._caller_end
+
+    def caller_end_at(
+        leases: EarlierLeases, address: str, worker_id: str
+    ) -> float:
+        if address not in leases._followed_at:
+            return 0.0
+        return caller_end(leases, address, worker_id)
+
+    return patch.object(EarlierLeases, "_caller_end", caller_end_at)
+
+
+def _forget_extensions() -> AbstractContextManager[object]:
+    """Tell a new leader of no extension."""
+
+    def ages_s(extensions: LeaseExtensions, now: float) -> dict[str, float]:
+        return {}
+
+    return patch.object(LeaseExtensions, "ages_s", ages_s)
+
+
 _VARIANTS = {
     "none": nullcontext,
     "confirm-by-any-commit": _confirm_by_any_commit,
     "drop-early-cancellations": _drop_early_cancellations,
     "number-calls-from-one": _number_calls_from_one,
     "keep-unfinished-states": _keep_unfinished_states,
+    "store-first-callers-only": _store_first_callers_only,
+    "drop-former-callers": _drop_former_callers,
+    "ignore-silent-callers": _ignore_silent_callers,
+    "forget-extensions": _forget_extensions,
 }
 VARIANT_NAMES = tuple(_VARIANTS)
 
--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -13,6 +13,8 @@
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import LeaderHeartbeat
+from carawaystep.cluster.messages import LeaseAges
+from carawaystep.cluster.messages import MemberHeartbeat
 from carawaystep.cluster.messages import Orders
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.fleet.worker_key import WorkerKey
@@ -40,6 +42,7 @@
 
     def __init__(self, messages: list[FromLeader]) -> None:
         self._messages = messages
+        self.sent: list[object] = []
         self.all_handled = asyncio.Event()
 
     async def receive(self) -> tuple[bytes, FromLeader]:
@@ -49,6 +52,7 @@
         return b"leader", self._messages.pop(0)
 
     async def send(self, leader: bytes, message: object) -> bool:
+        self.sent.append(message)
         return True
 
 
@@ -116,6 +120,43 @@
         self.assertIsNone(asyncio.run(submit(_LateLeaderPort(late_reply))))
 
 
+class NewLeaderTest(TestCase):
+    """What a member tells a new leader."""
+
+    def test_leases_are_stated_once_before_the_first_heartbeat(self) -> None:
+        """Guards against a leader that waits for leases nobody extended.
+
+        A heartbeat proves that the member calls no worker for an earlier
+        leader any more.
+        """
+
+        async def run() -> list[object]:
+            heartbeats = [
+                LeaderHeartbeat(term, "edge-2", 0.0, 0.0)
+                for term in (5, 5, 4, 6)
+            ]
+            port = _LeaderPort(list(heartbeats))
+            member = _new_member(port)
+            with member.lease_extensions.call("w1"):
+                task = asyncio.create_task(member.run())
+                async with asyncio.timeout(5.0):
+                    await port.all_handled.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return port.sent
+
+        sent = asyncio.run(run())
+        self.assertEqual(
+            [
+                LeaseAges(5, {"w1": 0.0}, 0.0),
+                *[MemberHeartbeat("edge-1", 5, 10.0, 0, False)] * 3,
+                LeaseAges(6, {"w1": 0.0}, 0.0),
+                MemberHeartbeat("edge-1", 6, 10.0, 0, False),
+            ],
+            sent,
+        )
+
+
 class PublishedStatesTest(TestCase):
     """States of which the member may have missed an update."""
 
--- a/tests/users_platform/worker_standin.py
+++ b/tests/users_platform/worker_standin.py
@@ -37,6 +37,8 @@
     :ivar unhealthy: whether starts get status 503
     :ivar unreachable: whether no call is carried out or answered
     :ivar checkpoint: checkpoint of each run
+    :ivar lease_ends_at: end of the last lease, seconds of the clock that
+        all processes share
     :ivar placement: service that issues the tickets that starts need, None
         when they need none
     """
@@ -60,6 +62,7 @@
         self.unhealthy = False
         self.unreachable = False
         self.checkpoint = ""
+        self.lease_ends_at = 0.0
         self.placement: PlacementStandin | None = None
         self._run_s = run_s
         self._token = 0
@@ -100,6 +103,9 @@
         if token < self._token:
             return self._json_response(409, reason="fence")
         self._token = token
+        self.lease_ends_at = max(
+            self.lease_ends_at, body.get("deadline_ms", 0) / 1000
+        )
         self._end_due_runs()
         return body
 
--- a/tools/check_model.py
+++ b/tools/check_model.py
@@ -19,6 +19,7 @@
 # a violation.
 _MECHANISMS = {
     "leadership.pml": ("FENCE", "STORED", "CHECKED", "HEARD", "LOOKED"),
+    "leases.pml": ("STORED", "CHECKED", "WAITED", "ALL", "KEPT"),
     "ownership.pml": ("FENCE", "EXACT", "INHERIT", "GENERATION"),
 }
 
