Construct the registry of workers with earlier leases in a test

Cause: test_cancellations builds the registry itself; the change of the wait for leases added an argument.

Change: the argument.

Measured: its 4 tests failed with a TypeError in the full run and pass.

--- a/tests/planner/test_cancellations.py
+++ b/tests/planner/test_cancellations.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from carawaystep.planner.cancellations import Cancellations
+from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.immediate_orders import ImmediateOrders
 from carawaystep.planner.run_stopper import RunStopper
 from carawaystep.planner.worker_registry import WorkerRegistry
@@ -24,7 +25,9 @@
         super().setUp()
         self.log = RecordingLog()
         self.registry = WorkflowRegistry()
-        workers = WorkerRegistry(self.registry, LIMITS, 0.0)
+        workers = WorkerRegistry(
+            self.registry, LIMITS, EarlierLeases(LIMITS, 0.0), 0.0
+        )
         stopper = RunStopper(workers, ImmediateOrders(self.log))
         self.cancellations = Cancellations(self.registry, stopper, self.log)
         self.spec = workflow_spec(StepSpec(1))
