Do not take a page without rows for the end of a table

Seen: nowhere; found while looking for other conclusions from cut lists.

Cause: a page of the store's table that has no rows but announces more was taken for the last one, so that a leader would have planned without the rest.

--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -88,6 +88,22 @@
             self.assertIsInstance(self._read(http), Err)
             self.assertEqual(calls, http.calls)
 
+    def test_page_without_rows_is_not_the_end(self) -> None:
+        """Guards against taking a part of a table for the whole.
+
+        A leader would start what it did not read.
+        """
+        body = {"schema_version": 9, "rows": [], "has_more": True}
+        response = HttpResponse(200, {}, msgspec.json.encode(body))
+
+        async def read() -> object:
+            client = StoreClient("127.0.0.1:1")
+            answer = AsyncMock(return_value=Ok(response))
+            with patch.object(client._http, "request", answer):
+                return await client.changes("submissions", 0)
+
+        self.assertIsInstance(asyncio.run(read()), Err)
+
 
 class TransactionTest(TestCase):
     """Transactions that the store does not apply."""
