Bound the states that wait for a member without connection

Seen: nowhere; found while looking for messages whose size grows with something.

Cause: the leader kept the changed states of all workflows of its term for each member that it could not reach, also for removed machines, and would have sent them in one message.

Change: of more than 2,000 states none is kept. The number of messages with states rises, so that the member drops what it had and asks.

Measured: the new test fails without the change (10,000 states in a message).

--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -29,6 +29,9 @@
 _MEMBER_TIMEOUT_S = 1.0
 # A connection without a heartbeat for this long is replaced.
 _RECONNECT_AFTER_S = 1.0
+# Of more states, none is sent: the member notices the gap in the numbers and
+# asks for what it needs.
+_MAX_UNPUBLISHED_STATES = 2000
 # Leases that a member extended before earlier silences have ended: each
 # silence takes more than _RECONNECT_AFTER_S.
 _MAX_SILENCES = 16
@@ -126,9 +129,13 @@
     def publish_states(self, states: Mapping[str, WorkflowState]) -> None:
         """Send stored states with the next heartbeat.
 
-        States that are sent in two heartbeats are numbered in order.
+        States that are sent in two heartbeats are numbered in order. For a
+        member that is not connected, only a limited number is kept.
         """
         self._unpublished_states.update(states)
+        if len(self._unpublished_states) > _MAX_UNPUBLISHED_STATES:
+            self._unpublished_states = {}
+            self._published_count += 1
 
     def publish_queue_counts(self, counts: dict[str, int]) -> None:
         """Send the queue counts with the next heartbeat."""
--- a/tests/scheduler/test_member_session.py
+++ b/tests/scheduler/test_member_session.py
@@ -16,6 +16,7 @@
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.scheduler import member_session
 from carawaystep.scheduler.member_session import MemberSession
+from carawaystep.scheduler.published_state_cache import PublishedStateCache
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
@@ -162,6 +163,43 @@
 
         asyncio.run(run())
 
+    def test_states_for_a_member_without_connection_are_bounded(
+        self,
+    ) -> None:
+        """Guards against memory and a message that grow without bound.
+
+        A removed machine is never connected again. A member that returns
+        notices by the numbers that it has missed states.
+        """
+
+        async def run() -> None:
+            channel = _Channel()
+            session = MemberSession(
+                MemberRecord("edge-2", "tcp://edge-2", "zone", 1.0),
+                channel,  # type: ignore[arg-type]
+                self.context,  # type: ignore[arg-type]
+            )
+            for number in range(10_000):
+                session.publish_states({f"{number}": WorkflowState.RUNNING})
+            channel.connected = True
+            cache = PublishedStateCache()
+            cache.update_states({"a": WorkflowState.RUNNING}, 0)
+            with patch.object(member_session, "_HEARTBEAT_INTERVAL_S", 0.01):
+                task = asyncio.create_task(session.run())
+                await asyncio.sleep(0.1)
+                task.cancel()
+                await asyncio.wait([task])
+            (published,) = [
+                message.published
+                for message in channel.sent
+                if isinstance(message, LeaderHeartbeat) and message.published
+            ]
+            self.assertLess(len(published.states), 2001)
+            cache.update_states(published.states, published.number)
+            self.assertIsNone(cache.get("a"))
+
+        asyncio.run(run())
+
     def test_own_delay_is_not_the_silence_of_a_member(self) -> None:
         """Guards against a busy leader that drops what members sent it.
 
