Split the leader's term and the repository of workflows

Change: the feeds (LeaderFeeds), the limits of leases (lease_limits), the row of learned harm (InterferenceRepository) and the log of rejected transactions are modules of their own, with their tests moved along. Sessions are found by address once for all workers, and the statement of a follower is converted where callers are known. Behaviour is the same.

--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -16,29 +16,27 @@
 from carawaystep.cluster.messages import ReportPollRejected
 from carawaystep.cluster.messages import Resignation
 from carawaystep.cluster.messages import Submit
-from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.predecessors import Predecessors
 from carawaystep.leadership.silence_limit import SilenceLimit
-from carawaystep.planner.earlier_leases import LastExtensions
 from carawaystep.planner.interference_aware_placement import (
     InterferenceAwarePlacement,
 )
 from carawaystep.planner.interference_model import InterferenceModel
 from carawaystep.planner.planner import Planner
-from carawaystep.planner.planner_limits import PlannerLimits
-from carawaystep.scheduler import tables
 from carawaystep.scheduler.advice_dispatcher import AdviceDispatcher
 from carawaystep.scheduler.caller_repository import CallerRepository
-from carawaystep.scheduler.change_feed import ChangeFeed
+from carawaystep.scheduler.interference_repository import (
+    InterferenceRepository,
+)
 from carawaystep.scheduler.interval_timer import IntervalTimer
 from carawaystep.scheduler.leader_context import LeaderContext
-from carawaystep.scheduler.member import WORKER_LEASE_S
+from carawaystep.scheduler.leader_feeds import LeaderFeeds
+from carawaystep.scheduler.lease_limits import planner_limits
 from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.step_timer import StepTimer
-from carawaystep.scheduler.stored_rows import parse_spec
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
@@ -58,10 +56,6 @@
     from carawaystep.scheduler.store_health import StoreHealth
     from carawaystep.scheduler.workflow_repository import LoadedRevisions
 
-# A worker's clock may be slow by this factor, which prolongs its leases.
-_MAX_CLOCK_DRIFT_FACTOR = 1.02
-_LOST_MARGIN_S = 0.4
-
 _CONFIRM_INTERVAL_S = 0.5
 _TICK_INTERVAL_S = 0.1
 # Changes within this window share a transaction.
@@ -70,7 +64,6 @@
 _STOP_RETRY_INTERVAL_S = 0.5
 # Time that messages which came during a delay get to be read at most.
 _MAX_READING_DELAY_S = 1.0
-_FEED_LONG_POLL_S = 2.0
 _INTERFERENCE_SAVE_INTERVAL_S = 4.0
 # Image pairs with a lower probability of harm are left out of the log.
 _LOGGED_MIN_PROBABILITY = 0.3
@@ -110,22 +103,13 @@
             settings, ports.store, ports.clock, store_health, ports.log, term
         )
         self._store_health = store_health
-        lease_s = (
-            min(WORKER_LEASE_S, settings.max_lease_s) * _MAX_CLOCK_DRIFT_FACTOR
+        self._interference_repository = InterferenceRepository(
+            settings, ports, store_health, term
         )
-        # After a worker's last report, its member may extend the lease until
-        # the grant ends. When the worker does not answer, the member stops
-        # earlier, after the extension window of WorkerProxy. The last
-        # extension then runs for lease_s.
-        lease_ends_after_s = lease_s + _LOST_MARGIN_S
-        lost_after_s = GRANT_S + lease_ends_after_s
+        limits = planner_limits(settings)
         self._interference = InterferenceModel()
         self._planner = Planner(
-            PlannerLimits(
-                lease_ends_after_s,
-                lost_after_s,
-                LEADER_LEASE_S + lost_after_s,
-            ),
+            limits,
             InterferenceAwarePlacement(self._interference),
             self._interference,
             ports.log,
@@ -137,7 +121,7 @@
             self._planner,
             self._sessions,
             self.name,
-            WorkerCallers(lease_ends_after_s),
+            WorkerCallers(limits.lease_ends_after_s),
             CallerRepository(ports, store_health, term),
             self._predecessors,
         )
@@ -150,9 +134,16 @@
             ports.log,
         )
         self._advice_dispatcher = AdviceDispatcher(term)
+        self._feeds = LeaderFeeds(
+            ports,
+            store_health,
+            self._planner,
+            self._sessions,
+            self._plan_requested,
+        )
         self._worker_list_follower = WorkerListFollower(
             ports.worker_list,
-            self._open_feed(ports.worker_list.table),
+            self._feeds.open(ports.worker_list.table),
             self._planner,
             self._plan_requested,
         )
@@ -230,16 +221,18 @@
             async with asyncio.TaskGroup() as group:
                 # Members hear of the term before its tables are read, which
                 # may take longer than they wait for a new leader.
-                group.create_task(self._follow_members())
+                group.create_task(self._feeds.follow_members())
                 group.create_task(self._confirm_term())
                 group.create_task(self._end_when_resigned())
                 group.create_task(self._sessions.raise_error())
                 revisions = await self._load()
                 group.create_task(self._worker_list_follower.run())
                 group.create_task(
-                    self._follow_submissions(revisions.submissions)
+                    self._feeds.follow_submissions(revisions.submissions)
+                )
+                group.create_task(
+                    self._feeds.follow_cancels(revisions.cancels)
                 )
-                group.create_task(self._follow_cancels(revisions.cancels))
                 group.create_task(self._run_periodic_work())
                 group.create_task(self._assign_workers())
                 group.create_task(self._run_planner())
@@ -254,7 +247,7 @@
         """Restore the stored state and let the members' messages in."""
         await self._assignments.load()
         revisions = await self._repository.load(self._planner)
-        self._interference.restore(await self._repository.load_interference())
+        self._interference.restore(await self._interference_repository.load())
         self._publish_restored_states()
         self._loaded = True
         return revisions
@@ -275,7 +268,9 @@
         """
         if isinstance(message, LeaseAges):
             if message.term == self._term:
-                self._record_lease_ages(session.record.address, message)
+                self._assignments.record_lease_ages(
+                    session.record.address, message, self.now
+                )
             return
         if not self._loaded:
             if isinstance(message, Submit | Cancel | QueryState):
@@ -306,24 +301,6 @@
         elif isinstance(message, ReportPollRejected) and message.fenced:
             self.request_term_check()
 
-    def _record_lease_ages(self, address: str, message: LeaseAges) -> None:
-        """Record which leases a follower has extended before the term.
-
-        The message may have been on its way for some time, so that the
-        computed times are late rather than early.
-        """
-        now = self.now
-        self._planner.earlier_leases.record_extensions(
-            address,
-            LastExtensions(
-                {
-                    worker_id: now - age_s
-                    for worker_id, age_s in message.ages_s.items()
-                },
-                now - message.process_age_s,
-            ),
-        )
-
     async def _save_interference(self) -> None:
         saved: list[tuple[str, str, float]] = []
         while True:
@@ -331,7 +308,7 @@
             pairs = self._interference.probabilities()
             if pairs == saved:
                 continue
-            if await self._repository.save_interference(pairs):
+            if await self._interference_repository.save(pairs):
                 saved = pairs
                 self._ports.log.line(
                     "interference.stored",
@@ -450,43 +427,6 @@
         self._order_dispatcher.expire(now)
         self._planner.requeue_lost_runs(now, self._assignments.contact_times)
 
-    def _open_feed(self, table: str, since: int = 0) -> ChangeFeed:
-        """Return a feed of a table.
-
-        :param since: revision after which changes are read, 0 to start with
-            a full read
-        """
-        return ChangeFeed(
-            self._ports, self._store_health, table, _FEED_LONG_POLL_S, since
-        )
-
-    async def _follow_members(self) -> None:
-        feed = self._open_feed(tables.MEMBERS)
-        while True:
-            for row in await feed.read():
-                self._sessions.open(row)
-
-    async def _follow_submissions(self, revision: int) -> None:
-        feed = self._open_feed(tables.SUBMISSIONS, revision)
-        while True:
-            for row in await feed.read():
-                known = self._planner.state(row.key) is not None
-                if row.value is None or known:
-                    continue
-                spec = parse_spec(row)
-                if spec is not None:
-                    self._planner.admit(spec, stored=True)
-                    self._plan_requested.set()
-
-    async def _follow_cancels(self, revision: int) -> None:
-        feed = self._open_feed(tables.CANCELS, revision)
-        while True:
-            for row in await feed.read():
-                if row.value is None:
-                    continue
-                if self._planner.apply_stored_cancellation(row.key):
-                    self._plan_requested.set()
-
     async def _confirm_term(self) -> None:
         """Check the leader row on request and at an interval.
 
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -88,6 +88,14 @@
         """
         return self._member_timestamp
 
+    @property
+    def last_heartbeat_at(self) -> float | None:
+        """Return when the member was last heard in this term, None if never.
+
+        :returns: seconds of the leader's clock
+        """
+        return self._last_heartbeat_at
+
     @property
     def contact_times(self) -> list[float]:
         """Return the times after which messages of the member may be missing.
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -7,10 +7,13 @@
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.leadership.leadership import GRANT_S
 from carawaystep.leadership.worker_assignment import assign_workers
+from carawaystep.planner.earlier_leases import LastExtensions
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
+    from carawaystep.cluster.messages import LeaseAges
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.leadership.member_record import MemberRecord
@@ -89,6 +92,26 @@
         self._worker_callers.restore(callers)
         self._planner.earlier_leases.restore(callers)
 
+    def record_lease_ages(
+        self, address: str, message: LeaseAges, now: float
+    ) -> None:
+        """Record which leases a follower has extended before the term.
+
+        The message may have been on its way for some time, so that the
+        computed times are late rather than early.
+
+        :param address: address of the follower
+        :param now: current time in seconds, monotonic
+        """
+        extensions = LastExtensions(
+            {
+                worker_id: now - age_s
+                for worker_id, age_s in message.ages_s.items()
+            },
+            now - message.process_age_s,
+        )
+        self._planner.earlier_leases.record_extensions(address, extensions)
+
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
 
@@ -129,13 +152,8 @@
         for key, name in self._wanted.items():
             address = self._available[name].address
             wanted.setdefault(key.id, set()).add(address)
-        changes = self._worker_callers.changes(
-            wanted,
-            lambda worker_id, address: self._has_stopped(
-                worker_id, address, now
-            ),
-            now,
-        )
+        has_stopped = self._stopped_callers(now)
+        changes = self._worker_callers.changes(wanted, has_stopped, now)
         if not changes:
             return
         stored = await self._repository.store(changes)
@@ -186,29 +204,35 @@
 
     def _record_contacts(self) -> None:
         for session in self._sessions.sessions.values():
-            if session.contact_times:
-                self._heard_at[session.record.address] = max(
-                    session.contact_times
-                )
+            if session.last_heartbeat_at is not None:
+                address = session.record.address
+                self._heard_at[address] = session.last_heartbeat_at
 
-    def _has_stopped(self, worker_id: str, address: str, now: float) -> bool:
-        """Tell whether a member certainly does not call a worker any more.
+    def _stopped_callers(self, now: float) -> Callable[[str, str], bool]:
+        """Return whether a member certainly calls a worker no more.
 
         It does not when it has confirmed an assignment without the worker,
-        and when its last grant has ended. Its extensions of a worker whose
-        runs are awaited still count in any case.
+        or when its last grant has ended. That of a worker whose runs are
+        awaited is never dropped.
 
-        :param address: address of the member
         :param now: current time in seconds, monotonic
+        :returns: function of the id of a worker and the address of a member
         """
-        if worker_id in self._planner.unlisted_worker_ids:
-            return False
-        for session in self._sessions.sessions.values():
-            if session.record.address == address and session.has_dropped(
-                worker_id
-            ):
+        awaited = self._planner.unlisted_worker_ids
+        sessions = {
+            session.record.address: session
+            for session in self._sessions.sessions.values()
+        }
+
+        def has_stopped(worker_id: str, address: str) -> bool:
+            if worker_id in awaited:
+                return False
+            session = sessions.get(address)
+            if session is not None and session.has_dropped(worker_id):
                 return True
-        last_grant_at = self._heard_at.get(
-            address, self._predecessors.stop_time
-        )
-        return now > last_grant_at + GRANT_S
+            heard_at = self._heard_at.get(address)
+            if heard_at is None:
+                heard_at = self._predecessors.stop_time
+            return now > heard_at + GRANT_S
+
+        return has_stopped
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -13,8 +13,8 @@
 
 from carawaystep.scheduler import stored_rows
 from carawaystep.scheduler import tables
-from carawaystep.scheduler.progress_rows import JSON_SHARE_OF_ROW
 from carawaystep.scheduler.progress_rows import ProgressRows
+from carawaystep.scheduler.rejected_transaction import log_rejected
 from carawaystep.scheduler.table_reader import read_table
 from carawaystep.scheduler.workflow_change import transactions
 from carawaystep.scheduler.workflow_change import workflow_changes
@@ -164,49 +164,6 @@
             problem=problem,
         )
 
-    async def load_interference(self) -> list[tuple[str, str, float]]:
-        """Return the stored probabilities of harm between images.
-
-        The row is only an optimisation: if it is missing or malformed, the
-        result is empty. A failed read is repeated, because the leader later
-        replaces the row by what it knows.
-
-        :returns: image of the best-effort task, image of the serving task
-            and probability that the first harms the second
-        """
-        row = await self._read_interference_row()
-        if row is None:
-            return []
-        return stored_rows.INTERFERENCE.convert(row.value).unwrap_or([])
-
-    async def save_interference(
-        self, pairs: list[tuple[str, str, float]]
-    ) -> bool:
-        """Store probabilities of harm; a failure is not retried.
-
-        Of more pairs than a row holds, the most harmful are stored: without
-        them, the next leader would place their images together.
-
-        :param pairs: as returned by :meth:`load_interference`
-        :returns: whether they are known to be stored
-        """
-        value = _most_harmful(pairs, self._settings.max_row_bytes)
-        operations = [
-            CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term),
-            PutRow(tables.CONTROL, tables.INTERFERENCE_KEY, None, value),
-        ]
-        result = await self._store.transact(operations)
-        if isinstance(result, Ok):
-            return True
-        if isinstance(result.err_value, TableRejected):
-            self._store_health.record_answer(self._clock.now())
-            self._log_rejected(operations, result.err_value)
-        else:
-            self._store_health.record_failure(
-                result.err_value.detail, self._clock.now()
-            )
-        return False
-
     async def confirm(self) -> bool:
         """Check in the leader row whether this term is still the current one.
 
@@ -278,20 +235,29 @@
                 continue
             if isinstance(failure, TableRejected):
                 self._store_health.record_answer(now)
-                self._log_rejected(operations, failure)
+                log_rejected(self._log, self._term, operations, failure)
                 if len(group) > 1:
                     for change in group:
                         await self._commit_group([change], outcome)
                     return
-                if group[0].workflow_id not in self._rejected:
-                    self._rejected.add(group[0].workflow_id)
-                    outcome.rejected.add(group[0].workflow_id)
+                if self._reject(group[0].workflow_id, outcome):
                     continue
             else:
                 self._store_health.record_failure(failure.detail, now)
                 self._log_failed(group, failure)
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
+    def _reject(self, workflow_id: str, outcome: CommitOutcome) -> bool:
+        """Store a workflow from now on only as failed.
+
+        :returns: False when that is not accepted either
+        """
+        if workflow_id in self._rejected:
+            return False
+        self._rejected.add(workflow_id)
+        outcome.rejected.add(workflow_id)
+        return True
+
     def _operations(
         self,
         group: list[WorkflowChange],
@@ -354,32 +320,6 @@
             detail=failure.detail,
         )
 
-    def _log_rejected(
-        self, operations: list[Operation], failure: TableRejected
-    ) -> None:
-        """Log a transaction that the store does not accept.
-
-        The line names the row with the largest value, which is the most
-        likely cause.
-        """
-        sizes = {
-            f"{operation.table}/{operation.key}": len(
-                msgspec.json.encode(operation.value)
-            )
-            for operation in operations
-            if isinstance(operation, PutRow)
-        }
-        largest = max(sizes, key=sizes.__getitem__, default="")
-        self._log.line(
-            "commit.rejected",
-            str(self._term),
-            rows=len(sizes),
-            size=sum(sizes.values()),
-            largest=largest,
-            largest_size=sizes.get(largest, 0),
-            detail=failure.detail,
-        )
-
     def _log_dropped_checkpoints(self, change: WorkflowChange) -> None:
         """Log once a term that checkpoints of a workflow do not fit."""
         layout = change.progress
@@ -415,18 +355,6 @@
             else:
                 self._progress_rows.adopt_version(key, version)
 
-    async def _read_interference_row(self) -> Row | None:
-        while True:
-            result = await self._store.get(
-                tables.CONTROL, tables.INTERFERENCE_KEY
-            )
-            now = self._clock.now()
-            if isinstance(result, Ok):
-                self._store_health.record_answer(now)
-                return result.ok_value
-            self._store_health.record_failure(result.err_value.detail, now)
-            await asyncio.sleep(_RETRY_INTERVAL_S)
-
     async def _read_table(self, table: str) -> tuple[list[Row], int]:
         return await read_table(
             self._store, self._clock, self._store_health, table
@@ -437,24 +365,6 @@
         self._store_health.record_answer(self._clock.now())
 
 
-def _most_harmful(
-    pairs: list[tuple[str, str, float]], max_row_bytes: int
-) -> list[tuple[str, str, float]]:
-    """Return the pairs with the highest probabilities that fit in a row.
-
-    :returns: pairs in their order, with rounded probabilities
-    """
-    rounded = [(a, b, round(probability, 3)) for a, b, probability in pairs]
-    size = len(msgspec.json.encode(rounded))
-    limit = int(max_row_bytes * JSON_SHARE_OF_ROW)
-    for pair in sorted(rounded, key=lambda pair: pair[2]):
-        if size <= limit:
-            break
-        rounded.remove(pair)
-        size -= len(msgspec.json.encode(pair)) + 1
-    return rounded
-
-
 async def insert_submission(
     store: TableService, spec: WorkflowSpec
 ) -> Result[None, TableFailure]:
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -74,6 +74,7 @@
         for name, session in self.members.items():
             session.record = _member_record(name)
             session.contact_times = []
+            session.last_heartbeat_at = None
             session.has_dropped.return_value = False
         self.sessions = create_autospec(MemberSessions, instance=True)
         self.sessions.sessions = self.members
@@ -162,7 +163,7 @@
         self._update("edge-1")
         self._update("edge-2", now=1.0)
         both = {"tcp://edge-1", "tcp://edge-2"}
-        self.members["edge-1"].contact_times = [50.0]
+        self.members["edge-1"].last_heartbeat_at = 50.0
         self._update("edge-2", now=51.0)
         self.assertEqual({_WORKER.id: both}, self.repository.callers)
         self.members["edge-1"].has_dropped.return_value = True
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -258,35 +258,6 @@
             asyncio.run(repository.commit(changes))
         return store.transactions
 
-    def test_failed_write_of_interference_is_not_counted_as_saved(
-        self,
-    ) -> None:
-        """Guards against probabilities that the next leader does not find."""
-
-        async def save(answer: object) -> bool:
-            repository = _repository(_Store(answer))
-            return await repository.save_interference([("a", "b", 0.5)])
-
-        self.assertTrue(asyncio.run(save(_OK)))
-        for failure in (TableOutcomeUnknown("lost"), TableRefused("busy")):
-            self.assertFalse(asyncio.run(save(Err(failure))))
-
-    def test_interference_is_read_again_after_a_failure(self) -> None:
-        """Guards against a term that begins without what is stored.
-
-        It would then replace the stored probabilities by its own.
-        """
-        pairs = [("a", "b", 0.5)]
-        answers = [
-            Err(TableOutcomeUnknown("no answer")),
-            Ok(Row(tables.INTERFERENCE_KEY, pairs, 9, 9)),
-        ]
-        store = AsyncMock()
-        store.get.side_effect = answers
-        with patch("asyncio.sleep", AsyncMock()):
-            loaded = asyncio.run(_repository(store).load_interference())
-        self.assertEqual(pairs, loaded)
-
     def test_every_commit_checks_the_term(self) -> None:
         """Guards against writes of a deposed leader."""
         (operations,) = self._commit(_OK)
@@ -442,27 +413,6 @@
             {(tables.ENDED, _SPEC.id): {"state": "cancelled"}}, store.rows
         )
 
-    def test_probabilities_of_harm_stay_within_a_row(self) -> None:
-        """Guards against a row that the store refuses each time.
-
-        It grows with the square of the number of images.
-        """
-        pairs = [
-            (f"image-{number}", f"serving-{number}", number / 3000)
-            for number in range(3000)
-        ]
-        store = _Store(_OK)
-        asyncio.run(_repository(store).save_interference(pairs))
-        value = next(
-            operation.value
-            for operation in store.transactions[0]
-            if isinstance(operation, PutRow)
-        )
-        size = len(b64encode(msgspec.json.encode(value)))
-        self.assertLessEqual(size, _SETTINGS.max_row_bytes)
-        self.assertGreater(size, 0.9 * _SETTINGS.max_row_bytes)
-        self.assertEqual(pairs[-1][0], value[-1][0])
-
     def test_changed_leader_row_ends_the_term(self) -> None:
         """Guards against a leader that continues after it was deposed."""
         with ExpectedException(TermEnded):
