Fail no workflow for one odd answer of the store

Cause: status 403 counted as a refusal for the content, though a machine whose access was withdrawn gets it for every call, and a single status 400 failed a workflow for good.

Change: 403 is an outage again.

--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -44,6 +45,8 @@
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
 _RETRY_INTERVAL_S = 0.1
+# A single wrong answer of the store fails no workflow.
+_REJECTIONS_BEFORE_FAILURE = 3
 
 
 class TermEnded(Exception):
@@ -107,6 +110,8 @@
         self._store_health = store_health
         self._term = term
         self._progress_rows = ProgressRows(log)
+        # How often each workflow was rejected alone, and those that failed.
+        self._rejection_counts: Counter[str] = Counter()
         self._rejected: set[str] = set()
         # Workflows of which it was logged that checkpoints do not fit.
         self._without_checkpoints: set[str] = set()
@@ -240,23 +245,20 @@
                     for change in group:
                         await self._commit_group([change], outcome)
                     return
-                if self._reject(group[0].workflow_id, outcome):
-                    continue
+                self._count_rejection(group[0].workflow_id, outcome)
             else:
                 self._store_health.record_failure(failure.detail, now)
                 self._log_failed(group, failure)
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
-    def _reject(self, workflow_id: str, outcome: CommitOutcome) -> bool:
-        """Store a workflow from now on only as failed.
-
-        :returns: False when that is not accepted either
-        """
-        if workflow_id in self._rejected:
-            return False
-        self._rejected.add(workflow_id)
-        outcome.rejected.add(workflow_id)
-        return True
+    def _count_rejection(
+        self, workflow_id: str, outcome: CommitOutcome
+    ) -> None:
+        """Store a workflow only as failed once it was rejected repeatedly."""
+        self._rejection_counts[workflow_id] += 1
+        if self._rejection_counts[workflow_id] == _REJECTIONS_BEFORE_FAILURE:
+            self._rejected.add(workflow_id)
+            outcome.rejected.add(workflow_id)
 
     def _operations(
         self,
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -110,8 +110,9 @@
 class _SelectiveStore:
     """Rejects transactions with a row of a workflow's progress."""
 
-    def __init__(self, rejected_id: str) -> None:
+    def __init__(self, rejected_id: str, rejections: int = 1000) -> None:
         self._rejected_row = (tables.PROGRESS, rejected_id)
+        self._rejections = rejections
         self.rows: dict[tuple[str, str], object] = {}
         self.transaction_count = 0
 
@@ -122,7 +123,8 @@
             for operation in operations
             if isinstance(operation, PutRow)
         }
-        if self._rejected_row in puts:
+        if self._rejected_row in puts and self._rejections:
+            self._rejections -= 1
             return Err(TableRejected("status 400"))
         self.rows.update(puts)
         return _OK
@@ -400,6 +402,16 @@
         asyncio.run(repository.commit(changes))
         self.assertEqual(1, store.transaction_count)
 
+    def test_single_rejection_fails_no_workflow(self) -> None:
+        """Guards against a workflow that one wrong answer of a store ends."""
+        store = _SelectiveStore(_SPEC.id, rejections=2)
+        changes = Changes(progress={_SPEC.id: WorkflowRecord([])})
+        outcome = asyncio.run(
+            _repository(store).commit(changes)  # type: ignore[arg-type]
+        )
+        self.assertEqual(set(), outcome.rejected)
+        self.assertIn((tables.PROGRESS, _SPEC.id), store.rows)
+
     def test_rejected_cancelled_workflow_stays_cancelled(self) -> None:
         """Guards against a cancelled workflow that is shown as failed."""
         store = _SelectiveStore(_SPEC.id)
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -121,6 +121,7 @@
         for status, failure in (
             (400, TableRejected),
             (413, TableRejected),
+            (403, TableOutcomeUnknown),
             (429, TableRefused),
             (503, TableRefused),
             (500, TableOutcomeUnknown),
