Call workers at once through members that are stored as their callers

Cause, by reading: a new leader assigned the workers anew for each member that arrived, and none was called before its new caller was stored, 48 in a transaction one after another. Leases of 6 s can end meanwhile when all machines start at once.

Change: a worker is called at once by an available member that is stored as its caller. Callers are stored when the members have not changed for 0.3 s if a worker has none, at the latest after 1 s, and for 1 s to even out the load. The leader is chosen last.

test_available_member_without_workers_is_told_so expected one message to each member. It expects now that the other member is told of no worker in any message, which is what it guards.

--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -26,6 +26,13 @@
 
 # Former callers are dropped from the store at this interval.
 _CLEANUP_INTERVAL_S = 1.0
+# Members come and go in groups, above all when a term begins. Callers are
+# stored once that has not happened for this long: for workers that no
+# available member may call, and to even out the load.
+_URGENT_SETTLE_S = 0.3
+_SETTLE_S = 1.0
+# Callers of such workers are stored after this long in any case.
+_MAX_URGENT_WAIT_S = 1.0
 
 
 class WorkerAssignments:
@@ -68,6 +75,11 @@
         self._callers: dict[WorkerKey, frozenset[MemberSession]] = {}
         # Last heartbeat in this term, by address of the member.
         self._heard_at: dict[str, float] = {}
+        # Members as they were last told, without those that are away.
+        self._assigned: dict[WorkerKey, str] = {}
+        self._members_changed_at = 0.0
+        # Since when there is a worker that no available member may call.
+        self._uncalled_since: float | None = None
         self._cleaned_up_at = 0.0
 
     def member_name(self, key: WorkerKey) -> str:
@@ -115,8 +127,9 @@
     async def update(self, now: float) -> None:
         """Assign the workers anew and tell the members what has changed.
 
-        Without an available member the assignments stay as they are, and a
-        worker stays with its member until the next one is stored.
+        Without an available member the assignments stay as they are. A
+        worker is called at once by a member that is stored as its caller, and
+        by the wanted one when that is stored.
 
         :param now: current time in seconds, monotonic
         """
@@ -127,68 +140,123 @@
         records = {
             key: worker.record for key, worker in self._planner.workers.items()
         }
-        if records != self._records or available != self._available:
+        changed = records != self._records or available != self._available
+        if changed:
+            if available.keys() != self._available.keys():
+                self._members_changed_at = now
             self._records = records
             self._available = available
             self._wanted = assign_workers(
                 records.values(), available, self._leader
             )
-        if self._wanted != self._member_by_worker:
-            if self._permitted() != self._member_by_worker:
-                # What needs no write does not wait for the store.
-                await self._assign()
-            await self._store_callers(now)
-            await self._assign()
-        elif now - self._cleaned_up_at >= _CLEANUP_INTERVAL_S:
+        is_cleanup_due = now - self._cleaned_up_at >= _CLEANUP_INTERVAL_S
+        if self._wanted == self._member_by_worker and not (
+            changed or is_cleanup_due
+        ):
+            return
+        permitted = self._permitted()
+        if changed or permitted != self._assigned:
+            await self._assign(permitted)
+        if is_cleanup_due:
             self._cleaned_up_at = now
-            await self._store_callers(now)
+        if await self._store_callers(self._targets(permitted, now), now):
+            await self._assign(self._permitted())
 
-    async def _store_callers(self, now: float) -> None:
-        """Store the wanted callers; what fails is tried with the next update.
+    def _targets(
+        self, permitted: dict[WorkerKey, str], now: float
+    ) -> dict[WorkerKey, str]:
+        """Return the members whose calls are to be stored as permitted.
 
+        :param permitted: members that may call workers already
+        :param now: current time in seconds, monotonic
+        """
+        if len(permitted) == len(self._wanted):
+            self._uncalled_since = None
+        elif self._uncalled_since is None:
+            self._uncalled_since = now
+        settled_s = now - self._members_changed_at
+        if settled_s >= _SETTLE_S:
+            return self._wanted
+        uncalled_since = self._uncalled_since
+        if uncalled_since is not None and (
+            settled_s >= _URGENT_SETTLE_S
+            or now - uncalled_since >= _MAX_URGENT_WAIT_S
+        ):
+            return {**self._wanted, **permitted}
+        return permitted
+
+    async def _store_callers(
+        self, targets: Mapping[WorkerKey, str], now: float
+    ) -> bool:
+        """Store callers of workers; what fails is tried with the next update.
+
+        :param targets: name of the member that is to call each worker
         :param now: current time in seconds, monotonic
+        :returns: whether anything was stored
         """
         wanted: dict[str, set[str]] = {}
-        for key, name in self._wanted.items():
+        for key, name in targets.items():
             address = self._available[name].address
             wanted.setdefault(key.id, set()).add(address)
         has_stopped = self._stopped_callers(now)
         changes = self._worker_callers.changes(wanted, has_stopped, now)
         if not changes:
-            return
+            return False
         stored = await self._repository.store(changes)
         for worker_id, addresses in stored.items():
             self._worker_callers.record_stored(worker_id, addresses)
+        return bool(stored)
 
     def _permitted(self) -> dict[WorkerKey, str]:
-        """Return the wanted members, or the present ones until they may call.
+        """Return an available member for each worker that may call it.
 
-        A worker without either is left out.
+        The wanted one comes first, then the present one, then any other
+        stored caller. A worker without one is left out.
         """
-        member_by_worker = {}
-        for key, name in self._wanted.items():
-            address = self._available[name].address
-            if not self._worker_callers.allows(key.id, address):
-                name = self.member_name(key)
-            if name:
-                member_by_worker[key] = name
-        return member_by_worker
-
-    async def _assign(self) -> None:
-        """Tell the members which workers to call, among stored callers."""
-        member_by_worker = self._permitted()
-        assignments: dict[str, list[AssignedWorker]] = {
-            name: [] for name in self._available
+        names = {
+            record.address: name for name, record in self._available.items()
         }
+        found = {}
+        for key, wanted in self._wanted.items():
+            callers = {
+                names[address]
+                for address in self._worker_callers.callers(key.id)
+                if address in names
+            }
+            if wanted in callers:
+                found[key] = wanted
+            elif self.member_name(key) in callers:
+                found[key] = self.member_name(key)
+            elif callers:
+                found[key] = min(callers - {self._leader} or callers)
+        return found
+
+    async def _assign(self, permitted: dict[WorkerKey, str]) -> None:
+        """Tell the members which workers to call.
+
+        A worker that no available member may call stays with its member,
+        which may be heard again.
+
+        :param permitted: available members that may call each worker
+        """
+        member_by_worker = dict(permitted)
+        for key in self._wanted.keys() - permitted.keys():
+            name = self.member_name(key)
+            if name and name not in self._available:
+                member_by_worker[key] = name
         for key, name in member_by_worker.items():
-            if name in assignments:
-                assignments[name].append(
-                    AssignedWorker(key, self._records[key].address)
-                )
             if self._member_by_worker.get(key) != name:
                 self._planner.handle_reassignment(key)
+        self._assigned = permitted
         self._member_by_worker = member_by_worker
         self._callers = self._sessions_of_callers(member_by_worker)
+        assignments: dict[str, list[AssignedWorker]] = {
+            name: [] for name in self._available
+        }
+        for key, name in permitted.items():
+            assignments[name].append(
+                AssignedWorker(key, self._records[key].address)
+            )
         for name, workers in assignments.items():
             await self._sessions.sessions[name].assign(workers)
 
--- a/src/carawaystep/scheduler/worker_callers.py
+++ b/src/carawaystep/scheduler/worker_callers.py
@@ -33,9 +33,9 @@
         """Load the stored callers: addresses by id of the worker."""
         self._stored = dict(callers)
 
-    def allows(self, worker_id: str, address: str) -> bool:
-        """Tell whether the member at an address may call a worker."""
-        return address in self._stored.get(worker_id, ())
+    def callers(self, worker_id: str) -> frozenset[str]:
+        """Return the addresses of the members that may call a worker."""
+        return self._stored.get(worker_id, frozenset())
 
     def changes(
         self,
