Use seeds that show the faulty variants on the changed assignments

Cause: the simulation draws other faults since workers are called at once by their stored callers, so that four seeds no longer show their variants.

Change: seeds 23, 2, 31 and 3. The assertions are the same.

Measured: each shows its variant, and has no violation without it; ten tests of the simulation pass.

--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -59,7 +59,7 @@
         The faulty member numbers its calls from 1 after each start.
         """
         self._assert_found(
-            "number-calls-from-one", 38, "is accepted and not stored"
+            "number-calls-from-one", 23, "is accepted and not stored"
         )
 
     def test_state_without_its_update_is_detected(self) -> None:
@@ -67,7 +67,7 @@
 
         The faulty member keeps the states of an earlier leader.
         """
-        self._assert_found("keep-unfinished-states", 9, "is running after")
+        self._assert_found("keep-unfinished-states", 2, "is running after")
 
     def test_caller_that_is_not_stored_is_detected(self) -> None:
         """Guards against runs in which no unknown member calls a worker.
@@ -81,14 +81,14 @@
 
         The faulty leader drops a former caller at once.
         """
-        self._assert_found("drop-former-callers", 26, "and runs on")
+        self._assert_found("drop-former-callers", 31, "and runs on")
 
     def test_ignored_silent_caller_is_detected(self) -> None:
         """Guards against runs in which no paused member extends a lease.
 
         The faulty leader waits only for callers that follow it.
         """
-        self._assert_found("ignore-silent-callers", 13, "and runs on")
+        self._assert_found("ignore-silent-callers", 3, "and runs on")
 
     def test_forgotten_extension_is_detected(self) -> None:
         """Guards against runs in which no lease outlasts its leader.
