Tell a member that is away of its new list before its grant is renewed

Cause: a silent member kept its last list. When it was heard again its grant was renewed, and it could extend the lease of a worker of which it was no stored caller any more, until the next assignment reached it. A leader that was elected at that moment would not have waited for it.

Change: members that are away are assigned what is left to them, so that their next heartbeat shows an old version, and the new list is sent before the timestamp of that heartbeat is echoed.

--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -248,7 +248,6 @@
         if message.term == self._context.term:
             self._context.record_follower(self._record.address)
         self._last_heartbeat_at = self._context.now
-        self._member_timestamp = message.timestamp
         if self._draining != message.draining:
             self._draining = message.draining
         if message.term == self._context.term:
@@ -256,6 +255,9 @@
         if message.assignment_version != self._assignment_version:
             # The member restarted, changed leaders or missed a message.
             await self._send_assignment()
+        # Echoed from now on: the assignment reaches the member before the
+        # grant that this renews.
+        self._member_timestamp = message.timestamp
 
     async def _send_assignment(self) -> None:
         if not self._assignment_version:
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -250,10 +250,13 @@
         self._assigned = permitted
         self._member_by_worker = member_by_worker
         self._callers = self._sessions_of_callers(member_by_worker)
+        # A member that is away hears of its new list before its grant is
+        # renewed, so that it does not call workers of which it is no stored
+        # caller any more.
         assignments: dict[str, list[AssignedWorker]] = {
-            name: [] for name in self._available
+            name: [] for name in self._sessions.sessions
         }
-        for key, name in permitted.items():
+        for key, name in member_by_worker.items():
             assignments[name].append(
                 AssignedWorker(key, self._records[key].address)
             )
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -223,6 +223,16 @@
         self._update("edge-2", now=1.0)
         self.assertEqual(2, len(self.repository.callers[_WORKER.id]))
 
+    def test_member_that_is_away_loses_its_workers(self) -> None:
+        """Guards against calls by a member that is stored no more.
+
+        It would go on with its last list when it is heard again, until it
+        is told of another one.
+        """
+        self._update("edge-1")
+        self._update("edge-2", now=5.0)
+        self.members["edge-1"].assign.assert_called_with([])
+
     def test_new_leader_uses_stored_callers_without_a_write(self) -> None:
         """Guards against leases that end while a term begins.
 
