Review case 9: lasting tasks of a lost zone wait for 20 s

Cause: a new leader waits 18.5 s from its election for the stored caller of a worker when that caller is lost for good together with the earlier leader.

Nothing of the product is changed. The stand-ins of the review place machines in zones.

--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -114,6 +114,7 @@
     """One process of the system and its settings."""
 
     name: str
+    zone: str
     settings: Path
     front: int
     ready: int
@@ -139,27 +140,36 @@
         self.nodes: list[Node] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self, node_count: int, manifest: dict[str, Any]) -> None:
-        """Start everything and wait until all processes are ready."""
+    async def start(
+        self,
+        node_count: int,
+        manifest: dict[str, Any],
+        zones: tuple[str, ...] = ("zone",),
+    ) -> None:
+        """Start everything and wait until all processes are ready.
+
+        :param zones: zones of the machines, in turn
+        """
         await self.store_server.start()
         await self.store.put("op", "config", manifest)
         for worker in self.workers:
             await worker.start()
         for number in range(node_count):
-            node = self._create_node(f"edge-{number + 1}")
+            zone = zones[number % len(zones)]
+            node = self._create_node(f"edge-{number + 1}", zone)
             self.nodes.append(node)
             await self.launch(node)
             self._tasks.append(asyncio.create_task(self._restart(node)))
         await self.wait_ready()
 
-    def _create_node(self, name: str) -> Node:
+    def _create_node(self, name: str, zone: str) -> Node:
         first, last, front, ready = free_ports(4)
         settings = self.folder / f"{name}.toml"
         settings.write_text(
             _SETTINGS.format(
                 name=name,
                 host=HOST,
-                zone="zone",
+                zone=zone,
                 first=first,
                 last=last,
                 front=front,
@@ -168,7 +178,7 @@
                 advice=self.advice_address,
             )
         )
-        return Node(name, settings, front, ready)
+        return Node(name, zone, settings, front, ready)
 
     async def launch(self, node: Node) -> None:
         """Start the process of a node with the command of the deploy file."""
@@ -202,6 +212,17 @@
                 await asyncio.sleep(0.05)
             await self.launch(node)
 
+    def remove(self, node: Node) -> None:
+        """Take a machine away for good, without SIGTERM."""
+        node.wanted = False
+        if node.process is not None and node.process.returncode is None:
+            node.process.kill()
+
+    def leader(self) -> Node:
+        """Return the machine that last wrote to the store as the leader."""
+        name = self.store.values("control")["leader"]["name"]
+        return next(node for node in self.nodes if node.name == name)
+
     async def wait_ready(self, limit_s: float = 20.0) -> None:
         """Wait until the readiness of all processes is 200."""
         async with asyncio.timeout(limit_s):
@@ -254,6 +275,8 @@
     async def state(self, key: str, prefix: str = PREFIX) -> str:
         """Return the state that the first node that answers shows."""
         for node in self.nodes:
+            if not node.wanted:
+                continue
             answer = await self.call(node, "GET", key, prefix=prefix)
             if answer is not None and answer[0] == 200:
                 return str(answer[1]["state"])
