Draw the ports of the review's scripts outside the range of clients

Cause: with all five scripts at once, two could not run (exit code 2): a process of the case was not ready in 20 s, as another script had taken one of its ports between the choice and the start.

Change: the scripts draw their ports at random below the range that systems give to outgoing channels.

--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import os
 from pathlib import Path
+import random
 import shlex
 import signal
 import socket
@@ -29,6 +30,7 @@
 PREFIX = "/bookings/"
 # Delay after which the platform starts a process again that has ended.
 _RESTART_S = 0.5
+_PORTS = (15_000, 30_000)
 
 _SETTINGS = """\
 node_name = "{name}"
@@ -99,14 +101,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = sorted(sock.getsockname()[1] for sock in sockets)
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return loopback ports that are free now, in ascending order.
+
+    They lie below those that systems give to outgoing channels, and are
+    drawn at random, so that another script is unlikely to take them before
+    they are used.
+    """
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.add(port)
+    return sorted(ports)
 
 
 @dataclass
