--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -31,6 +31,7 @@
 # Delay after which the platform starts a process again that has ended.
 _RESTART_S = 0.5
 _PORTS = (15_000, 30_000)
+_given_ports: set[int] = set()
 
 _SETTINGS = """\
 node_name = "{name}"
@@ -105,16 +106,19 @@
 
     They lie below those that systems give to outgoing channels, and are
     drawn at random, so that another script is unlikely to take them before
-    they are used.
+    they are used. No port is returned twice.
     """
     ports: set[int] = set()
     while len(ports) < count:
         port = random.randrange(*_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
             except OSError:
                 continue
+        _given_ports.add(port)
         ports.add(port)
     return sorted(ports)
 
