--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -302,6 +302,8 @@
         """End all processes that this deployment started, each by its id."""
         for task in self._tasks:
             task.cancel()
+        # A start that is interrupted ends its process before it returns.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for node in self.nodes:
             process = node.process
             if process is not None and process.returncode is None:
@@ -355,12 +357,17 @@
 async def _run(
     record: Record, scenario: Any, trouble: bool, limit_s: float
 ) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     with tempfile.TemporaryDirectory() as name:
         deployment = Deployment(Path(name), record)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await scenario(deployment, trouble)
-        except Exception as error:  # The case could not run.
+        # The case could not run, or was stopped by a signal.
+        except (Exception, asyncio.CancelledError) as error:
             record(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
--- a/review/rig_2/http.py
+++ b/review/rig_2/http.py
@@ -28,10 +28,6 @@
         return json.loads(self.body or b"{}")
 
 
-class NoAnswer(Exception):
-    """Raised by a handler whose answer is lost: the channel goes silent."""
-
-
 class HttpServer:
     """Serves one handler on an assigned loopback port."""
 
@@ -76,12 +72,7 @@
                 request = await _read_request(reader)
                 if request is None:
                     return
-                try:
-                    status, body = await self._handler(request)
-                except NoAnswer:
-                    # The channel delivers nothing further.
-                    await reader.read()
-                    return
+                status, body = await self._handler(request)
                 data = b"" if body is None else json.dumps(body).encode()
                 writer.write(
                     (
--- a/review/rig_2/store.py
+++ b/review/rig_2/store.py
@@ -41,14 +41,12 @@
         self._history: list[tuple[int, RowId, str | None]] = []
         self._changed = asyncio.Condition()
 
-    async def put(
-        self, table: str, key: str, value: Any, part: str = ""
-    ) -> None:
-        """Write a row without a condition."""
+    async def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row of the operator or of a worker."""
         async with self._changed:
             self.version += 1
             text = b64encode(json.dumps(value).encode()).decode()
-            self._write((table, part, key), text)
+            self._write((table, "", key), text)
             self._changed.notify_all()
 
     async def delete(self, table: str, key: str) -> None:
@@ -78,11 +76,6 @@
             return await self._feed(request.query)
         return 404, {"error": request.path}
 
-    def insert_quietly(self, row_id: RowId, text: str) -> None:
-        """Write a row that is too old to be in the history."""
-        self.version += 1
-        self._set(row_id, text)
-
     def _set(self, row_id: RowId, value: str | None) -> None:
         keys = self._keys[row_id[:2]]
         if value is None:
--- a/review/rig_2/worker.py
+++ b/review/rig_2/worker.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from review.rig_2.http import HttpServer
-from review.rig_2.http import NoAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,7 +43,6 @@
 
     :param seconds: how long it runs
     :param end: how it ends, `done` or `failed`
-    :param answered: whether the start is answered
     :param cpu: thousandths of a core, 0 for a task that fills
     :param mem_mb: megabytes
     :param figure: fifth entry of the run's row: the tail of a task that
@@ -53,7 +51,6 @@
 
     seconds: float
     end: str = "done"
-    answered: bool = True
     cpu: int = 1000
     mem_mb: int = 256
     figure: int = 0
@@ -225,9 +222,6 @@
         )
         self.starts.append((time.monotonic(), task, number))
         self.record(f"{self.name} start {task} run {number}")
-        if not plan.answered:
-            self.record(f"{self.name} answer to the start of {task} lost")
-            raise NoAnswer
         return self._answer()
 
     def _stop(self, body: Any) -> tuple[int, Any]:
