Judge a failed task's way out among the workers that can take it

Cause: a task avoided the workers on which it had failed unless it had failed on as many as were usable. Workers that can never take it were counted: of another service, without the label, too small, full of long-running tasks, denied by the placement service. On the same wrong set, the rest of a step waited behind its first task without a place, gangs avoided each other's worker, and runs were stopped or workers held on a worker that the task avoids.

Change: a task avoids these workers only while another one could take it once the runs there have ended, and for 8 s at most. Otherwise it returns after 2 s, so that a fault of a second does not use up its attempts. Preemption and holds leave out what the task avoids, and preemption what the placement service denies. The time of a failure is an argument of Workflow.end_run.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -73,6 +73,11 @@
             and self.reports_without_run >= _REPORTS_TO_RULE_OUT_START
         )
 
+    @property
+    def ends_by_itself(self) -> bool:
+        """Tell whether it is being stopped or is not long-running."""
+        return self.stopping or not self.step.long_running
+
     def confirm_stop(self) -> None:
         """Count reports without a run in doubt once its stop is confirmed.
 
--- a/src/carawaystep/planner/candidate_ranking.py
+++ b/src/carawaystep/planner/candidate_ranking.py
@@ -47,10 +47,9 @@
                 self._entries.append((value, position, worker))
         heapify(self._entries)
 
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether no worker is left."""
-        return not self._entries
+    def __bool__(self) -> bool:
+        """Tell whether a worker is left."""
+        return bool(self._entries)
 
     def take(self, avoided: Collection[WorkerKey]) -> TrackedWorker | None:
         """Remove and return the best worker.
--- a/src/carawaystep/planner/candidate_search.py
+++ b/src/carawaystep/planner/candidate_search.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from carawaystep.planner.candidate_ranking import CandidateRanking
+from carawaystep.planner.eligibility import avoided_workers
 from carawaystep.planner.eligibility import eligible_workers
 from carawaystep.planner.eligibility import may_take
 from carawaystep.planner.eligibility import suitable_workers
@@ -16,10 +17,12 @@
 from carawaystep.planner.unmet_needs import UnmetNeeds
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
 
     from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.planner.task_placement_policy import Rank
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.ticket_cache import TicketCache
@@ -96,7 +99,7 @@
             partial(self._placement.rank, step, now=self._now),
             partial(self._rank, workflow, ref),
         )
-        if ranking.is_empty and not step.max_per_worker:
+        if not ranking and not step.max_per_worker:
             self._unmet_needs.add(group, step)
         return ranking
 
@@ -112,6 +115,17 @@
         workers = self._eligible_workers(workflow, ref, usable)
         return CandidateRanking(workers, rank, rank)
 
+    def avoided_workers(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> Collection[WorkerKey]:
+        """Return the workers that a task must not get because it failed there.
+
+        :param ref: the task
+        :param usable: workers that may get new work
+        """
+        permitted = self._not_denied(workflow, ref, usable)
+        return avoided_workers(workflow, ref, permitted, self._now)
+
     def choose_despite_harm(
         self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
     ) -> TrackedWorker | None:
@@ -128,12 +142,7 @@
         ranking = CandidateRanking(
             self._eligible_workers(workflow, ref, usable), rank, rank
         )
-        for_this_task_only = (
-            step.max_per_worker
-            or workflow.spec.needs_tickets
-            or workflow.task(ref).failed_on
-        )
-        if ranking.is_empty and not for_this_task_only:
+        if not ranking and not _is_for_one_task(workflow, ref):
             self._unmet_forced_needs.add(group, step)
         return ranking.take(frozenset())
 
@@ -149,9 +158,15 @@
         group = (*_step_group(workflow, ref), workflow.spec.priority)
         if self._unmet_preemptions.covers(group, step):
             return []
-        if can_preempt(workflow, ref, usable):
-            return select_victims(workflow, ref, usable)
-        if not step.max_per_worker:
+        avoided = self.avoided_workers(workflow, ref, usable)
+        open_workers = [
+            worker
+            for worker in self._not_denied(workflow, ref, usable)
+            if worker.key not in avoided
+        ]
+        if can_preempt(workflow, ref, open_workers):
+            return select_victims(workflow, ref, open_workers)
+        if not _is_for_one_task(workflow, ref):
             self._unmet_preemptions.add(group, step)
         return []
 
@@ -194,6 +209,14 @@
             return None
         return self._placement.rank(step, worker, self._now)
 
+    def _not_denied(
+        self, workflow: Workflow, ref: TaskRef, workers: list[TrackedWorker]
+    ) -> list[TrackedWorker]:
+        """Return the workers that the placement service has not denied."""
+        if not workflow.spec.needs_tickets:
+            return workers
+        return self._ticket_cache.not_denied(ref, workers)
+
     def _eligible_workers(
         self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
     ) -> Iterator[TrackedWorker]:
@@ -201,8 +224,12 @@
 
         If its queue needs tickets, only workers with one qualify.
         """
-        with_capacity = workers_with_capacity(workflow, ref, usable, self._now)
-        eligible = eligible_workers(workflow, ref, with_capacity, usable)
+        permitted = self._not_denied(workflow, ref, usable)
+        with_capacity = workers_with_capacity(
+            workflow, ref, permitted, self._now
+        )
+        avoided = self.avoided_workers(workflow, ref, usable)
+        eligible = eligible_workers(workflow, ref, with_capacity, avoided)
         if not workflow.spec.needs_tickets:
             return eligible
         return self._ticket_cache.workers_with_ticket(
@@ -210,6 +237,15 @@
         )
 
 
+def _is_for_one_task(workflow: Workflow, ref: TaskRef) -> bool:
+    """Tell whether a search in vain says nothing of other workflows' tasks."""
+    return bool(
+        workflow.step(ref).max_per_worker
+        or workflow.spec.needs_tickets
+        or workflow.task(ref).failed_on
+    )
+
+
 def _step_group(workflow: Workflow, ref: TaskRef) -> _StepGroup:
     """Return what decides which workers suit a step, apart from its needs.
 
--- a/src/carawaystep/planner/eligibility.py
+++ b/src/carawaystep/planner/eligibility.py
@@ -5,10 +5,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
-    from collections.abc import Sequence
-    from collections.abc import Set
 
     from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
@@ -18,6 +17,14 @@
     from carawaystep.workflow.workflow import Workflow
 
 
+# A task whose last run failed waits this long for a worker on which it has
+# not failed, as long as there is one that can take it once its runs end.
+_MAX_WAIT_FOR_OTHER_WORKER_S = 8.0
+# A task is not started again sooner on a worker on which it failed, so that a
+# short fault of the only worker for it does not use up its attempts.
+_RETRY_DELAY_S = 2.0
+
+
 def may_run(workflow: Workflow, ref: TaskRef, worker: TrackedWorker) -> bool:
     """Tell whether a worker's service and labels suit a task."""
     label = workflow.step(ref).label
@@ -69,47 +76,66 @@
 
 
 def avoided_workers(
-    workflow: Workflow, ref: TaskRef, usable: Sequence[TrackedWorker]
-) -> Set[WorkerKey]:
-    """Return the workers that a task avoids because it has failed there.
+    workflow: Workflow,
+    ref: TaskRef,
+    candidates: Iterable[TrackedWorker],
+    now: float,
+) -> Collection[WorkerKey]:
+    """Return the workers that a task must not get because it failed there.
+
+    Otherwise a faulty worker, which is often the one with the most room,
+    would use up the attempts of a task. The task waits for another worker
+    only if one can take it, and for a limited time. A long-running task
+    avoids none, because its failures are not limited.
 
-    :param usable: all workers that may get new work; a task that has failed
-        on as many avoids none
+    :param candidates: workers that may get new work and that the placement
+        service has not denied to the step
+    :param now: current time, seconds of a monotonic clock
     """
     failed_on = workflow.task(ref).failed_on
-    return failed_on if len(failed_on) < len(usable) else frozenset()
+    if not failed_on or workflow.step(ref).long_running:
+        return frozenset()
+    waited_s = now - max(failed_on.values())
+    if waited_s < _MAX_WAIT_FOR_OTHER_WORKER_S and any(
+        worker.key not in failed_on and may_take_later(workflow, ref, worker)
+        for worker in candidates
+    ):
+        return failed_on
+    return frozenset(
+        key
+        for key, failed_at in failed_on.items()
+        if now - failed_at < _RETRY_DELAY_S
+    )
 
 
 def eligible_workers(
     workflow: Workflow,
     ref: TaskRef,
     candidates: Iterable[TrackedWorker],
-    usable: Sequence[TrackedWorker],
+    avoided: Collection[WorkerKey],
 ) -> Iterator[TrackedWorker]:
     """Iterate over the candidates that suit a task, ignoring tickets.
 
-    A task avoids the workers on which it has failed, so that one faulty
-    worker does not use up its attempts, unless it has failed on as many
-    workers as are usable. The failures of a long-running task are not
-    limited: those workers come last for it, if no other is eligible.
+    Workers on which the task has failed come only if no other is eligible.
 
     :param candidates: workers that had capacity for a task of the step
-    :param usable: all workers that may get new work
+    :param avoided: workers that the task must not get, see
+        :func:`avoided_workers`
     """
     step = workflow.step(ref)
-    avoided = avoided_workers(workflow, ref, usable)
+    failed_on = workflow.task(ref).failed_on
     last_resorts: list[TrackedWorker] = []
     found = False
     for worker in candidates:
         if not may_take(step, ref, worker):
             continue
-        if worker.key in avoided:
+        if worker.key in failed_on:
             last_resorts.append(worker)
             continue
         found = True
         yield worker
-    if step.long_running and not found:
-        yield from last_resorts
+    if not found:
+        yield from (w for w in last_resorts if w.key not in avoided)
 
 
 def may_take(step: StepSpec, ref: TaskRef, worker: TrackedWorker) -> bool:
@@ -141,3 +167,19 @@
         same_step = sum(1 for _ in worker.tasks_of_step(ref))
         capacity = min(capacity, step.max_per_worker - same_step)
     return max(0, capacity)
+
+
+def may_take_later(
+    workflow: Workflow, ref: TaskRef, worker: TrackedWorker
+) -> bool:
+    """Tell whether a task fits once the runs that end by themselves end.
+
+    Tasks of the same gang end with this one and count as staying.
+    """
+    is_gang = workflow.step(ref).gang
+    ending_runs = [
+        tracked
+        for other, tracked in worker.runs.items()
+        if tracked.ends_by_itself and not (is_gang and other[:3] == ref[:3])
+    ]
+    return task_capacity(workflow, ref, worker, ending_runs) > 0
--- a/src/carawaystep/planner/evacuation.py
+++ b/src/carawaystep/planner/evacuation.py
@@ -56,7 +56,7 @@
             if not tracked.step.long_running:
                 continue
             with_capacity = workers_with_capacity(workflow, ref, usable, now)
-            if any(eligible_workers(workflow, ref, with_capacity, usable)):
+            if any(eligible_workers(workflow, ref, with_capacity, ())):
                 self._immediate_orders.stop(
                     worker, ref, tracked.run, "worker-leaving"
                 )
--- a/src/carawaystep/planner/held_workers.py
+++ b/src/carawaystep/planner/held_workers.py
@@ -126,11 +126,7 @@
 
 def _ending_runs(worker: TrackedWorker) -> list[TrackedRun]:
     """Return the runs that are being stopped or end by themselves."""
-    return [
-        run
-        for run in worker.runs.values()
-        if run.stopping or not run.step.long_running
-    ]
+    return [run for run in worker.runs.values() if run.ends_by_itself]
 
 
 def _free_later(worker: TrackedWorker) -> _FreeLater:
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -77,7 +77,7 @@
         gang_tasks = (
             workflow.step_tasks(ref) if workflow.step(ref).gang else []
         )
-        workflow.end_run(ref, run, end, ended.checkpoint)
+        workflow.end_run(ref, run, end, ended.checkpoint, now)
         if end is RunEnd.DONE:
             worker.health.record_success()
         elif end is RunEnd.FAILED and worker.health.record_failure(
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -7,7 +7,6 @@
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.tracked_run import TrackedRun
 from carawaystep.planner.candidate_search import CandidateSearch
-from carawaystep.planner.eligibility import avoided_workers
 from carawaystep.planner.held_workers import HeldWorkers
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
 from carawaystep.planner.step_waits import StepWaits
@@ -133,11 +132,12 @@
             occurrence and step
         """
         unplaced: dict[_StepKey, list[TaskRef]] = {}
+        blocked: set[_StepKey] = set()
         last_placed: dict[_StepKey, TaskRef] = {}
         rankings: dict[_StepKey, CandidateRanking] = {}
         for ref in list(workflow.ready_tasks(wall_now)):
             step_key = (ref.occurrence, ref.step)
-            if step_key in unplaced or self._is_pass_full:
+            if step_key in blocked or self._is_pass_full:
                 unplaced.setdefault(step_key, []).append(ref)
                 continue
             if workflow.step(ref).gang:
@@ -151,8 +151,13 @@
             if placed:
                 last_placed[step_key] = ref
                 self._step_waits.record_placement(workflow, ref, wall_now)
-            else:
-                unplaced[step_key] = [ref]
+                continue
+            unplaced.setdefault(step_key, []).append(ref)
+            ranking = rankings.get(step_key)
+            if not (ranking and workflow.task(ref).failed_on):
+                # The other tasks of the step find no place either, unlike
+                # those of one that only avoids the workers it failed on.
+                blocked.add(step_key)
         for step_key, ref in last_placed.items():
             if step_key not in unplaced:
                 self._step_waits.record_complete(workflow, ref, wall_now)
@@ -167,10 +172,11 @@
         search: CandidateSearch,
         now: float,
     ) -> bool:
-        worker = ranking.take(avoided_workers(workflow, ref, usable))
-        if worker is None and workflow.step(ref).long_running:
-            # The failures of a long-running task are not limited.
-            worker = ranking.take(frozenset())
+        worker = ranking.take(workflow.task(ref).failed_on)
+        if worker is None and ranking:
+            worker = ranking.take(
+                search.avoided_workers(workflow, ref, usable)
+            )
         if worker is not None:
             self._start(workflow, ref, worker, False, now)
             ranking.put_back(worker)
@@ -326,5 +332,10 @@
             continue
         if stage is UrgencyStage.INTERRUPTED:
             refs = [ref for ref in refs if workflow.task(ref).run]
-        if refs:
-            held.hold_for(workflow, stage, refs, workers)
+        if not refs:
+            continue
+        suitable = workers
+        if not step.long_running:
+            failed_on = workflow.task(refs[0]).failed_on
+            suitable = [w for w in workers if w.key not in failed_on]
+        held.hold_for(workflow, stage, refs, suitable)
--- a/src/carawaystep/planner/ticket_cache.py
+++ b/src/carawaystep/planner/ticket_cache.py
@@ -112,6 +112,17 @@
                 step_tickets, ref, others, workflow.spec.permit_s, now
             )
 
+    def not_denied(
+        self, ref: TaskRef, workers: Iterable[TrackedWorker]
+    ) -> list[TrackedWorker]:
+        """Return the workers that are not known to be denied to a step.
+
+        :param ref: any task of the step
+        """
+        step_tickets = self._steps.get(ref[:3])
+        denied = set() if step_tickets is None else step_tickets.denied
+        return [worker for worker in workers if worker.key.id not in denied]
+
     def ticket_for(self, ref: TaskRef, key: WorkerKey, now: float) -> str:
         """Return the ticket for a start, empty without a valid one."""
         step_tickets = self._steps.get(ref[:3])
--- a/src/carawaystep/planner/waiting_task_monitor.py
+++ b/src/carawaystep/planner/waiting_task_monitor.py
@@ -87,7 +87,7 @@
         ref, run = wait
         step = workflow.step(ref)
         with_capacity = workers_with_capacity(workflow, ref, usable, now)
-        eligible = eligible_workers(workflow, ref, with_capacity, usable)
+        eligible = eligible_workers(workflow, ref, with_capacity, ())
         self._log.line(
             "task.waiting",
             str(ref),
--- a/src/carawaystep/workflow/task.py
+++ b/src/carawaystep/workflow/task.py
@@ -22,7 +22,8 @@
     :param checkpoint: latest checkpoint, empty for none
     :param failures: number of runs that have failed
     :param seen_running: whether a report has listed the current run
-    :param failed_on: workers on which a run has failed in this term
+    :param failed_on: time of the last failed run in this term by worker,
+        seconds of a monotonic clock
     """
 
     state: TaskState = TaskState.WAITING
@@ -31,4 +32,4 @@
     checkpoint: str = ""
     failures: int = 0
     seen_running: bool = False
-    failed_on: set[WorkerKey] = field(default_factory=set)
+    failed_on: dict[WorkerKey, float] = field(default_factory=dict)
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -286,7 +286,12 @@
         return True
 
     def end_run(
-        self, ref: TaskRef, run: int, end: RunEnd, checkpoint: str
+        self,
+        ref: TaskRef,
+        run: int,
+        end: RunEnd,
+        checkpoint: str,
+        now: float,
     ) -> bool:
         """Record the end of a run.
 
@@ -296,6 +301,7 @@
 
         :param run: number of the run
         :param checkpoint: latest checkpoint, empty for none
+        :param now: current time, seconds of a monotonic clock
         :returns: False when it is not the current run
         """
         if not self.is_current_run(ref, run):
@@ -313,7 +319,7 @@
         if checkpoint:
             task.checkpoint = checkpoint
         if end is RunEnd.FAILED and task.worker is not None:
-            task.failed_on.add(task.worker)
+            task.failed_on[task.worker] = now
         self._release(task)
         if end is RunEnd.FAILED and not step.long_running:
             task.failures += 1
--- a/tests/planner/test_candidate_search.py
+++ b/tests/planner/test_candidate_search.py
@@ -137,7 +137,7 @@
         ranking = CandidateRanking(workers, lambda _: (0.0,), lambda _: None)
         self.assertIs(workers[1], ranking.take({workers[0].key}))
         self.assertIs(workers[0], ranking.take(frozenset()))
-        self.assertTrue(ranking.is_empty)
+        self.assertFalse(ranking)
 
 
 class UnmetNeedsTest(TestCase):
--- a/tests/planner/test_waiting_task_monitor.py
+++ b/tests/planner/test_waiting_task_monitor.py
@@ -46,7 +46,7 @@
         ref = TaskRef(workflow.id, 0, 0, 0)
         self._check_until(0.0, 2.5)
         run = workflow.place(ref, WorkerKey("w1", 1))
-        workflow.end_run(ref, run, RunEnd.FAILED, "")
+        workflow.end_run(ref, run, RunEnd.FAILED, "", 0.0)
         self._check_until(2.6, 5.5)
         self.assertEqual([], self._log.events)
 
--- a/tests/workflow/test_workflow.py
+++ b/tests/workflow/test_workflow.py
@@ -26,13 +26,13 @@
         """Guards against a start before the steps it depends on are done."""
         flow = workflow(StepSpec(2), StepSpec(1, after=(0,)))
         first, second = list(flow.ready_tasks(0.0))
-        flow.end_run(first, flow.place(first, _WORKER), RunEnd.DONE, "")
+        flow.end_run(first, flow.place(first, _WORKER), RunEnd.DONE, "", 0.0)
         self.assertEqual([second], list(flow.ready_tasks(0.0)))
-        flow.end_run(second, flow.place(second, _WORKER), RunEnd.DONE, "")
+        flow.end_run(second, flow.place(second, _WORKER), RunEnd.DONE, "", 0.0)
         (third,) = flow.ready_tasks(0.0)
         self.assertEqual(1, third.step)
         self.assertIs(WorkflowState.RUNNING, flow.state)
-        flow.end_run(third, flow.place(third, _WORKER), RunEnd.DONE, "")
+        flow.end_run(third, flow.place(third, _WORKER), RunEnd.DONE, "", 0.0)
         self.assertIs(WorkflowState.DONE, flow.state)
 
     def test_occurrence_waits_for_its_time(self) -> None:
@@ -56,7 +56,7 @@
         flow.lose_run(ref, first)
         second = flow.place(ref, _WORKER)
         self.assertGreater(second, first)
-        self.assertFalse(flow.end_run(ref, first, RunEnd.DONE, ""))
+        self.assertFalse(flow.end_run(ref, first, RunEnd.DONE, "", 0.0))
         self.assertIs(WorkflowState.RUNNING, flow.state)
 
     def test_task_is_not_placed_twice(self) -> None:
@@ -71,8 +71,8 @@
         """Guards against a start after the last attempt has failed."""
         flow = workflow(StepSpec(1), max_attempts=2)
         (ref,) = flow.ready_tasks(0.0)
-        flow.end_run(ref, flow.place(ref, _WORKER), RunEnd.FAILED, "")
-        flow.end_run(ref, flow.place(ref, _WORKER), RunEnd.FAILED, "")
+        flow.end_run(ref, flow.place(ref, _WORKER), RunEnd.FAILED, "", 0.0)
+        flow.end_run(ref, flow.place(ref, _WORKER), RunEnd.FAILED, "", 0.0)
         self.assertIs(WorkflowState.FAILED, flow.state)
         self.assertEqual([], list(flow.ready_tasks(0.0)))
 
@@ -81,7 +81,7 @@
         flow = workflow(StepSpec(1), max_attempts=1)
         (ref,) = flow.ready_tasks(0.0)
         for end in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN):
-            flow.end_run(ref, flow.place(ref, _WORKER), end, "saved")
+            flow.end_run(ref, flow.place(ref, _WORKER), end, "saved", 0.0)
         self.assertIs(WorkflowState.RUNNING, flow.state)
         self.assertEqual("saved", flow.task(ref).checkpoint)
 
@@ -90,7 +90,7 @@
         flow = workflow(StepSpec(1, long_running=True), max_attempts=1)
         (ref,) = flow.ready_tasks(0.0)
         for end in (RunEnd.DONE, RunEnd.FAILED):
-            flow.end_run(ref, flow.place(ref, _WORKER), end, "")
+            flow.end_run(ref, flow.place(ref, _WORKER), end, "", 0.0)
             self.assertEqual([ref], list(flow.ready_tasks(0.0)))
 
     def test_cancelled_workflow_starts_nothing(self) -> None:
@@ -101,7 +101,7 @@
         self.assertTrue(flow.cancel())
         self.assertEqual([], list(flow.ready_tasks(0.0)))
         self.assertFalse(flow.settled)
-        flow.end_run(ref, run, RunEnd.STOPPED, "")
+        flow.end_run(ref, run, RunEnd.STOPPED, "", 0.0)
         self.assertTrue(flow.settled)
         self.assertFalse(flow.cancel())
 
@@ -111,15 +111,15 @@
         refs = list(flow.ready_tasks(0.0))
         runs = {flow.place(ref, _WORKER) for ref in refs}
         self.assertEqual(1, len(runs))
-        flow.end_run(refs[0], runs.pop(), RunEnd.DONE, "")
+        flow.end_run(refs[0], runs.pop(), RunEnd.DONE, "", 0.0)
         self.assertIs(WorkflowState.DONE, flow.state)
 
     def test_stored_progress_restores_the_workflow(self) -> None:
         """Guards against a new leader that forgets runs or failures."""
         flow = workflow(StepSpec(3), StepSpec(1, after=(0,)))
         one, two, _ = flow.ready_tasks(0.0)
-        flow.end_run(one, flow.place(one, _WORKER), RunEnd.DONE, "")
-        flow.end_run(two, flow.place(two, _WORKER), RunEnd.FAILED, "")
+        flow.end_run(one, flow.place(one, _WORKER), RunEnd.DONE, "", 0.0)
+        flow.end_run(two, flow.place(two, _WORKER), RunEnd.FAILED, "", 0.0)
         run = flow.place(two, _WORKER)
         stored = msgspec.json.encode(msgspec.to_builtins(flow.record()))
         restored = Workflow(flow.spec)
@@ -196,9 +196,9 @@
             first, other = flow.ready_tasks(1000.0)
             run = flow.place(first, _WORKER)
             if flow is nearly_done:
-                flow.end_run(first, run, RunEnd.DONE, "")
+                flow.end_run(first, run, RunEnd.DONE, "", 0.0)
                 run = flow.place(other, _WORKER)
-                flow.end_run(other, run, RunEnd.DONE, "")
+                flow.end_run(other, run, RunEnd.DONE, "", 0.0)
         self.assertLess(nearly_done.urgency(1000.5), begun.urgency(1000.5))
 
     def test_long_running_workflow_never_expires(self) -> None:
