Take the limits of placement requests from the manifest in force

The service answered 2.9 s after each call, which had been ended after 2.5 s and was then repeated as it was.

Cause: the time limit of a call, the time after which it counts as lost, and the number of workers in it were constants; of the manifest only the validity was read, and kept with the submission. The margin of 0.6 s at the end of a ticket also left no use of one that is valid for less.

Change: the terms of a queue come from the manifest in force, also for workflows that were accepted before it. Number of workers, time limit and margin follow from them and from the time in which the workflow is to end. A request that timed out is repeated with half of the workers and twice the limit. Gangs ask for all their workers at once. A member gets at most two open requests, so that none times out in its queue. A stored start whose ticket has expired is not sent.

--- a/src/carawaystep/planner/advice_request.py
+++ b/src/carawaystep/planner/advice_request.py
@@ -16,6 +16,8 @@
     :param step: number of the step, from 0
     :param workers: workers to ask about
     :param validity_s: time for which a granted ticket is valid, seconds
+    :param timeout_s: time after which the request has failed, seconds; leaders
+        of earlier versions do not send it
     """
 
     workflow: str
@@ -23,6 +25,7 @@
     step: int
     workers: list[WorkerKey]
     validity_s: float
+    timeout_s: float = 2.5
 
     @property
     def step_key(self) -> tuple[str, int, int]:
--- a/src/carawaystep/planner/candidate_search.py
+++ b/src/carawaystep/planner/candidate_search.py
@@ -86,7 +86,7 @@
         :param usable: workers that may get new work
         """
         step = workflow.step(ref)
-        if workflow.spec.needs_tickets:
+        if self._ticket_cache.needs_tickets(workflow):
             return self.rank_for_task(workflow, ref, usable)
         group = (*_step_group(workflow, ref), step.image)
         workers: Iterable[TrackedWorker] = ()
@@ -142,7 +142,7 @@
         ranking = CandidateRanking(
             self._eligible_workers(workflow, ref, usable), rank, rank
         )
-        if not ranking and not _is_for_one_task(workflow, ref):
+        if not ranking and not self._is_for_one_task(workflow, ref):
             self._unmet_forced_needs.add(group, step)
         return ranking.take(frozenset())
 
@@ -166,7 +166,7 @@
         ]
         if can_preempt(workflow, ref, open_workers):
             return select_victims(workflow, ref, open_workers)
-        if not _is_for_one_task(workflow, ref):
+        if not self._is_for_one_task(workflow, ref):
             self._unmet_preemptions.add(group, step)
         return []
 
@@ -213,10 +213,18 @@
         self, workflow: Workflow, ref: TaskRef, workers: list[TrackedWorker]
     ) -> list[TrackedWorker]:
         """Return the workers that the placement service has not denied."""
-        if not workflow.spec.needs_tickets:
+        if not self._ticket_cache.needs_tickets(workflow):
             return workers
         return self._ticket_cache.not_denied(ref, workers)
 
+    def _is_for_one_task(self, workflow: Workflow, ref: TaskRef) -> bool:
+        """Tell whether a search in vain says nothing of other tasks."""
+        return bool(
+            workflow.step(ref).max_per_worker
+            or self._ticket_cache.needs_tickets(workflow)
+            or workflow.task(ref).failed_on
+        )
+
     def _eligible_workers(
         self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
     ) -> Iterator[TrackedWorker]:
@@ -230,22 +238,13 @@
         )
         avoided = self.avoided_workers(workflow, ref, usable)
         eligible = eligible_workers(workflow, ref, with_capacity, avoided)
-        if not workflow.spec.needs_tickets:
+        if not self._ticket_cache.needs_tickets(workflow):
             return eligible
         return self._ticket_cache.workers_with_ticket(
             workflow, ref, eligible, self._now
         )
 
 
-def _is_for_one_task(workflow: Workflow, ref: TaskRef) -> bool:
-    """Tell whether a search in vain says nothing of other workflows' tasks."""
-    return bool(
-        workflow.step(ref).max_per_worker
-        or workflow.spec.needs_tickets
-        or workflow.task(ref).failed_on
-    )
-
-
 def _step_group(workflow: Workflow, ref: TaskRef) -> _StepGroup:
     """Return what decides which workers suit a step, apart from its needs.
 
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -40,6 +40,7 @@
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
+    from carawaystep.routing.ticket_terms import TicketTerms
     from carawaystep.workflow.workflow import Workflow
     from carawaystep.workflow.workflow_record import WorkflowRecord
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -339,10 +340,13 @@
         self._waiting_tasks.check(usable, now, wall_now)
         return limited
 
-    def should_send(self, order: Order) -> bool:
+    def should_send(self, order: StartOrder, now: float) -> bool:
         """Tell whether a stored start is still to be sent.
 
-        The run may have been lost or its workflow cancelled meanwhile.
+        The run may have been lost, its workflow cancelled, or its ticket
+        expired meanwhile.
+
+        :param now: current time, seconds of a monotonic clock
         """
         workflow = self._registry.get(order.ref.workflow)
         if workflow is None or workflow.ended:
@@ -350,6 +354,7 @@
         return (
             workflow.is_current_run(order.ref, order.run)
             and workflow.task(order.ref).worker == order.worker
+            and self._ticket_cache.may_send(order, now)
         )
 
     def withdraw_start(self, order: Order) -> None:
@@ -369,6 +374,25 @@
         """Return new orders that may be sent without a commit."""
         return self._immediate_orders.take_orders()
 
+    def set_ticket_terms(
+        self, terms: Mapping[str, TicketTerms | None]
+    ) -> None:
+        """Set the terms of tickets in force.
+
+        :param terms: by queue, None for one whose starts need no tickets
+        """
+        self._ticket_cache.set_terms(terms)
+
+    def withdraw_advice_requests(
+        self, requests: Iterable[AdviceRequest], now: float
+    ) -> None:
+        """Forget requests to the placement service that were not sent.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        for request in requests:
+            self._ticket_cache.withdraw_request(request, now)
+
     def take_advice_requests(self) -> list[AdviceRequest]:
         """Return new requests to the placement service."""
         return self._ticket_cache.take_requests()
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -98,7 +98,9 @@
             unplaced = self._place_workflow(
                 workflow, workers, search, now, wall_now
             )
-            if unplaced and not self._is_pass_full:
+            # Tasks that wait for a ticket hold no workers.
+            holds = not self._ticket_cache.needs_tickets(workflow)
+            if unplaced and holds and not self._is_pass_full:
                 stage = workflow.urgency(wall_now).stage
                 _hold_workers(held, workflow, stage, unplaced, workers)
             if not unplaced and not workflow.spec.scheduled:
@@ -135,6 +137,7 @@
         blocked: set[_StepKey] = set()
         last_placed: dict[_StepKey, TaskRef] = {}
         rankings: dict[_StepKey, CandidateRanking] = {}
+        needs_tickets = self._ticket_cache.needs_tickets(workflow)
         for ref in list(workflow.ready_tasks(wall_now)):
             step_key = (ref.occurrence, ref.step)
             if step_key in blocked or self._is_pass_full:
@@ -143,7 +146,7 @@
             if workflow.step(ref).gang:
                 placed = self._place_gang(workflow, ref, usable, search, now)
             else:
-                if step_key not in rankings or workflow.spec.needs_tickets:
+                if step_key not in rankings or needs_tickets:
                     rankings[step_key] = search.rank(workflow, ref, usable)
                 placed = self._place_task(
                     workflow, ref, rankings[step_key], usable, search, now
@@ -317,15 +320,13 @@
     """Hold workers for the tasks of a workflow that did not fit.
 
     Gangs and best-effort tasks get none: a gang would need all at once, and
-    best-effort tasks need no unreserved CPU. Neither do tasks that wait for
-    a ticket, nor the new tasks of an interrupted workflow.
+    best-effort tasks need no unreserved CPU. Neither do the new tasks of an
+    interrupted workflow.
 
     :param stage: stage of the workflow after its placement
     :param unplaced: tasks that did not fit, by occurrence and step
     :param workers: workers that the workflow may use
     """
-    if workflow.spec.needs_tickets:
-        return
     for refs in unplaced.values():
         step = workflow.step(refs[0])
         if step.gang or step.fills:
--- a/src/carawaystep/planner/ticket_cache.py
+++ b/src/carawaystep/planner/ticket_cache.py
@@ -6,26 +6,28 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from carawaystep.planner.advice_limits import max_workers
+from carawaystep.planner.advice_limits import ticket_margin_s
+from carawaystep.planner.advice_limits import timeout_s
 from carawaystep.planner.advice_request import AdviceRequest
+from carawaystep.routing.ticket_terms import TicketTerms
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from carawaystep.fleet.order import StartOrder
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
-# The response time of the service grows with the workers in a request.
-_MAX_WORKERS_PER_REQUEST = 30
-# Covers the transfer of the answer, the commit and the transfer of the start.
-_TICKET_MARGIN_S = 0.6
-# A request is repeated when no answer has arrived within this time.
-_REQUEST_TIMEOUT_S = 3.0
 _RETRY_DELAY_S = 0.2
+# A request is given up after this many of its time limits: its member may send
+# another one first, and answers also when the service does not.
+_LOST_AFTER_TIMEOUTS = 2.0
 
 _StepKey = tuple[str, int, int]
 
@@ -35,12 +37,14 @@
     """Permission to start tasks of a step on one lifetime of a worker.
 
     :param text: text that the worker checks
-    :param valid_until: time from which it is no longer used, seconds of a
-        monotonic clock
+    :param use_until: time from which it is no longer used for placements,
+        seconds of a monotonic clock
+    :param send_until: time from which it is no longer sent
     """
 
     text: str
-    valid_until: float
+    use_until: float
+    send_until: float
 
 
 @dataclass(slots=True)
@@ -50,15 +54,30 @@
     :param tickets: last ticket, by worker
     :param denied: ids of workers that may not run the step
     :param allowed: ids of workers that may run the step
-    :param asked_at: time of the open request, None without one
+    :param open_request: the request without an answer, None without one
+    :param asked_at: time of that request
     :param ask_after: earliest time of the next request
+    :param timed_out: number of requests that timed out, less those that were
+        answered since
     """
 
     tickets: dict[WorkerKey, _Ticket] = field(default_factory=dict)
     denied: set[str] = field(default_factory=set)
     allowed: set[str] = field(default_factory=set)
-    asked_at: float | None = None
+    open_request: AdviceRequest | None = None
+    asked_at: float = 0.0
     ask_after: float = 0.0
+    timed_out: int = 0
+
+    def end_request(self, now: float) -> float:
+        """Forget the open request.
+
+        :returns: seconds since it was made, 0 without one
+        """
+        if self.open_request is None:
+            return 0.0
+        self.open_request = None
+        return now - self.asked_at
 
 
 class TicketCache:
@@ -74,9 +93,21 @@
         :param log: receives a line for each answer
         """
         self._log = log
+        self._terms: Mapping[str, TicketTerms | None] = {}
         self._steps: dict[_StepKey, _StepTickets] = {}
         self._requests: list[AdviceRequest] = []
 
+    def set_terms(self, terms: Mapping[str, TicketTerms | None]) -> None:
+        """Set the terms of tickets in force.
+
+        :param terms: by queue, None for one whose starts need no tickets
+        """
+        self._terms = terms
+
+    def needs_tickets(self, workflow: Workflow) -> bool:
+        """Tell whether starts of a workflow need tickets."""
+        return self._terms_of(workflow) is not None
+
     def take_requests(self) -> list[AdviceRequest]:
         """Return the requests made since the last call."""
         requests, self._requests = self._requests, []
@@ -102,15 +133,13 @@
         found = False
         for worker in candidates:
             ticket = step_tickets.tickets.get(worker.key)
-            if ticket is not None and now < ticket.valid_until:
+            if ticket is not None and now < ticket.use_until:
                 found = True
                 yield worker
             elif worker.key.id not in step_tickets.denied:
                 others.append(worker.key)
         if not found and others:
-            self._request_tickets(
-                step_tickets, ref, others, workflow.spec.permit_s, now
-            )
+            self._request_tickets(step_tickets, workflow, ref, others, now)
 
     def not_denied(
         self, ref: TaskRef, workers: Iterable[TrackedWorker]
@@ -129,10 +158,23 @@
         ticket = (
             None if step_tickets is None else step_tickets.tickets.get(key)
         )
-        if ticket is None or now >= ticket.valid_until:
+        if ticket is None or now >= ticket.use_until:
             return ""
         return ticket.text
 
+    def may_send(self, order: StartOrder, now: float) -> bool:
+        """Tell whether the ticket of a start, if any, is valid on arrival.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        if not order.ticket:
+            return True
+        step_tickets = self._steps.get(order.ref[:3])
+        if step_tickets is None:
+            return True
+        ticket = step_tickets.tickets.get(order.worker)
+        return ticket is None or now < ticket.send_until
+
     def record_answer(
         self,
         request: AdviceRequest,
@@ -149,25 +191,31 @@
         step_tickets = self._steps.get(request.step_key)
         if step_tickets is None:
             return
-        asked_at, step_tickets.asked_at = step_tickets.asked_at, None
+        waited_s = step_tickets.end_request(now)
         if tickets is None:
             step_tickets.ask_after = now + _RETRY_DELAY_S
-            self._log.line("permits.unanswered", request.step_name)
+            if waited_s >= request.timeout_s:
+                step_tickets.timed_out += 1
+            self._log_unanswered(request, waited_s)
             return
-        valid_until = now + request.validity_s - _TICKET_MARGIN_S
+        step_tickets.timed_out = max(0, step_tickets.timed_out - 1)
+        margin_s = ticket_margin_s(request.validity_s)
+        valid_until = now + request.validity_s
         for key in request.workers:
             text = tickets.get(key.id)
             if text is None:
                 step_tickets.denied.add(key.id)
             else:
                 step_tickets.allowed.add(key.id)
-                step_tickets.tickets[key] = _Ticket(text, valid_until)
+                step_tickets.tickets[key] = _Ticket(
+                    text, valid_until - margin_s, valid_until - margin_s / 2
+                )
         self._log.line(
             "permits.answered",
             request.step_name,
             asked=len(request.workers),
             allowed=len(tickets),
-            seconds=0.0 if asked_at is None else now - asked_at,
+            seconds=waited_s,
         )
 
     def discard_ticket(self, ref: TaskRef, key: WorkerKey) -> None:
@@ -181,29 +229,65 @@
         for step_key in [s for s in self._steps if s[0] == workflow_id]:
             del self._steps[step_key]
 
+    def withdraw_request(self, request: AdviceRequest, now: float) -> None:
+        """Forget a request that was not sent, so that it is made again.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        step_tickets = self._steps.get(request.step_key)
+        if step_tickets is not None and step_tickets.open_request is request:
+            step_tickets.end_request(now)
+
+    def _terms_of(self, workflow: Workflow) -> TicketTerms | None:
+        """Return the terms in force for a workflow's queue.
+
+        Those at its acceptance stand in for a queue that no manifest names,
+        and until a manifest has been read.
+        """
+        spec = workflow.spec
+        accepted = TicketTerms(spec.permit_s) if spec.permit_s > 0 else None
+        return self._terms.get(spec.queue, accepted)
+
     def _request_tickets(
         self,
         step_tickets: _StepTickets,
+        workflow: Workflow,
         ref: TaskRef,
         workers: list[WorkerKey],
-        validity_s: float,
         now: float,
     ) -> None:
-        waiting = (
-            step_tickets.asked_at is not None
-            and now - step_tickets.asked_at < _REQUEST_TIMEOUT_S
-        )
-        if waiting or now < step_tickets.ask_after:
+        """Request tickets unless a request is open or was just answered."""
+        terms = self._terms_of(workflow)
+        if terms is None or now < step_tickets.ask_after:
             return
-        step_tickets.asked_at = now
+        request = step_tickets.open_request
+        if request is not None:
+            waited_s = now - step_tickets.asked_at
+            if waited_s < request.timeout_s * _LOST_AFTER_TIMEOUTS:
+                return
+            step_tickets.timed_out += 1
+            self._log_unanswered(request, waited_s)
         # Workers that may run the step come first: they always get a ticket.
         workers.sort(key=lambda key: key.id not in step_tickets.allowed)
-        self._requests.append(
-            AdviceRequest(
-                ref.workflow,
-                ref.occurrence,
-                ref.step,
-                workers[:_MAX_WORKERS_PER_REQUEST],
-                validity_s,
-            )
+        timed_out = step_tickets.timed_out
+        asked = workers[: max_workers(workflow, ref.step, terms, timed_out)]
+        request = AdviceRequest(
+            ref.workflow,
+            ref.occurrence,
+            ref.step,
+            asked,
+            terms.validity_s,
+            timeout_s(terms, len(asked), timed_out),
+        )
+        step_tickets.open_request = request
+        step_tickets.asked_at = now
+        self._requests.append(request)
+
+    def _log_unanswered(self, request: AdviceRequest, waited_s: float) -> None:
+        self._log.line(
+            "permits.unanswered",
+            request.step_name,
+            asked=len(request.workers),
+            seconds=waited_s,
+            timeout_s=request.timeout_s,
         )
--- a/src/carawaystep/routing/queue_route.py
+++ b/src/carawaystep/routing/queue_route.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.routing.ticket_terms import TicketTerms
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +26,8 @@
         workflow fails
     :param stretch: factor on the duration of the critical path
     :param objective_s: seconds in addition to the stretched critical path
-    :param ticket_validity_s: validity of a ticket of the placement service in
-        seconds, 0 when starts need no ticket
+    :param ticket_terms: terms of the tickets of the placement service, None
+        when starts need no ticket
     """
 
     name: str
@@ -34,4 +38,4 @@
     max_attempts: int
     stretch: float
     objective_s: float
-    ticket_validity_s: float = 0.0
+    ticket_terms: TicketTerms | None = None
--- a/src/carawaystep/scheduler/advice_dispatcher.py
+++ b/src/carawaystep/scheduler/advice_dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import ForwardedAdviceRequest
@@ -15,6 +14,11 @@
     from carawaystep.scheduler.member_session import MemberSession
 
 
+# The service processes one request of a machine at a time. The second of a
+# member is sent without a pause after the first.
+_MAX_OPEN_PER_MEMBER = 2
+
+
 class AdviceDispatcher:
     """Sends advice requests to members and counts the open ones of each.
 
@@ -28,33 +32,58 @@
         :param term: term of the leader that sends the requests
         """
         self._term = term
-        self._open_requests: Counter[str] = Counter()
+        # Times at which the open requests of a member count as lost.
+        self._open_requests: dict[str, list[float]] = {}
 
     async def dispatch(
         self,
         requests: Iterable[AdviceRequest],
         sessions: Mapping[str, MemberSession],
         now: float,
-    ) -> None:
+    ) -> list[AdviceRequest]:
         """Send each request to the available member with the fewest open.
 
-        Without an available member nothing is sent; the planner repeats
-        requests that get no answer.
+        None is sent to a member with several open requests: there it would
+        wait for longer than its time limit.
 
         :param requests: requests of the planner
         :param sessions: sessions with all members, by member name
         :param now: current time in seconds, monotonic
+        :returns: requests that were not sent
         """
         available = [n for n, s in sessions.items() if s.available(now)]
-        if not available:
-            return
+        for name in available:
+            self._forget_lost_requests(name, now)
+        unsent: list[AdviceRequest] = []
         for request in requests:
-            name = min(available, key=lambda n: self._open_requests[n])
-            self._open_requests[name] += 1
-            await sessions[name].send(
+            member = self._choose_member(available)
+            if member is None:
+                unsent.append(request)
+                continue
+            self._open_requests[member].append(now + request.timeout_s)
+            await sessions[member].send(
                 ForwardedAdviceRequest(self._term, request)
             )
+        return unsent
 
     def record_answer(self, member: str) -> None:
         """Count one open request of a member as answered."""
-        self._open_requests[member] = max(0, self._open_requests[member] - 1)
+        open_requests = self._open_requests.get(member)
+        if open_requests:
+            open_requests.pop(0)
+
+    def _forget_lost_requests(self, member: str, now: float) -> None:
+        self._open_requests[member] = [
+            lost_at
+            for lost_at in self._open_requests.get(member, ())
+            if now < lost_at
+        ]
+
+    def _choose_member(self, available: list[str]) -> str | None:
+        """Return the member with the fewest open requests, if it has few."""
+        if not available:
+            return None
+        name = min(available, key=lambda n: len(self._open_requests[n]))
+        if len(self._open_requests[name]) >= _MAX_OPEN_PER_MEMBER:
+            return None
+        return name
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -50,6 +50,7 @@
     from carawaystep.leadership.election import Election
     from carawaystep.leadership.leadership import Leadership
     from carawaystep.planner.changes import Changes
+    from carawaystep.routing.current_routes import CurrentRoutes
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.ports import SchedulerPorts
@@ -83,6 +84,7 @@
         store_health: StoreHealth,
         leadership: Leadership,
         election: Election,
+        routes: CurrentRoutes,
     ) -> None:
         """Create a term; nothing is read yet.
 
@@ -91,10 +93,12 @@
         :param store_health: records the answers and failures of the store
         :param leadership: what this process knows about the leader
         :param election: number and predecessors of the term
+        :param routes: the routes, with the terms of tickets
         """
         self._settings = settings
         self._ports = ports
         self._leadership = leadership
+        self._routes = routes
         self._term = term = election.term
         self._predecessors = Predecessors(
             election.predecessors, ports.clock.now()
@@ -334,6 +338,7 @@
             await self._plan_requested.wait()
             self._plan_requested.clear()
             began_at = self.now
+            self._planner.set_ticket_terms(self._routes.ticket_terms)
             with self._step_timer.measure("plan"):
                 limited = self._planner.plan(
                     began_at, self._ports.clock.wall_now()
@@ -342,11 +347,12 @@
                 self._plan_requested.set()
             pause_s = max(_BATCH_WINDOW_S, self.now - began_at)
             await self._dispatch_immediate_orders()
-            await self._advice_dispatcher.dispatch(
+            unsent = await self._advice_dispatcher.dispatch(
                 self._planner.take_advice_requests(),
                 self._sessions.sessions,
                 self.now,
             )
+            self._planner.withdraw_advice_requests(unsent, self.now)
             await self._store_and_publish(self._planner.take_changes())
             await asyncio.sleep(pause_s)
 
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -161,6 +161,7 @@
                 self._store_health,
                 self._leadership,
                 election,
+                self.routes,
             )
             try:
                 await self._leader_term.run()
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -31,8 +31,8 @@
     :param first_due_s: wall-clock time of occurrence 0 in seconds, 0 to start
         at once
     :param interval_s: seconds between occurrences
-    :param permit_s: seconds for which a ticket of the placement service is
-        valid, 0 when the queue needs no tickets
+    :param permit_s: seconds for which a ticket of the placement service was
+        valid at the acceptance, 0 when the queue needed no tickets
     """
 
     id: str
@@ -55,11 +55,6 @@
         """Tell whether occurrences start at set times."""
         return self.first_due_s > 0
 
-    @property
-    def needs_tickets(self) -> bool:
-        """Tell whether a start needs a ticket of the placement service."""
-        return self.permit_s > 0
-
     @property
     def long_running(self) -> bool:
         """Tell whether it runs until it is cancelled."""
--- a/tests/scheduler/test_advice.py
+++ b/tests/scheduler/test_advice.py
@@ -92,6 +92,33 @@
         asyncio.run(dispatcher.dispatch([_request(9)], sessions, 1.0))
         self.assertEqual(3, sessions["m2"].send.await_count)
 
+    def test_request_beyond_the_open_ones_is_not_sent(self) -> None:
+        """Guards against requests that time out in the queue of a member.
+
+        The planner makes them again when a member has answered.
+        """
+        session = create_autospec(MemberSession, instance=True)
+        dispatcher = AdviceDispatcher(_TERM)
+        requests = [_request(step) for step in range(3)]
+        sessions = {"m1": session}
+        unsent = asyncio.run(dispatcher.dispatch(requests, sessions, 1.0))
+        self.assertEqual(requests[2:], unsent)
+        self.assertEqual(
+            requests, asyncio.run(dispatcher.dispatch(requests, {}, 1.0))
+        )
+
+    def test_lost_requests_do_not_count_as_open(self) -> None:
+        """Guards against a member that gets no more after lost answers."""
+        session = create_autospec(MemberSession, instance=True)
+        dispatcher = AdviceDispatcher(_TERM)
+        requests = [_request(step) for step in range(2)]
+        sessions = {"m1": session}
+        asyncio.run(dispatcher.dispatch(requests, sessions, 1.0))
+        late = 1.0 + requests[0].timeout_s
+        self.assertEqual(
+            [], asyncio.run(dispatcher.dispatch(requests, sessions, late))
+        )
+
 
 class AdviceProxyTest(TestCase):
     """Queue of one member."""
--- a/tests/scheduler/test_leader_term.py
+++ b/tests/scheduler/test_leader_term.py
@@ -12,6 +12,7 @@
 
 from carawaystep.leadership.election import Election
 from carawaystep.leadership.leadership import Leadership
+from carawaystep.routing.current_routes import CurrentRoutes
 from carawaystep.scheduler import leader_term
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.node_settings import NodeSettings
@@ -67,6 +68,7 @@
                 StoreHealth(log, 0.0),
                 Leadership("edge-1", 1.0, 0.0),
                 Election(7),
+                CurrentRoutes(),
             )
             pairs = [("a", "b", 0.5)]
             with (
@@ -101,6 +103,7 @@
             StoreHealth(log, 0.0),
             leadership,
             Election(7),
+            CurrentRoutes(),
         )
         leadership.record_heartbeat(7, "edge-1", 0.0, 0.0, 10.0)
         self.assertTrue(term.may_lead(10.0))
@@ -119,6 +122,7 @@
             StoreHealth(log, 0.0),
             Leadership("edge-1", 1.0, 0.0),
             Election(7, {"tcp://gone": 4.0, "tcp://edge-2": 10.0}),
+            CurrentRoutes(),
         )
         with patch.object(
             term._planner, "set_predecessor_stop_time"
--- a/tests/scheduler/test_leader_term_start.py
+++ b/tests/scheduler/test_leader_term_start.py
@@ -16,6 +16,7 @@
 from carawaystep.leadership.election import Election
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.leadership.member_record import MemberRecord
+from carawaystep.routing.current_routes import CurrentRoutes
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.node_settings import NodeSettings
@@ -92,6 +93,7 @@
         StoreHealth(log, 0.0),
         Leadership("edge-1", 1.0, 0.0),
         Election(_TERM),
+        CurrentRoutes(),
     )
 
 
@@ -128,6 +130,7 @@
                 StoreHealth(log, 0.0),
                 Leadership("edge-1", 1.0, 0.0),
                 Election(_TERM),
+                CurrentRoutes(),
             )
             session = SimpleNamespace(send=send)
             calls = (Submit(1, spec), Cancel(2, spec.id), QueryState(3, "b"))
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -341,3 +341,25 @@
         self.assertEqual(
             [0, 4, 0], [len(worker.started) for worker in deployment.workers]
         )
+
+    def test_slow_placement_service_holds_no_queue_up(self) -> None:
+        """Guards against calls that time out before they can be answered.
+
+        The service needs a second for each worker since the last manifest.
+        """
+        path = f"/advised/{SUBMISSION_ID}"
+
+        async def scenario(deployment: Deployment) -> None:
+            placement = deployment.placement
+            placement.allowed = {"i-0", "i-1", "i-2"}
+            for worker in deployment.workers:
+                worker.placement = placement
+            await deployment.slow_placement_down(1.0)
+            await asyncio.sleep(1.5)
+            answer = await deployment.nodes[0].call(
+                "POST", path, SUBMISSION_BODY
+            )
+            self.assertEqual(200, answer.status)
+            await wait_for_state(deployment.nodes[1], "completed", path)
+
+        self._assert_each_ran_once(run_scenario(scenario, workers=3))
