Let a leader give grants only while the store or a majority confirms it

Cause: a new leader waits for what a stored caller that does not follow it may still extend for an earlier leader. A leader went on for 10 s after the store last confirmed it, without any other proof that it was not replaced, so that the wait was 10 s, a grant of 2 s and a lease of 6.5 s from the election on.

Change: a leader renews a grant only after its term was confirmed since the member's heartbeat arrived, by the store or by a majority of the voters that are stored in control/voters. Its successor concludes that it has stopped once enough voters of each stored set follow the new term; from then on it waits for a grant and a lease. While the store is away for all, the members confirm the leader, and runs go on as before. Leaders of earlier versions are recognised by the leader row and waited for as before.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -54,6 +54,8 @@
     :param silence_limit_s: seconds without a heartbeat after which members
         replace the leader
     :param published: what changed since the last heartbeat, None if nothing
+    :param timestamp: time of the leader's clock, echoed by a member that
+        follows the term
     """
 
     term: int
@@ -62,6 +64,7 @@
     confirmation_age_s: float
     silence_limit_s: float = 1.0
     published: PublishedStates | None = None
+    timestamp: float = 0.0
 
 
 class AssignedWorker(msgspec.Struct, array_like=True, frozen=True):
@@ -162,6 +165,9 @@
     :param timestamp: time of the member's clock, echoed by the leader
     :param assignment_version: version of its last :class:`Assign`, 0 if none
     :param draining: whether the member is about to stop
+    :param leader_timestamp: timestamp of the heartbeat that it answers
+    :param incarnation: id of the member's process, different after a restart;
+        empty for one of an earlier version
     """
 
     name: str
@@ -169,6 +175,8 @@
     timestamp: float
     assignment_version: int
     draining: bool
+    leader_timestamp: float = 0.0
+    incarnation: str = ""
 
 
 class LeaseAges(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/src/carawaystep/leadership/election.py
+++ b/src/carawaystep/leadership/election.py
@@ -18,7 +18,10 @@
     :param predecessors: by address of a node that led before, the seconds
         from the election after which its lease as the leader has ended; an
         empty address stands for a leader whose address is not known
+    :param predecessors_need_majority: whether these nodes give grants only
+        while the store or a majority of the stored voters confirms their term
     """
 
     term: int
     predecessors: Mapping[str, float] = field(default_factory=dict)
+    predecessors_need_majority: bool = False
--- a/src/carawaystep/leadership/leader_record.py
+++ b/src/carawaystep/leadership/leader_record.py
@@ -16,9 +16,15 @@
     :param address: ZeroMQ address of the leader's node, empty if unknown
     :param predecessors: by address of a node that led before, the seconds
         from the election after which its lease as the leader has ended
+    :param needs_majority: whether it gives grants only while the store or a
+        majority of the stored voters confirms its term; leaders of earlier
+        versions do not
+    :param predecessors_need_majority: the same for all ``predecessors``
     """
 
     name: str = ""
     incarnation: str = ""
     address: str = ""
     predecessors: dict[str, Seconds] = {}
+    needs_majority: bool = False
+    predecessors_need_majority: bool = False
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -92,30 +92,22 @@
             # The last attempt was applied but its answer was lost. A term
             # that this process already led is never resumed, because orders
             # of that term may still be in flight.
-            return self._record_election(
-                self._version, own_record.predecessors
-            )
+            return self._record_election(self._version, own_record)
         if self._in_grace_period(row):
             return None
-        predecessors = self._predecessors(row)
-        value = msgspec.to_builtins(
-            msgspec.structs.replace(self._record, predecessors=predecessors)
-        )
+        record = self._new_record(row)
+        value = msgspec.to_builtins(record)
         written = await self._ports.store.transact(
             [PutRow(tables.CONTROL, tables.LEADER_KEY, self._version, value)]
         )
         if isinstance(written, Ok):
-            return self._record_election(
-                written.ok_value.revision, predecessors
-            )
+            return self._record_election(written.ok_value.revision, record)
         if not isinstance(written.err_value, TableConflict):
             now = self._ports.clock.now()
             self._store_health.record_failure(written.err_value.detail, now)
         return None
 
-    def _record_election(
-        self, term: int, predecessors: dict[str, float]
-    ) -> Election:
+    def _record_election(self, term: int, record: LeaderRecord) -> Election:
         self._last_term = term
         self._ports.log.line(
             "leader.elected",
@@ -123,7 +115,9 @@
             term=term,
             earlier=self._leadership.term,
         )
-        return Election(term, predecessors)
+        return Election(
+            term, record.predecessors, record.predecessors_need_majority
+        )
 
     def _own_record(self, row: Row) -> LeaderRecord | None:
         """Return the record in the row if this process wrote it."""
@@ -132,30 +126,44 @@
             return None
         return leader
 
-    def _predecessors(self, row: Row | None) -> dict[str, float]:
-        """Return how long the leases of earlier leaders may last from now.
+    def _new_record(self, row: Row | None) -> LeaderRecord:
+        """Return the record with which this process claims the row.
 
-        The leader in the row confirms its term until this process claims the
-        row. Those before it lost the row at its election, which was before
-        this process followed it.
+        The leader in the row confirms its term until then. Those before it
+        lost the row at its election, which was before this process followed
+        it.
 
         :param row: the leader row as it is before this process claims it
-        :returns: seconds by address
         """
+        replace = msgspec.structs.replace
         if row is None:
-            return {}
+            return replace(self._record, predecessors_need_majority=True)
         leader = self._parse_leader(row)
         if leader is None:
-            return {"": LEADER_LEASE_S}
+            return replace(self._record, predecessors={"": LEADER_LEASE_S})
+        earlier = self._earlier_leases_s(leader)
+        need_majority = leader.needs_majority and (
+            leader.predecessors_need_majority or not earlier
+        )
+        return replace(
+            self._record,
+            predecessors={**earlier, leader.address: LEADER_LEASE_S},
+            predecessors_need_majority=need_majority,
+        )
+
+    def _earlier_leases_s(self, leader: LeaderRecord) -> dict[str, float]:
+        """Return how long the leases of a leader's predecessors last.
+
+        :returns: seconds from now by address
+        """
         elapsed_s = self._leadership.seconds_followed(
             self._version, self._ports.clock.now()
         )
-        predecessors = {
+        return {
             address: lease_s - elapsed_s
             for address, lease_s in leader.predecessors.items()
             if lease_s > elapsed_s
         }
-        return {**predecessors, leader.address: LEADER_LEASE_S}
 
     @staticmethod
     def _parse_leader(row: Row) -> LeaderRecord | None:
--- a/src/carawaystep/scheduler/leader_context.py
+++ b/src/carawaystep/scheduler/leader_context.py
@@ -47,6 +47,16 @@
     def silence_limit_s(self, now: float) -> float:
         """Return the seconds of silence after which it is to be replaced."""
 
+    @abstractmethod
+    def verified_at(self) -> float:
+        """Return the last time at which the term was confirmed.
+
+        It was by the store or by a majority of the voters, so that no other
+        leader can have concluded before that this one has stopped.
+
+        :returns: seconds of the leader's clock, minus infinity if never
+        """
+
     @abstractmethod
     def request_term_check(self) -> None:
         """Request a check of the leader row ahead of the periodic one."""
@@ -55,6 +65,18 @@
     def record_follower(self, address: str) -> None:
         """Record that the process at an address follows this term."""
 
+    @abstractmethod
+    def record_answer(
+        self, address: str, incarnation: str, sent_at: float
+    ) -> None:
+        """Record that a member followed this term on a heartbeat.
+
+        :param address: address of the member
+        :param incarnation: id of its process
+        :param sent_at: when the heartbeat was sent, seconds of the leader's
+            clock
+        """
+
     @abstractmethod
     async def handle_message(
         self, session: MemberSession, message: Message
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -37,6 +37,8 @@
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.step_timer import StepTimer
+from carawaystep.scheduler.term_verification import TermVerification
+from carawaystep.scheduler.voter_repository import VoterRepository
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
@@ -103,6 +105,10 @@
         self._predecessors = Predecessors(
             election.predecessors, ports.clock.now()
         )
+        self._predecessors_need_majority = election.predecessors_need_majority
+        self._verification = TermVerification(
+            VoterRepository(ports, store_health, term), self._predecessors
+        )
         self._repository = WorkflowRepository(
             settings, ports.store, ports.clock, store_health, ports.log, term
         )
@@ -153,6 +159,8 @@
         )
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
         self._term_check_requested = asyncio.Event()
+        # Grants are given once the term has been confirmed after the election.
+        self._term_check_requested.set()
         self._loaded = False
         self._stopping = False
         self._resigned = asyncio.Event()
@@ -207,11 +215,31 @@
         self._term_check_requested.set()
 
     def record_follower(self, address: str) -> None:
-        """Record a follower, which may be the last earlier leader."""
-        self._planner.earlier_leases.record_follower(address, self.now)
-        last = self._predecessors.record_follower(address, self.now)
+        """Record a follower, after which no earlier leader may act."""
+        now = self.now
+        self._planner.earlier_leases.record_follower(address, now)
+        last = self._predecessors.record_follower(address, now)
+        self._apply_predecessor_stop_time(last)
+
+    def verified_at(self) -> float:
+        """Return the last time at which the term was confirmed."""
+        return max(self._repository.checked_at, self._verification.verified_at)
+
+    def record_answer(
+        self, address: str, incarnation: str, sent_at: float
+    ) -> None:
+        """Record that a member followed this term on a heartbeat."""
+        self._verification.record_answer(
+            address, incarnation, sent_at, self.now
+        )
+
+    def _apply_predecessor_stop_time(self, stopped: bool) -> None:
+        """Pass on until when earlier leaders may act.
+
+        :param stopped: whether the last one has stopped now
+        """
         self._planner.set_predecessor_stop_time(self._predecessors.stop_time)
-        if last:
+        if stopped:
             self._ports.log.line(
                 "leader.predecessors_stopped", self.name, term=self._term
             )
@@ -238,6 +266,7 @@
                     self._feeds.follow_cancels(revisions.cancels)
                 )
                 group.create_task(self._run_periodic_work())
+                group.create_task(self._store_voters())
                 group.create_task(self._assign_workers())
                 group.create_task(self._run_planner())
                 group.create_task(self._save_interference())
@@ -249,6 +278,7 @@
 
     async def _load(self) -> LoadedRevisions:
         """Restore the stored state and let the members' messages in."""
+        await self._load_voters()
         await self._assignments.load()
         revisions = await self._repository.load(self._planner)
         self._interference.restore(await self._interference_repository.load())
@@ -256,6 +286,14 @@
         self._loaded = True
         return revisions
 
+    async def _load_voters(self) -> None:
+        """Read on which members the earlier leaders may count."""
+        voter_sets = await self._verification.load()
+        if voter_sets is None or not self._predecessors_need_majority:
+            return
+        stopped = self._predecessors.set_voter_sets(voter_sets, self.now)
+        self._apply_predecessor_stop_time(stopped)
+
     async def resign(self) -> None:
         """End the term and announce the resignation to all members."""
         self._stopping = True
@@ -411,6 +449,12 @@
                 )
             self._plan_requested.set()
 
+    async def _store_voters(self) -> None:
+        """Keep the voters stored, at the pace of the store."""
+        while True:
+            await self._verification.update(self.now)
+            await asyncio.sleep(_TICK_INTERVAL_S)
+
     async def _assign_workers(self) -> None:
         """Assign workers to members, at the pace of the store."""
         while True:
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -57,14 +57,17 @@
         settings: NodeSettings,
         ports: SchedulerPorts,
         leadership: Leadership,
+        incarnation: str,
     ) -> None:
         """Create a member that follows no leader yet.
 
         :param settings: settings of this process
         :param ports: clock, leaders, workers, placement service and log
         :param leadership: what this process knows about the leader
+        :param incarnation: id of this process, different after a restart
         """
         self._settings = settings
+        self._incarnation = incarnation
         self._ports = ports
         self._leadership = leadership
         self._leader_identity = b""
@@ -231,6 +234,8 @@
             self.now,
             self._assignment_version,
             self._draining,
+            message.timestamp if followed else 0.0,
+            self._incarnation,
         )
         await self._ports.leader_port.send(leader, heartbeat)
 
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -32,6 +32,9 @@
 # Of more states, none is sent: the member notices the gap in the numbers and
 # asks for what it needs.
 _MAX_UNPUBLISHED_STATES = 2000
+# Heartbeats of a member that wait for a confirmation of the term; a grant
+# outlasts fewer.
+_MAX_UNCONFIRMED = 32
 # Leases that a member extended before earlier silences have ended: each
 # silence takes more than _RECONNECT_AFTER_S.
 _MAX_SILENCES = 16
@@ -60,6 +63,12 @@
         self._context = context
         self._last_heartbeat_at: float | None = None
         self._member_timestamp = 0.0
+        # Timestamp that renews the member's grant, and later ones with the
+        # times of their arrival, after which the term must be confirmed first.
+        self._granted_timestamp = 0.0
+        self._unconfirmed: deque[tuple[float, float]] = deque(
+            maxlen=_MAX_UNCONFIRMED
+        )
         self._draining = False
         # Time from which the member's silence counts.
         self._silence_from = context.now
@@ -214,10 +223,11 @@
             LeaderHeartbeat(
                 self._context.term,
                 self._context.name,
-                self._member_timestamp,
+                self._confirmed_timestamp(),
                 self._context.confirmation_age(now),
                 self._context.silence_limit_s(now),
                 published,
+                now,
             )
         )
         if sent and published is not None:
@@ -226,6 +236,13 @@
             self._queue_counts = None
         return sent
 
+    def _confirmed_timestamp(self) -> float:
+        """Return the last timestamp after which the term was confirmed."""
+        verified_at = self._context.verified_at()
+        while self._unconfirmed and self._unconfirmed[0][0] <= verified_at:
+            _, self._granted_timestamp = self._unconfirmed.popleft()
+        return self._granted_timestamp
+
     def _record_silence(self) -> None:
         heard_at = self._last_heartbeat_at
         if heard_at is not None and heard_at not in self._silent_since:
@@ -247,6 +264,11 @@
             return
         if message.term == self._context.term:
             self._context.record_follower(self._record.address)
+            self._context.record_answer(
+                self._record.address,
+                message.incarnation,
+                message.leader_timestamp,
+            )
         self._last_heartbeat_at = self._context.now
         if self._draining != message.draining:
             self._draining = message.draining
@@ -258,6 +280,7 @@
         # Echoed from now on: the assignment reaches the member before the
         # grant that this renews.
         self._member_timestamp = message.timestamp
+        self._unconfirmed.append((self._context.now, message.timestamp))
 
     async def _send_assignment(self) -> None:
         if not self._assignment_version:
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -56,10 +56,14 @@
         self._leadership = Leadership(
             settings.name, settings.cores, ports.clock.now()
         )
-        self._member = Member(settings, ports, self._leadership)
+        incarnation = token_hex(6)
+        self._member = Member(settings, ports, self._leadership, incarnation)
         self._candidate = Candidate(
             LeaderRecord(
-                settings.name, token_hex(6), settings.cluster_address
+                settings.name,
+                incarnation,
+                settings.cluster_address,
+                needs_majority=True,
             ),
             ports,
             self._leadership,
--- a/src/carawaystep/scheduler/tables.py
+++ b/src/carawaystep/scheduler/tables.py
@@ -5,6 +5,7 @@
 CONTROL = "control"
 LEADER_KEY = "leader"
 INTERFERENCE_KEY = "learned"
+VOTERS_KEY = "voters"
 MEMBERS = "members"
 SUBMISSIONS = "submissions"
 PROGRESS = "progress"
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -116,6 +117,7 @@
         # Workflows of which it was logged that checkpoints do not fit.
         self._without_checkpoints: set[str] = set()
         self._confirmed_at = clock.now()
+        self._checked_at = -inf
 
     @property
     def confirmed_at(self) -> float:
@@ -125,6 +127,17 @@
         """
         return self._confirmed_at
 
+    @property
+    def checked_at(self) -> float:
+        """Return when the last call that checked the leader row began.
+
+        The election is no such call.
+
+        :returns: time in seconds of the process's clock, minus infinity
+            without one
+        """
+        return self._checked_at
+
     async def load(self, planner: Planner) -> LoadedRevisions:
         """Restore all stored workflows in a new planner.
 
@@ -364,6 +377,7 @@
 
     def _record_confirmation(self, began_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, began_at)
+        self._checked_at = max(self._checked_at, began_at)
         self._store_health.record_answer(self._clock.now())
 
 
--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -13,6 +13,7 @@
 from carawaystep.scheduler import member
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.caller_repository import CallerRepository
+from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.lease_extensions import LeaseExtensions
 from carawaystep.scheduler.published_state_cache import PublishedStateCache
 from carawaystep.scheduler.waiting_calls import WaitingCalls
@@ -136,6 +137,11 @@
     return patch.object(LeaseExtensions, "ages_s", ages_s)
 
 
+def _grant_without_majority() -> AbstractContextManager[object]:
+    """Let a leader give grants whose term nobody confirms."""
+    return patch.object(LeaderTerm, "verified_at", lambda term: term.now)
+
+
 _VARIANTS = {
     "none": nullcontext,
     "confirm-by-any-commit": _confirm_by_any_commit,
@@ -146,6 +152,7 @@
     "drop-former-callers": _drop_former_callers,
     "ignore-silent-callers": _ignore_silent_callers,
     "forget-extensions": _forget_extensions,
+    "grant-without-majority": _grant_without_majority,
 }
 VARIANT_NAMES = tuple(_VARIANTS)
 
--- a/tests/scheduler/test_candidate.py
+++ b/tests/scheduler/test_candidate.py
@@ -190,10 +190,34 @@
                 "incarnation": "new",
                 "address": "tcp://edge-1",
                 "predecessors": predecessors,
+                "needs_majority": False,
+                "predecessors_need_majority": False,
             },
             written,
         )
 
+    def test_leaders_of_earlier_versions_need_no_majority(self) -> None:
+        """Guards against a short wait for one that gives grants without.
+
+        Neither the leader in the row nor one before it may be of an earlier
+        version, unless the lease of the latter has ended.
+        """
+        for needs_majority, all_need_it, now, expected in (
+            (False, True, 95.0, False),
+            (True, False, 95.0, False),
+            (True, True, 95.0, True),
+            (True, False, 98.0, True),
+        ):
+            self._store_leader_with_predecessor()
+            row = self.ports.store.row
+            assert row is not None
+            row.value["needs_majority"] = needs_majority
+            row.value["predecessors_need_majority"] = all_need_it
+            self.ports.clock.time_s = now
+            election = self._elect()
+            assert election is not None
+            self.assertIs(expected, election.predecessors_need_majority)
+
     def test_time_of_another_term_does_not_count(self) -> None:
         """Guards against leases that are counted from an earlier election.
 
--- a/tools/check_model.py
+++ b/tools/check_model.py
@@ -18,6 +18,7 @@
 # Mechanisms of each model. With any one of them switched off, spin must find
 # a violation.
 _MECHANISMS = {
+    "grants.pml": ("CONFIRMED", "AFTER", "STORED", "EARLIER", "INCARNATION"),
     "leadership.pml": ("FENCE", "STORED", "CHECKED", "HEARD", "LOOKED"),
     "leases.pml": ("STORED", "CHECKED", "WAITED", "ALL", "KEPT"),
     "ownership.pml": ("FENCE", "EXACT", "INHERIT", "GENERATION"),
