Call each lifetime of a worker with its own fencing token

Back ends had started again under their ids and were cut off soon after, while long tasks ran.

Cause: calls that were meant for a former lifetime are executed by the new one. The header names the id, which both have, and the fencing token of both was the term. The leader takes a run for lost 8.5 s after the last contact.

Change: a later lifetime is called with the revision of a commit as its token, higher than the term and lower than the next, so that the first call to it shuts out all earlier ones. Before that call is answered, its reports are not used, runs of the former lifetime are not given up because of the restart, and its silence is waited for with the longest lease that workers accept. After it, the worker gets no new work for the difference between that lease and ours (4.1 s with 10 s, none with 6 s), so that no later leader has to know of the restart.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -68,10 +68,15 @@
 
 
 class AssignedWorker(msgspec.Struct, array_like=True, frozen=True):
-    """A worker that a member calls on behalf of the leader."""
+    """A worker that a member calls on behalf of the leader.
+
+    :param token: fencing token of the calls, at least the term; leaders of
+        earlier versions send none, and 0 stands for the term
+    """
 
     key: WorkerKey
     address: str
+    token: int = 0
 
 
 class Assign(msgspec.Struct, tag=True, array_like=True, frozen=True):
@@ -195,10 +200,15 @@
 
 
 class Report(msgspec.Struct, tag=True, array_like=True, frozen=True):
-    """A worker's report, fetched with the term's fencing token."""
+    """A worker's report.
+
+    :param fenced: whether it was fetched with the fencing token of the
+        lifetime that reported, which now refuses calls to earlier ones
+    """
 
     term: int
     report: WorkerReport
+    fenced: bool = True
 
 
 class ReportPollRejected(
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -214,19 +214,33 @@
         """
         return self._cancellations.cancel_or_keep(workflow_id)
 
-    def update_worker_list(self, records: Iterable[WorkerRecord]) -> None:
+    def update_worker_list(
+        self, records: Iterable[WorkerRecord], now: float
+    ) -> None:
         """Apply the current list of workers.
 
         A worker that is no longer listed stays while it may have runs.
+
+        :param now: current time, seconds of a monotonic clock
         """
-        for key in self._workers.update_list(records):
+        for key in self._workers.update_list(records, now):
             self._interference.forget_worker(key)
 
-    def handle_report(self, report: WorkerReport, now: float) -> None:
+    def handle_report(
+        self, report: WorkerReport, now: float, fenced: bool = True
+    ) -> None:
         """Apply a report that was fetched with this term's fencing token.
 
+        A report of a lifetime that still accepts calls to an earlier one
+        proves nothing: such a call may start a run after it.
+
         :param now: current time, seconds of a monotonic clock
+        :param fenced: whether the lifetime refuses calls to earlier ones
         """
+        if not fenced:
+            self._log.line("report.not_fenced", report.worker.id)
+            return
+        self._workers.record_fenced(report.worker, now)
         self._lost_runs.drop_earlier_lifetimes(report.worker)
         worker = self._workers.get(report.worker)
         if worker is None:
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -58,6 +58,15 @@
         # have extended their leases. A report of a later lifetime of the same
         # worker also ends the wait for them.
         self._unlisted: dict[WorkerKey, None] = {}
+        # Last known lifetime of each worker, by id.
+        self._known: dict[str, WorkerKey] = {}
+        # Restarted workers that may still carry out calls to an earlier
+        # lifetime, until a report shows that they refuse them.
+        self._unfenced: set[WorkerKey] = set()
+        # Until when such calls may have given a worker a lease, by id, and
+        # from when on a restarted worker gets new work.
+        self._foreign_lease_ends: dict[str, float] = {}
+        self._usable_from: dict[WorkerKey, float] = {}
 
     def __iter__(self) -> Iterator[TrackedWorker]:
         """Iterate over the workers."""
@@ -82,22 +91,29 @@
 
         :param now: current time, seconds of a monotonic clock
         """
-        return [w for w in self._workers.values() if w.usable(now)]
+        return [
+            worker
+            for worker in self._workers.values()
+            if worker.usable(now) and self._has_settled(worker.key, now)
+        ]
 
     def await_listing(self, key: WorkerKey) -> None:
         """Wait for a worker with stored runs until it has no lease."""
         self._unlisted[key] = None
 
-    def update_list(self, records: Iterable[WorkerRecord]) -> list[WorkerKey]:
+    def update_list(
+        self, records: Iterable[WorkerRecord], now: float
+    ) -> list[WorkerKey]:
         """Apply the current list of workers.
 
+        :param now: current time, seconds of a monotonic clock
         :returns: workers that were removed because they have no runs
         """
         listed = {record.key: record for record in records}
         for key, record in listed.items():
             worker = self._workers.get(key)
             if worker is None:
-                self._add(record)
+                self._add(record, now)
             else:
                 worker.update_record(record)
         removed = []
@@ -105,10 +121,21 @@
             if key not in listed:
                 worker.mark_unlisted()
                 if not worker.runs:
-                    del self._workers[key]
+                    self._delete(key)
                     removed.append(key)
         return removed
 
+    def record_fenced(self, key: WorkerKey, now: float) -> None:
+        """Record a report of a lifetime that refuses calls to earlier ones.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        if key not in self._unfenced:
+            return
+        self._unfenced.remove(key)
+        self._foreign_lease_ends[key.id] = now + self._limits.longest_lease_s
+        self._usable_from[key] = now + self._limits.settle_after_restart_s
+
     def record_lifetime(self, key: WorkerKey) -> bool:
         """Record which lifetime of a worker has sent a report.
 
@@ -129,7 +156,7 @@
 
     def remove(self, worker: TrackedWorker) -> None:
         """Remove a worker, whose runs can no longer exist."""
-        del self._workers[worker.key]
+        self._delete(worker.key)
 
     def adopt_unlisted_before(
         self, successor: TrackedWorker
@@ -159,7 +186,7 @@
             [
                 key
                 for key in self._unlisted
-                if now > self._earlier_leases.end_at(key.id)
+                if now > self._earlier_lease_end(key.id)
             ]
         )
 
@@ -198,16 +225,47 @@
         """Return when the lease ends that the leader knows of."""
         last_report_at = worker.last_report_at
         if last_report_at is None:
-            return self._earlier_leases.end_at(worker.key.id)
-        return last_report_at + self._limits.lost_after_s
+            return self._earlier_lease_end(worker.key.id)
+        return max(
+            last_report_at + self._limits.lost_after_s,
+            self._foreign_lease_ends.get(worker.key.id, 0.0),
+        )
+
+    def _earlier_lease_end(self, worker_id: str) -> float:
+        """Return when a lease ends that no call of this term has given.
+
+        Calls to an earlier lifetime give one too, as long as they arrive.
+        """
+        return max(
+            self._earlier_leases.end_at(worker_id),
+            self._foreign_lease_ends.get(worker_id, 0.0),
+        )
+
+    def _has_settled(self, key: WorkerKey, now: float) -> bool:
+        """Tell whether calls to earlier lifetimes do not matter any more."""
+        return key not in self._unfenced and now >= self._usable_from.get(
+            key, 0.0
+        )
+
+    def _delete(self, key: WorkerKey) -> None:
+        del self._workers[key]
+        self._unfenced.discard(key)
+        self._usable_from.pop(key, None)
 
     def _take_unlisted(self, keys: list[WorkerKey]) -> list[WorkerKey]:
         for key in keys:
             del self._unlisted[key]
         return keys
 
-    def _add(self, record: WorkerRecord) -> None:
+    def _add(self, record: WorkerRecord, now: float) -> None:
         worker = TrackedWorker(record)
+        earlier = self._known.get(record.key.id)
+        if earlier not in (None, record.key) or self._awaits_earlier(record):
+            self._unfenced.add(record.key)
+            self._foreign_lease_ends[record.key.id] = (
+                now + self._limits.lost_after_unfenced_s
+            )
+        self._known[record.key.id] = record.key
         self._workers[record.key] = worker
         # Without an entry, the next report checks again for earlier lifetimes
         # to drop; the added worker may be one.
@@ -218,6 +276,10 @@
                 if task.worker == record.key:
                     self._add_stored_run(worker, workflow, ref)
 
+    def _awaits_earlier(self, record: WorkerRecord) -> bool:
+        """Tell whether stored runs were placed on an earlier lifetime."""
+        return any(_precedes(key, record.key) for key in self._unlisted)
+
     def _add_stored_run(
         self, worker: TrackedWorker, workflow: Workflow, ref: TaskRef
     ) -> None:
--- a/src/carawaystep/scheduler/caller_repository.py
+++ b/src/carawaystep/scheduler/caller_repository.py
@@ -62,6 +62,10 @@
         self._term = term
         self._versions: dict[str, int] = {}
 
+    def revision(self, worker_id: str) -> int:
+        """Return the revision of the commit that stored a worker's callers."""
+        return self._versions[worker_id]
+
     async def load(self) -> dict[str, frozenset[str]]:
         """Return the stored callers: addresses by id of the worker.
 
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -33,6 +33,7 @@
 from carawaystep.scheduler.leader_context import LeaderContext
 from carawaystep.scheduler.leader_feeds import LeaderFeeds
 from carawaystep.scheduler.lease_limits import planner_limits
+from carawaystep.scheduler.lifetime_tokens import LifetimeTokens
 from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
@@ -134,6 +135,7 @@
             WorkerCallers(limits.lease_ends_after_s),
             CallerRepository(ports, store_health, term),
             self._predecessors,
+            LifetimeTokens(term),
         )
         self._order_dispatcher = OrderDispatcher(
             term,
@@ -156,6 +158,7 @@
             self._feeds.open(ports.worker_list.table),
             self._planner,
             self._plan_requested,
+            ports.clock,
         )
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
         self._term_check_requested = asyncio.Event()
@@ -320,7 +323,9 @@
             return
         if isinstance(message, Report):
             if message.term == self._term:
-                self._planner.handle_report(message.report, self.now)
+                self._planner.handle_report(
+                    message.report, self.now, message.fenced
+                )
                 self._plan_requested.set()
         elif isinstance(message, OrderResult):
             if message.term == self._term:
--- a/src/carawaystep/scheduler/lease_limits.py
+++ b/src/carawaystep/scheduler/lease_limits.py
@@ -24,11 +24,18 @@
     grant ends. When the worker does not answer, the member stops earlier,
     after the extension window of the worker's proxy.
     """
-    lease_s = (
-        min(WORKER_LEASE_S, settings.max_lease_s) * _MAX_CLOCK_DRIFT_FACTOR
+    lease_ends_after_s = _ends_after_s(
+        min(WORKER_LEASE_S, settings.max_lease_s)
     )
-    lease_ends_after_s = lease_s + _LOST_MARGIN_S
     lost_after_s = GRANT_S + lease_ends_after_s
     return PlannerLimits(
-        lease_ends_after_s, lost_after_s, LEADER_LEASE_S + lost_after_s
+        lease_ends_after_s,
+        lost_after_s,
+        LEADER_LEASE_S + lost_after_s,
+        _ends_after_s(settings.max_lease_s),
     )
+
+
+def _ends_after_s(lease_s: float) -> float:
+    """Return the time after which a lease of a slow clock has ended."""
+    return lease_s * _MAX_CLOCK_DRIFT_FACTOR + _LOST_MARGIN_S
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -20,6 +20,7 @@
     from carawaystep.leadership.predecessors import Predecessors
     from carawaystep.planner.planner import Planner
     from carawaystep.scheduler.caller_repository import CallerRepository
+    from carawaystep.scheduler.lifetime_tokens import LifetimeTokens
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.scheduler.member_sessions import MemberSessions
     from carawaystep.scheduler.worker_callers import WorkerCallers
@@ -50,6 +51,7 @@
         callers: WorkerCallers,
         repository: CallerRepository,
         predecessors: Predecessors,
+        tokens: LifetimeTokens,
     ) -> None:
         """Create assignments of no worker.
 
@@ -59,6 +61,7 @@
         :param callers: the stored callers of the workers
         :param repository: stores the callers
         :param predecessors: tells when the last earlier leader has stopped
+        :param tokens: fencing tokens of the workers' lifetimes
         """
         self._planner = planner
         self._sessions = sessions
@@ -66,6 +69,7 @@
         self._worker_callers = callers
         self._repository = repository
         self._predecessors = predecessors
+        self._tokens = tokens
         self._member_by_worker: dict[WorkerKey, str] = {}
         # Inputs of the assignments, which change only with them.
         self._records: dict[WorkerKey, WorkerRecord] = {}
@@ -145,6 +149,7 @@
             if available.keys() != self._available.keys():
                 self._members_changed_at = now
             self._records = records
+            self._tokens.forget_all_but(records.keys())
             self._available = available
             self._wanted = assign_workers(
                 records.values(), available, self._leader
@@ -190,6 +195,9 @@
     ) -> bool:
         """Store callers of workers; what fails is tried with the next update.
 
+        Those of a worker with a new lifetime are stored again, which gives
+        the lifetime its token.
+
         :param targets: name of the member that is to call each worker
         :param now: current time in seconds, monotonic
         :returns: whether anything was stored
@@ -200,24 +208,35 @@
             wanted.setdefault(key.id, set()).add(address)
         has_stopped = self._stopped_callers(now)
         changes = self._worker_callers.changes(wanted, has_stopped, now)
+        without_token = [k for k in targets if self._tokens.get(k) is None]
+        for key in without_token:
+            callers = self._worker_callers.callers(key.id) | wanted[key.id]
+            changes.setdefault(key.id, callers)
         if not changes:
             return False
         stored = await self._repository.store(changes)
         for worker_id, addresses in stored.items():
             self._worker_callers.record_stored(worker_id, addresses)
+        for key in without_token:
+            if key.id in stored:
+                self._tokens.record_commit(
+                    key, self._repository.revision(key.id)
+                )
         return bool(stored)
 
     def _permitted(self) -> dict[WorkerKey, str]:
         """Return an available member for each worker that may call it.
 
         The wanted one comes first, then the present one, then any other
-        stored caller. A worker without one is left out.
+        stored caller. A worker without one, or without a token, is left out.
         """
         names = {
             record.address: name for name, record in self._available.items()
         }
         found = {}
         for key, wanted in self._wanted.items():
+            if self._tokens.get(key) is None:
+                continue
             callers = {
                 names[address]
                 for address in self._worker_callers.callers(key.id)
@@ -257,8 +276,9 @@
             name: [] for name in self._sessions.sessions
         }
         for key, name in member_by_worker.items():
+            address = self._records[key].address
             assignments[name].append(
-                AssignedWorker(key, self._records[key].address)
+                AssignedWorker(key, address, self._tokens.get(key) or 0)
             )
         for name, workers in assignments.items():
             await self._sessions.sessions[name].assign(workers)
--- a/src/carawaystep/scheduler/worker_list_follower.py
+++ b/src/carawaystep/scheduler/worker_list_follower.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from carawaystep.entry.clock import Clock
     from carawaystep.fleet.worker_list import WorkerList
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.planner.planner import Planner
@@ -27,6 +28,7 @@
         feed: TableFeed,
         planner: Planner,
         plan_requested: asyncio.Event,
+        clock: Clock,
     ) -> None:
         """Create a follower that has read nothing.
 
@@ -34,11 +36,13 @@
         :param feed: feed of the table of the workers
         :param planner: gets the list after each read
         :param plan_requested: set when the planner has to plan again
+        :param clock: clock of the process
         """
         self._worker_list = worker_list
         self._feed = feed
         self._planner = planner
         self._plan_requested = plan_requested
+        self._clock = clock
         self._records: dict[str, WorkerRecord] = {}
 
     async def run(self) -> None:
@@ -55,6 +59,8 @@
                     self._records.pop(row.key, None)
                 else:
                     self._records[row.key] = record
-            self._planner.update_worker_list(self._records.values())
+            self._planner.update_worker_list(
+                self._records.values(), self._clock.now()
+            )
             self._plan_requested.set()
             await asyncio.sleep(_MIN_INTERVAL_S)
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -93,6 +93,7 @@
         self._link = link
         self._context = context
         self._term = context.term
+        self._token = worker.token or context.term
         self._acknowledged_end = 0
         self._acknowledgement_received = asyncio.Event()
         self._first_report_received = asyncio.Event()
@@ -154,7 +155,9 @@
             self._replaced = report.worker != self._worker.key
             self._first_report_received.set()
             self._acknowledgement_received.clear()
-            await self._context.send(Report(self._term, report))
+            await self._context.send(
+                Report(self._term, report, not self._replaced)
+            )
             if report.ended:
                 await self._wait_until_acknowledged(report.ended[-1].number)
             await asyncio.sleep(_BATCH_WINDOW_S)
@@ -168,7 +171,7 @@
         acknowledged = 0 if may_be_replaced else self._acknowledged_end
         with self._extension() if extend_lease else nullcontext():
             return await self._link.fetch_report(
-                self._term, acknowledged, extend_lease, wait_s
+                self._token, acknowledged, extend_lease, wait_s
             )
 
     def _extension(self) -> AbstractContextManager[None]:
@@ -232,7 +235,7 @@
             return OrderOutcome.NOT_SENT
         is_start = isinstance(order, StartOrder)
         with self._extension() if is_start else nullcontext():
-            outcome = await self._link.execute_order(order, self._term)
+            outcome = await self._link.execute_order(order, self._token)
         if isinstance(order, StopOrder):
             self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
         return outcome
--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -107,10 +107,11 @@
             zip(self._names, settings.cpu_millis, strict=True)
         )
         capacities = _capacities_millis(settings)
-        self._planner.update_worker_list(
+        records = [
             worker_record(name, cpu_millis=cpu_millis, memory_mb=100_000)
             for name, cpu_millis in zip(self._names, capacities, strict=True)
-        )
+        ]
+        self._planner.update_worker_list(records, 0.0)
         if settings.serving:
             # Each task fits exactly on one worker.
             for number, cpu_millis in enumerate(sorted(capacities)):
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -24,7 +24,10 @@
 _EVENT_PATTERN = re.compile(r"[a-z0-9_]+(\.[a-z0-9_]+)*")
 
 LIMITS = PlannerLimits(
-    lease_ends_after_s=6.0, lost_after_s=8.0, takeover_lost_after_s=18.0
+    lease_ends_after_s=6.0,
+    lost_after_s=8.0,
+    takeover_lost_after_s=18.0,
+    longest_lease_s=6.0,
 )
 ONE_TASK = StepSpec(1, cpu_millis=1000, memory_mb=100)
 SERVING = StepSpec(
@@ -107,7 +110,7 @@
 def planner_with_workers(*names: str) -> Planner:
     """Return a planner with empty workers that have reported."""
     planner = new_planner()
-    planner.update_worker_list([worker_record(name) for name in names])
+    planner.update_worker_list([worker_record(name) for name in names], 0.0)
     for name in names:
         planner.handle_report(report(name), 0.0)
     return planner
--- a/tests/planner/random_simulation.py
+++ b/tests/planner/random_simulation.py
@@ -56,6 +56,7 @@
     lease_ends_after_s=LEASE_S,
     lost_after_s=_LOST_AFTER_S,
     takeover_lost_after_s=_LEADER_LEASE_S + _LOST_AFTER_S,
+    longest_lease_s=LEASE_S,
 )
 
 
@@ -164,13 +165,14 @@
         return planner
 
     def _list_workers(self, planner: Planner) -> None:
-        planner.update_worker_list(
+        records = [
             worker_record(
                 w.name, _CAPACITY_MILLIS, 4000, started_at_ms=w.started_at_ms
             )
             for w in self.workers.values()
             if w.running and (w.listed or not w.cut_off(self.now))
-        )
+        ]
+        planner.update_worker_list(records, self.now)
 
     def _submit(self) -> None:
         steps = [
--- a/tests/planner/test_candidate_search.py
+++ b/tests/planner/test_candidate_search.py
@@ -33,9 +33,10 @@
     """Return a planner with workers of that CPU, none of which has a run."""
     planner = new_planner()
     names = [f"w{number:03}" for number in range(_WORKERS)]
-    planner.update_worker_list(
+    records = [
         worker_record(name, cpu_millis, memory_mb=100_000) for name in names
-    )
+    ]
+    planner.update_worker_list(records, 0.0)
     for name in names:
         planner.handle_report(report(name), 0.0)
     return planner
--- a/tests/planner/test_earlier_leases.py
+++ b/tests/planner/test_earlier_leases.py
@@ -115,7 +115,7 @@
             records = [worker_record("w2")]
             if listed:
                 records.append(worker_record("w1"))
-            planner.update_worker_list(records)
+            planner.update_worker_list(records, 0.0)
             planner.earlier_leases.record_follower("tcp://edge-1", 101.0)
             now = 101.0 + LIMITS.lease_ends_after_s
             planner.handle_report(report("w2"), now)
--- a/tests/planner/test_failed_tasks.py
+++ b/tests/planner/test_failed_tasks.py
@@ -33,7 +33,7 @@
         ``failing`` has the workers on which each run fails at once.
         """
         self.planner = new_planner()
-        self.planner.update_worker_list(records)
+        self.planner.update_worker_list(records, 0.0)
         self.names = [record.key.id for record in records]
         self.failing = set(self.names)
         self.now = 0.0
--- a/tests/planner/test_gangs.py
+++ b/tests/planner/test_gangs.py
@@ -34,7 +34,7 @@
         planner.admit(workflow_spec(self._GANG), False)
         self.assertEqual([], plan_and_take_starts(planner))
         planner.update_worker_list(
-            [worker_record(name) for name in ("w1", "w2", "w3")]
+            [worker_record(name) for name in ("w1", "w2", "w3")], 0.0
         )
         planner.handle_report(report("w3"), 0.1)
         orders = plan_and_take_starts(planner, 0.1)
@@ -98,7 +98,8 @@
                 for order in orders
                 if order.worker.id != gone
             ]
-            + [worker_record(gone, started_at_ms=2)]
+            + [worker_record(gone, started_at_ms=2)],
+            0.0,
         )
         for order in orders[1:]:
             planner.handle_report(
--- a/tests/planner/test_held_workers.py
+++ b/tests/planner/test_held_workers.py
@@ -52,7 +52,9 @@
     def test_a_task_that_fits_on_no_worker_holds_none(self) -> None:
         """Guards against a worker that idles for a task it cannot take."""
         self._interrupt(replace(_STANDING, memory_mb=500))
-        self._planner.update_worker_list([worker_record("w1", memory_mb=100)])
+        self._planner.update_worker_list(
+            [worker_record("w1", memory_mb=100)], 0.0
+        )
         plan_and_take_starts(self._planner, 0.3)
         self._admit("3", _BOOKING)
         self.assertEqual(["3" * 16], self._starts_after_an_end(0.4))
@@ -69,18 +71,18 @@
     def _interrupt(self, step: StepSpec, priority: int = 0) -> None:
         """Let a task run and fail, and fill its worker with two bookings."""
         self._planner = new_planner()
-        self._planner.update_worker_list([worker_record("w1")])
+        self._planner.update_worker_list([worker_record("w1")], 0.0)
         self._planner.handle_report(report("w1"), 0.0)
         self._admit("a", step, priority)
         (start,) = plan_and_take_starts(self._planner)
         self._running: list[StartOrder] = []
         self._ends = 0
-        self._planner.update_worker_list([worker_record("w1", 7000)])
+        self._planner.update_worker_list([worker_record("w1", 7000)], 0.0)
         self._admit("1", _BOOKING)
         self._admit("2", _BOOKING)
         self._running = plan_and_take_starts(self._planner, 0.1)
         self.assertEqual(2, len(self._running))
-        self._planner.update_worker_list([worker_record("w1")])
+        self._planner.update_worker_list([worker_record("w1")], 0.0)
         self._report_end(start, RunEnd.FAILED, 0.2)
         self.assertEqual([], plan_and_take_starts(self._planner, 0.2))
 
--- a/tests/planner/test_long_running_tasks.py
+++ b/tests/planner/test_long_running_tasks.py
@@ -56,7 +56,7 @@
             workflow_spec(StepSpec(2, cpu_millis=3000), id="b" * 16), False
         )
         planner.update_worker_list(
-            [worker_record(name) for name in ("w1", "w2", "w3")]
+            [worker_record(name) for name in ("w1", "w2", "w3")], 0.0
         )
         plan_and_take_starts(planner)
         planner.handle_report(report("w3"), 0.1)
@@ -117,11 +117,11 @@
         planner = planner_with_workers("w1")
         planner.admit(workflow_spec(step), False)
         (start,) = plan_and_take_starts(planner)
-        planner.update_worker_list([worker_record("w1", draining=True)])
+        planner.update_worker_list([worker_record("w1", draining=True)], 0.0)
         planner.evacuate(0.1)
         self.assertEqual([], planner.take_immediate_orders())
         planner.update_worker_list(
-            [worker_record("w1", draining=True), worker_record("w2")]
+            [worker_record("w1", draining=True), worker_record("w2")], 0.0
         )
         planner.handle_report(report("w2"), 0.2)
         planner.evacuate(0.2)
--- a/tests/planner/test_lost_workers.py
+++ b/tests/planner/test_lost_workers.py
@@ -37,7 +37,7 @@
         planner.admit(workflow_spec(ONE_TASK), False)
         (start,) = plan_and_take_starts(planner)
         planner.handle_report(report("w1", [running(start)]), 1.0)
-        planner.update_worker_list([worker_record("w2")])
+        planner.update_worker_list([worker_record("w2")], 0.0)
         planner.handle_report(report("w2"), 1.0 + LIMITS.lost_after_s)
         planner.requeue_lost_runs(1.0 + LIMITS.lost_after_s, no_contacts)
         self.assertEqual(
@@ -54,7 +54,7 @@
         planner.admit(workflow_spec(ONE_TASK), False)
         (start,) = plan_and_take_starts(planner)
         planner.handle_report(report("w1", [running(start)]), 0.5)
-        planner.update_worker_list([worker_record("w1", started_at_ms=2)])
+        planner.update_worker_list([worker_record("w1", started_at_ms=2)], 0.0)
         planner.handle_report(report("w1", started_at_ms=2), 1.0)
         (again,) = plan_and_take_starts(planner, 1.0)
         self.assertEqual(WorkerKey("w1", 2), again.worker)
@@ -67,7 +67,9 @@
         The first report of the later lifetime of w1 does not list the run.
         """
         planner = planner_with_workers("w1", "w2")
-        planner.update_worker_list([worker_record("w1"), worker_record("w2")])
+        planner.update_worker_list(
+            [worker_record("w1"), worker_record("w2")], 0.0
+        )
         spec = workflow_spec(
             StepSpec(2, cpu_millis=3000, memory_mb=100), max_attempts=3
         )
@@ -77,7 +79,7 @@
         later = report("w1", started_at_ms=2)
         planner.handle_report(later, 0.1)
         planner.update_worker_list(
-            [worker_record("w1", started_at_ms=2), worker_record("w2")]
+            [worker_record("w1", started_at_ms=2), worker_record("w2")], 0.0
         )
         planner.handle_report(later, 0.2)
         return planner, starts["w1"]
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -46,7 +46,9 @@
     def test_new_term_waits_for_the_worker_of_a_stored_run(self) -> None:
         """Guards against a second run beside one of an earlier leader."""
         planner, start = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w1"), worker_record("w2")])
+        planner.update_worker_list(
+            [worker_record("w1"), worker_record("w2")], 0.0
+        )
         planner.handle_report(report("w2"), 10.0)
         self.assertEqual([], plan_and_take_starts(planner, 10.0))
         planner.handle_report(report("w1", [running(start)]), 10.1)
@@ -60,7 +62,7 @@
         """
         planner, start = _new_term_after_a_start()
         planner.update_worker_list(
-            [worker_record("w1", started_at_ms=2), worker_record("w2")]
+            [worker_record("w1", started_at_ms=2), worker_record("w2")], 0.0
         )
         planner.handle_report(report("w2"), 10.0)
         end = EndedRun(1, start.ref, start.run, RunEnd.DONE, "")
@@ -71,7 +73,7 @@
     def test_run_on_a_later_lifetime_goes_on(self) -> None:
         """Guards against a second run beside one on a restarted worker."""
         planner, start = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w1", started_at_ms=2)])
+        planner.update_worker_list([worker_record("w1", started_at_ms=2)], 0.0)
         listed = report("w1", [running(start)], started_at_ms=2)
         planner.handle_report(listed, 10.1)
         self.assertEqual([], plan_and_take_starts(planner, 10.1))
@@ -85,7 +87,7 @@
     ) -> None:
         """Guards against waiting for a start that the new token prevents."""
         planner, _ = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1"), 10.0)
         self.assertEqual(2, plan_and_take_starts(planner, 10.0)[0].run)
 
@@ -97,7 +99,7 @@
         A worker lists a limited number of ends at a time.
         """
         planner, start = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1", ends_truncated=True), 10.0)
         self.assertEqual([], plan_and_take_starts(planner, 10.0))
         end = EndedRun(501, start.ref, start.run, RunEnd.DONE, "")
@@ -108,7 +110,7 @@
     def test_run_is_requeued_by_the_first_complete_report(self) -> None:
         """Guards against waiting for a run after truncated reports."""
         planner, _ = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1", ends_truncated=True), 10.0)
         planner.handle_report(report("w1"), 10.1)
         self.assertEqual(2, plan_and_take_starts(planner, 10.1)[0].run)
@@ -118,7 +120,7 @@
     ) -> None:
         """Guards against losing a start that a late report does not list."""
         planner = new_planner()
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1", ends_truncated=True), 0.0)
         planner.admit(workflow_spec(ONE_TASK), False)
         self.assertEqual(1, len(plan_and_take_starts(planner)))
@@ -130,7 +132,7 @@
     ) -> None:
         """Guards against waiting forever for a removed worker."""
         planner, _ = _new_term_after_a_start()
-        planner.update_worker_list([worker_record("w2")])
+        planner.update_worker_list([worker_record("w2")], 0.0)
         later = 10.1 + LIMITS.takeover_lost_after_s
         planner.handle_report(report("w2"), later)
         self.assertEqual([], plan_and_take_starts(planner, later))
--- a/tests/planner/test_pace_orders.py
+++ b/tests/planner/test_pace_orders.py
@@ -30,7 +30,7 @@
 
     def _start_tasks(self) -> None:
         self.planner = new_planner()
-        self.planner.update_worker_list([worker_record("w1")])
+        self.planner.update_worker_list([worker_record("w1")], 0.0)
         self.planner.handle_report(report("w1"), 0.0)
         self.specs = (
             workflow_spec(SERVING, id="a" * 16),
@@ -76,7 +76,7 @@
         self.planner = new_planner(now)
         for spec in self.specs:
             self.planner.restore(spec, records[spec.id])
-        self.planner.update_worker_list([worker_record("w1")])
+        self.planner.update_worker_list([worker_record("w1")], 0.0)
 
     def test_task_that_an_earlier_leader_halted_resumes(self) -> None:
         """Guards against a task that stays halted for good.
--- a/tests/planner/test_placement.py
+++ b/tests/planner/test_placement.py
@@ -42,7 +42,7 @@
         """Guards against starts on workers that drain or never reported."""
         planner = new_planner()
         planner.update_worker_list(
-            [worker_record("w1"), worker_record("w2", draining=True)]
+            [worker_record("w1"), worker_record("w2", draining=True)], 0.0
         )
         planner.handle_report(report("w2"), 0.0)
         planner.admit(workflow_spec(ONE_TASK), False)
--- a/tests/planner/test_planner_cancellation.py
+++ b/tests/planner/test_planner_cancellation.py
@@ -92,7 +92,7 @@
         planner.admit(spec, False)
         (start,) = plan_and_take_starts(planner)
         planner.handle_report(report("w1", [running(start)]), 0.1)
-        planner.update_worker_list([])
+        planner.update_worker_list([], 0.0)
         planner.cancel(spec.id)
         (stop,) = planner.take_immediate_orders()
         planner.handle_order_outcome(stop, OrderOutcome.NOT_SENT, 0.2)
--- a/tests/planner/test_planner_log.py
+++ b/tests/planner/test_planner_log.py
@@ -25,7 +25,7 @@
         """Guards against logs that do not show how long a step waited."""
         log = RecordingLog()
         planner = new_planner(log=log)
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1"), 0.0)
         step = StepSpec(5, cpu_millis=1000, memory_mb=1, estimated_s=4.0)
         planner.admit(workflow_spec(step), False)
@@ -50,7 +50,9 @@
         """Guards against logs that do not show why a workflow took long."""
         log = RecordingLog()
         planner = new_planner(log=log)
-        planner.update_worker_list([worker_record("w1"), worker_record("w2")])
+        planner.update_worker_list(
+            [worker_record("w1"), worker_record("w2")], 0.0
+        )
         for name in ("w1", "w2"):
             planner.handle_report(report(name), 0.0)
         planner.admit(workflow_spec(ONE_TASK), False)
--- a/tests/planner/test_ticket_cache.py
+++ b/tests/planner/test_ticket_cache.py
@@ -23,7 +23,7 @@
         super().setUp()
         self.planner = new_planner()
         self.planner.update_worker_list(
-            [worker_record("w1"), worker_record("w2")]
+            [worker_record("w1"), worker_record("w2")], 0.0
         )
         for name in ("w1", "w2"):
             self.planner.handle_report(report(name), 0.0)
--- a/tests/planner/test_ticket_terms.py
+++ b/tests/planner/test_ticket_terms.py
@@ -30,7 +30,7 @@
         self.names = [f"w{number:02}" for number in range(40)]
         self.planner = new_planner()
         self.planner.update_worker_list(
-            [worker_record(name) for name in self.names]
+            [worker_record(name) for name in self.names], 0.0
         )
 
     def _admit(
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -40,19 +40,19 @@
 
     def test_added_worker_has_its_stored_runs(self) -> None:
         """Guards against capacity that a run of the last term still uses."""
-        self.workers.update_list([worker_record("w1", cpu_millis=4000)])
+        self.workers.update_list([worker_record("w1", cpu_millis=4000)], 0.0)
         (worker,) = self.workers
         self.assertEqual([self.ref], list(worker.runs))
         self.assertEqual(3000, worker.free_cpu_millis)
 
     def test_unlisted_worker_stays_while_it_may_have_runs(self) -> None:
         """Guards against runs that are forgotten with their worker."""
-        self.workers.update_list([worker_record("w1")])
-        self.assertEqual([], self.workers.update_list([]))
+        self.workers.update_list([worker_record("w1")], 0.0)
+        self.assertEqual([], self.workers.update_list([], 0.0))
         (worker,) = self.workers
         self.assertFalse(worker.listed)
         worker.remove(self.ref, 1)
-        self.assertEqual([_FIRST], self.workers.update_list([]))
+        self.assertEqual([_FIRST], self.workers.update_list([], 0.0))
         self.assertEqual([], list(self.workers))
 
     def test_wait_for_an_unlisted_worker_ends_once_after_the_limit(
@@ -87,7 +87,7 @@
 
     def test_listed_worker_is_not_awaited(self) -> None:
         """Guards against the loss of runs on a worker that is listed."""
-        self.workers.update_list([worker_record("w1")])
+        self.workers.update_list([worker_record("w1")], 0.0)
         self.assertEqual([], self.workers.take_overdue_unlisted(100.0))
         second = TrackedWorker(worker_record("w1", started_at_ms=2))
         self.assertEqual([], self.workers.adopt_unlisted_before(second))
@@ -112,10 +112,10 @@
         The platform's list may still show it after the later lifetime has
         reported.
         """
-        self.workers.update_list([worker_record("w1", started_at_ms=2)])
+        self.workers.update_list([worker_record("w1", started_at_ms=2)], 0.0)
         self.assertTrue(self.workers.record_lifetime(_SECOND))
         self.assertFalse(self.workers.record_lifetime(_SECOND))
-        self.workers.update_list([worker_record("w1", started_at_ms=1)])
+        self.workers.update_list([worker_record("w1", started_at_ms=1)], 0.0)
         self.assertTrue(self.workers.record_lifetime(_SECOND))
         (earlier,) = self.workers.earlier_lifetimes(_SECOND)
         self.assertEqual(_FIRST, earlier.key)
@@ -128,7 +128,9 @@
         Without a report in this term, an earlier leader may have extended
         the lease, which then ends later.
         """
-        self.workers.update_list([worker_record("w1"), worker_record("w2")])
+        self.workers.update_list(
+            [worker_record("w1"), worker_record("w2")], 0.0
+        )
         reporting = self.workers.workers[WorkerKey("w2", 1)]
         reporting.record_report(_TERM_STARTED_AT, leaving=False)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
@@ -146,7 +148,7 @@
 
     def test_lease_without_predecessors_ends_without_a_report(self) -> None:
         """Guards against work that waits for leases nobody can extend."""
-        self.workers.update_list([worker_record("w1")])
+        self.workers.update_list([worker_record("w1")], 0.0)
         self.earlier_leases.set_predecessor_stop_time(_TERM_STARTED_AT)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
         self.assertEqual([], self.workers.without_lease(limit, no_contacts))
@@ -161,7 +163,7 @@
         member that is heard later would have reported an answer. The lease
         may be extended once more in a second silence.
         """
-        self.workers.update_list([worker_record("w1")])
+        self.workers.update_list([worker_record("w1")], 0.0)
         (worker,) = self.workers
         worker.record_report(_TERM_STARTED_AT, leaving=False)
         limit = _TERM_STARTED_AT + LIMITS.lost_after_s
--- a/tests/scheduler/simulation/simulated_fleet.py
+++ b/tests/scheduler/simulation/simulated_fleet.py
@@ -23,6 +23,8 @@
     from carawaystep.fleet.worker_report import WorkerReport
     from tests.scheduler.simulation.simulated_store import SimulatedStore
 
+# Longest lease that a worker accepts.
+MAX_LEASE_S = 10.0
 _TICK_S = 0.05
 _MIN_RUN_S = 0.2
 _MAX_RUN_S = 2.5
@@ -127,7 +129,7 @@
             if self._random.random() < _FAILURE_RATE
             else RunEnd.DONE,
         )
-        lease_until = deadline + self._started_at[name]
+        lease_until = min(deadline + self._started_at[name], now + MAX_LEASE_S)
         if not worker.start(order.ref, run, token, lease_until, now):
             return False
         self.on_start(worker, order, late)
--- a/tests/scheduler/simulation/simulated_node.py
+++ b/tests/scheduler/simulation/simulated_node.py
@@ -10,6 +10,7 @@
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.scheduler.scheduler_node import SchedulerNode
 from tests.fakes.fake_counters import FakeCounters
+from tests.scheduler.simulation.simulated_fleet import MAX_LEASE_S
 from tests.scheduler.simulation.simulated_ports import SimulatedPorts
 from tests.scheduler.simulation.simulated_process import SimulatedProcess
 
@@ -24,7 +25,6 @@
 
 Value = TypeVar("Value")
 
-_MAX_LEASE_S = 6.0
 _DRAIN_S = 1.0
 
 
@@ -73,7 +73,7 @@
         process = SimulatedProcess(self.name, self._process_count)
         ports = SimulatedPorts(process, self._environment)
         settings = NodeSettings(
-            self.name, "zone", 1.0, self._address, _MAX_LEASE_S, _DRAIN_S
+            self.name, "zone", 1.0, self._address, MAX_LEASE_S, _DRAIN_S
         )
         self._process = process
         self._supervisor = Supervisor(self._counters)
--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -50,7 +50,7 @@
         submission.
         """
         self._assert_found(
-            "drop-early-cancellations", 2, "after its cancellation"
+            "drop-early-cancellations", 14, "after its cancellation"
         )
 
     def test_reply_to_an_earlier_process_is_detected(self) -> None:
@@ -59,7 +59,7 @@
         The faulty member numbers its calls from 1 after each start.
         """
         self._assert_found(
-            "number-calls-from-one", 23, "is accepted and not stored"
+            "number-calls-from-one", 21, "is accepted and not stored"
         )
 
     def test_state_without_its_update_is_detected(self) -> None:
@@ -67,14 +67,14 @@
 
         The faulty member keeps the states of an earlier leader.
         """
-        self._assert_found("keep-unfinished-states", 13, "is running after")
+        self._assert_found("keep-unfinished-states", 22, "is running after")
 
     def test_caller_that_is_not_stored_is_detected(self) -> None:
         """Guards against runs in which no unknown member calls a worker.
 
         The faulty leader stores only the first callers of each worker.
         """
-        self._assert_found("store-first-callers-only", 14, "and runs on")
+        self._assert_found("store-first-callers-only", 7, "and runs on")
 
     def test_forgotten_former_caller_is_detected(self) -> None:
         """Guards against runs in which no former member calls a worker.
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -16,6 +16,7 @@
 from carawaystep.leadership.predecessors import Predecessors
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.planner import Planner
+from carawaystep.scheduler.lifetime_tokens import LifetimeTokens
 from carawaystep.scheduler.member_session import MemberSession
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
@@ -27,6 +28,7 @@
     from collections.abc import Mapping
 
 _LEASE_ENDS_AFTER_S = 6.5
+_TERM = 7
 _RECORD = worker_record("w1")
 _WORKER = _RECORD.key
 
@@ -41,6 +43,10 @@
     def __init__(self) -> None:
         self.callers: dict[str, frozenset[str]] = {}
         self.fails = False
+        self._commits = 20
+
+    def revision(self, worker_id: str) -> int:
+        return self._commits
 
     async def load(self) -> dict[str, frozenset[str]]:
         return dict(self.callers)
@@ -50,6 +56,7 @@
     ) -> Mapping[str, frozenset[str]]:
         if self.fails:
             return {}
+        self._commits += 1
         for worker_id, addresses in callers.items():
             if addresses:
                 self.callers[worker_id] = addresses
@@ -91,6 +98,7 @@
             WorkerCallers(_LEASE_ENDS_AFTER_S),
             self.repository,  # type: ignore[arg-type]
             Predecessors({"tcp://gone": 10.0}, 0.0),
+            LifetimeTokens(_TERM),
         )
 
     def test_change_of_the_member_is_a_reassignment(self) -> None:
@@ -110,7 +118,7 @@
         name = self.assignments.member_name(_WORKER)
         (other,) = self.members.keys() - {name}
         self.members[name].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
         )
         self.assertEqual(
             {"[]"},
@@ -154,7 +162,7 @@
             {_WORKER.id: {"tcp://edge-1"}}, self.repository.callers
         )
         self.members["edge-1"].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
         )
         # Without the store, the worker stays with its member.
         self.repository.fails = True
@@ -215,6 +223,25 @@
         self._update("edge-1", now=40.0)
         self.assertEqual({}, self.repository.callers)
 
+    def test_later_lifetime_is_called_with_a_token_of_a_commit(self) -> None:
+        """Guards against calls to an earlier lifetime that are executed.
+
+        Until the commit, the later one is not called.
+        """
+        self._update("edge-1")
+        later = worker_record("w1", started_at_ms=2)
+        self.planner.workers = {later.key: SimpleNamespace(record=later)}
+        self.repository.fails = True
+        self._update("edge-1", now=1.0)
+        self.members["edge-1"].assign.assert_called_with([])
+        self.repository.fails = False
+        self._update("edge-1", now=3.0)
+        token = self.repository.revision("w1")
+        self.assertGreater(token, _TERM)
+        self.members["edge-1"].assign.assert_called_with(
+            [AssignedWorker(later.key, later.address, token)]
+        )
+
     def test_stored_callers_of_an_earlier_term_stay(self) -> None:
         """Guards against forgetting who was called by an earlier leader."""
         self._update("edge-1")
@@ -247,7 +274,7 @@
         asyncio.run(self.assignments.update(5.0))
         self.assertEqual("edge-1", self.assignments.member_name(_WORKER))
         self.members["edge-1"].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
         )
 
     def test_callers_are_stored_when_members_have_settled(self) -> None:
--- a/tests/scheduler/test_worker_list_follower.py
+++ b/tests/scheduler/test_worker_list_follower.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from carawaystep.entry.loop_clock import LoopClock
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
 from carawaystep.store.row import Row
 from tests.planner.planners import new_planner
@@ -50,6 +51,7 @@
                 feed,  # type: ignore[arg-type]
                 planner,
                 asyncio.Event(),
+                LoopClock(),
             )
             task = asyncio.create_task(follower.run())
             await feed.all_read.wait()
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -168,7 +168,7 @@
 
     def _load(self, values: dict[str, dict[str, object]]) -> Planner:
         planner = new_planner()
-        planner.update_worker_list([worker_record("w1")])
+        planner.update_worker_list([worker_record("w1")], 0.0)
         planner.handle_report(report("w1"), 0.0)
         asyncio.run(_repository(_StoredTables(values)).load(planner))
         return planner
--- a/tests/users_platform/costs/__main__.py
+++ b/tests/users_platform/costs/__main__.py
@@ -113,14 +113,14 @@
     reader = SubmissionReader()
     interference = InterferenceModel()
     planner = Planner(
-        PlannerLimits(8.0, 18.0),
+        PlannerLimits(6.5, 8.5, 18.5, 6.5),
         InterferenceAwarePlacement(interference),
         interference,
         _DiscardingLog(),
         0.0,
     )
     planner.update_worker_list(
-        [_create_offer(number) for number in range(_WORKERS)]
+        [_create_offer(number) for number in range(_WORKERS)], 0.0
     )
     for worker in list(planner.workers):
         planner.handle_report(WorkerReport(worker, [], []), 0.0)
--- a/tests/users_platform/test_faults.py
+++ b/tests/users_platform/test_faults.py
@@ -10,6 +10,7 @@
 
 from testtools import TestCase
 
+from carawaystep.scheduler.member import WORKER_LEASE_S
 from carawaystep_platform.settings import load_settings
 from tests.users_platform.deployment import encode_value
 from tests.users_platform.scenario import count_starts_by_task
@@ -180,6 +181,32 @@
         deployment = run_scenario(scenario, workers=1, run_s=1.0)
         self.assertEqual(2, len(deployment.workers[0].started))
 
+    def test_start_for_an_earlier_lifetime_extends_no_lease(self) -> None:
+        """Guards against a lease that outlasts the leader's wait for it.
+
+        A start that is carried out late has a deadline on the clock of the
+        earlier lifetime, which is far ahead. A task that the new lifetime was
+        given ran on there after it had been started elsewhere.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            (worker,) = deployment.workers
+            worker.delay_starts = True
+            await deployment.nodes[0].call(
+                "POST", SUBMISSION_PATH, _ONE_TASK_BODY
+            )
+            await asyncio.sleep(0.4)
+            worker.delay_starts = False
+            worker.restart()
+            await deployment.register_worker(worker)
+            await asyncio.sleep(1.2)
+            lease_s = worker.lease_ends_at - time.monotonic()
+            self.assertLess(lease_s, WORKER_LEASE_S + 0.5)
+            await wait_for_state(deployment.nodes[0], "completed")
+
+        deployment = run_scenario(scenario, workers=1)
+        self.assertEqual(1, len(deployment.workers[0].done))
+
     def test_starts_that_are_carried_out_late(self) -> None:
         """Guards against a delayed start beside the one that replaced it."""
 
--- a/tests/users_platform/worker_standin.py
+++ b/tests/users_platform/worker_standin.py
@@ -18,6 +18,10 @@
     from tests.users_platform.placement_standin import PlacementStandin
 
 _START_DELAY_S = 1.0
+# Longest lease that the worker accepts.
+MAX_LEASE_S = 10.0
+# Age of the first lifetime, whose clock is therefore ahead of a later one.
+_FIRST_AGE_S = 1000.0
 # Longer than every timeout of the callers.
 _WITHHELD_ANSWER_S = 30.0
 
@@ -63,6 +67,7 @@
         self.unreachable = False
         self.checkpoint = ""
         self.lease_ends_at = 0.0
+        self._epoch = time.monotonic() - _FIRST_AGE_S
         self.placement: PlacementStandin | None = None
         self._run_s = run_s
         self._token = 0
@@ -83,7 +88,7 @@
         )
 
     def _json_response(self, status: int = 200, **body: Any) -> Response:
-        clock = int(time.monotonic() * 1000)
+        clock = int((time.monotonic() - self._epoch) * 1000)
         return JSONResponse(
             {"clock_ms": clock, "born": self.born, **body}, status
         )
@@ -103,8 +108,9 @@
         if token < self._token:
             return self._json_response(409, reason="fence")
         self._token = token
+        deadline = self._epoch + body.get("deadline_ms", 0) / 1000
         self.lease_ends_at = max(
-            self.lease_ends_at, body.get("deadline_ms", 0) / 1000
+            self.lease_ends_at, min(deadline, time.monotonic() + MAX_LEASE_S)
         )
         self._end_due_runs()
         return body
@@ -112,6 +118,8 @@
     def restart(self) -> None:
         """Start a new lifetime with the same id and without any state."""
         self.born += 1
+        self.lease_ends_at = 0.0
+        self._epoch = time.monotonic()
         self._token = 0
         self._last_end_number = 0
         self._running.clear()
@@ -130,7 +138,7 @@
         task, run = body["task"], body["run"]
         if run <= self._highest_runs.get(task, 0):
             return self._json_response(409, reason="old")
-        if body["deadline_ms"] < time.monotonic() * 1000:
+        if self._epoch + body["deadline_ms"] / 1000 < time.monotonic():
             return self._json_response(409, reason="late")
         step = task.rpartition(".")[0]
         if self.placement is not None and not self.placement.is_ticket_valid(
