Search restarted workers in one pass, and let tasks with tickets pass by others

Cause: each listed worker was compared with all workers that have stored runs, which is quadratic at the start of a term. A task that avoids the only worker with a ticket held up the other tasks of its step.

Change: the first starts of awaited lifetimes are looked up by id. A step of a queue with tickets is not given up at a task that only avoids workers.

Measured: test_failed_task_with_a_ticket_does_not_hold_up_the_rest fails on the commit before and passes now. The cost at the start of a term was not measured.

--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -156,10 +156,11 @@
                 self._step_waits.record_placement(workflow, ref, wall_now)
                 continue
             unplaced.setdefault(step_key, []).append(ref)
+            # A worker that a task only avoids may be the place of the next
+            # one. A ranking for tickets leaves it out.
             ranking = rankings.get(step_key)
-            if not (ranking and workflow.task(ref).failed_on):
-                # The other tasks of the step find no place either, unlike
-                # those of one that only avoids the workers it failed on.
+            may_avoid = ranking is not None and (ranking or needs_tickets)
+            if not (may_avoid and workflow.task(ref).failed_on):
                 blocked.add(step_key)
         for step_key, ref in last_placed.items():
             if step_key not in unplaced:
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -110,10 +110,13 @@
         :returns: workers that were removed because they have no runs
         """
         listed = {record.key: record for record in records}
+        restarted = self._find_restarted(listed)
         for key, record in listed.items():
             worker = self._workers.get(key)
             if worker is None:
-                self._add(record, now)
+                if key in restarted:
+                    self._record_restart(key, now)
+                self._add(record)
             else:
                 worker.update_record(record)
         removed = []
@@ -257,14 +260,31 @@
             del self._unlisted[key]
         return keys
 
-    def _add(self, record: WorkerRecord, now: float) -> None:
+    def _find_restarted(self, listed: Iterable[WorkerKey]) -> set[WorkerKey]:
+        """Return the lifetimes that follow one with runs or in the list.
+
+        :param listed: lifetimes in the list
+        """
+        awaited_starts_ms: dict[str, int] = {}
+        for key in self._unlisted:
+            known = awaited_starts_ms.get(key.id, key.started_at_ms)
+            awaited_starts_ms[key.id] = min(known, key.started_at_ms)
+        return {
+            key
+            for key in listed
+            if self._known.get(key.id, key) != key
+            or awaited_starts_ms.get(key.id, key.started_at_ms)
+            < key.started_at_ms
+        }
+
+    def _record_restart(self, key: WorkerKey, now: float) -> None:
+        self._unfenced.add(key)
+        self._foreign_lease_ends[key.id] = (
+            now + self._limits.lost_after_unfenced_s
+        )
+
+    def _add(self, record: WorkerRecord) -> None:
         worker = TrackedWorker(record)
-        earlier = self._known.get(record.key.id)
-        if earlier not in (None, record.key) or self._awaits_earlier(record):
-            self._unfenced.add(record.key)
-            self._foreign_lease_ends[record.key.id] = (
-                now + self._limits.lost_after_unfenced_s
-            )
         self._known[record.key.id] = record.key
         self._workers[record.key] = worker
         # Without an entry, the next report checks again for earlier lifetimes
@@ -276,10 +296,6 @@
                 if task.worker == record.key:
                     self._add_stored_run(worker, workflow, ref)
 
-    def _awaits_earlier(self, record: WorkerRecord) -> bool:
-        """Tell whether stored runs were placed on an earlier lifetime."""
-        return any(_precedes(key, record.key) for key in self._unlisted)
-
     def _add_stored_run(
         self, worker: TrackedWorker, workflow: Workflow, ref: TaskRef
     ) -> None:
--- a/tests/planner/test_failed_tasks.py
+++ b/tests/planner/test_failed_tasks.py
@@ -156,6 +156,16 @@
         self.assertEqual("w1", third.worker.id)
         self.assertNotEqual(failed.ref, third.ref)
 
+    def test_failed_task_with_a_ticket_does_not_hold_up_the_rest(self) -> None:
+        """Guards against tasks that wait behind one that avoids a worker."""
+        self._start(_plain("w1", "w2"))
+        self.tickets = {"w1": "t"}
+        self._admit(StepSpec(2, cpu_millis=2500, memory_mb=1), permit_s=60.0)
+        (first,) = self._advance(0.5)
+        self.failing.clear()
+        (second,) = self._advance(0.5)
+        self.assertNotEqual(first.ref, second.ref)
+
     def test_gang_that_failed_on_all_workers_with_its_label(self) -> None:
         """Guards against a gang whose tasks avoid each other's worker."""
         self._start(_labelled("w1", "w2") + _plain("w3", "w4"))
