Give the order of waiting workflows an interface, and overload its settings

Change: WaitingOrder ranks the waiting workflows, UrgencyOrder is the order as it was, and LoadSettings holds what a deployment asks for.

Measured: tests of placement and preemption pass; lint is clean. No decision changes.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -40,6 +40,7 @@
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
+    from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.routing.ticket_terms import TicketTerms
     from carawaystep.workflow.workflow import Workflow
     from carawaystep.workflow.workflow_record import WorkflowRecord
@@ -63,6 +64,7 @@
         interference: InterferenceModel,
         log: DecisionLog,
         now: float,
+        order: WaitingOrder | None = None,
     ) -> None:
         """Create a planner without workflows and workers.
 
@@ -71,11 +73,13 @@
         :param interference: learns which images harm which
         :param log: receives a line for each decision
         :param now: current time, seconds of a monotonic clock
+        :param order: order in which waiting workflows are placed, None for
+            the one by urgency
         """
         self._interference = interference
         self._guard = InterferenceGuard(interference)
         self._log = log
-        self._registry = WorkflowRegistry()
+        self._registry = WorkflowRegistry(order)
         self._earlier_leases = EarlierLeases(limits, now)
         self._workers = WorkerRegistry(
             self._registry, limits, self._earlier_leases, now
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from carawaystep.planner.urgency_order import UrgencyOrder
 from carawaystep.workflow.workflow import Workflow
 
 if TYPE_CHECKING:
@@ -11,6 +12,7 @@
     from collections.abc import Mapping
 
     from carawaystep.planner.changes import Changes
+    from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from carawaystep.workflow.workflow_state import WorkflowState
@@ -22,8 +24,13 @@
     Invariant: a settled workflow stays known and is never added again.
     """
 
-    def __init__(self) -> None:
-        """Create an empty registry."""
+    def __init__(self, order: WaitingOrder | None = None) -> None:
+        """Create an empty registry.
+
+        :param order: order in which waiting workflows are placed, None for
+            the one by urgency
+        """
+        self._order = order or UrgencyOrder()
         self._workflows: dict[str, Workflow] = {}
         self._final_states: dict[str, WorkflowState] = {}
         self._changed: set[str] = set()
@@ -81,14 +88,14 @@
         self._awaiting_placement.add(workflow.id)
 
     def awaiting_placement(self, wall_now: float) -> list[Workflow]:
-        """Return the workflows with tasks to place, most urgent first.
+        """Return the workflows with tasks to place, in their order.
 
         :param wall_now: current wall-clock time in seconds
         """
         workflow_ids = self._awaiting_placement & self._workflows.keys()
         return sorted(
             (self._workflows[workflow_id] for workflow_id in workflow_ids),
-            key=lambda workflow: workflow.urgency(wall_now),
+            key=lambda workflow: self._order.rank(workflow, wall_now),
         )
 
     def waiting_long_running_tasks(
--- a/src/carawaystep/scheduler/node_settings.py
+++ b/src/carawaystep/scheduler/node_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from carawaystep.scheduler.load_settings import LoadSettings
+
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
@@ -16,6 +18,7 @@
     :param max_lease_s: longest lease that a worker grants, seconds
     :param drain_s: seconds between the start of the drain and the stop
     :param max_row_bytes: largest value of a row that the store accepts
+    :param load: decisions under overload
     """
 
     name: str
@@ -25,3 +28,4 @@
     max_lease_s: float
     drain_s: float
     max_row_bytes: int = 65_536
+    load: LoadSettings = LoadSettings()
