Let the repositories of a term share one conditional transaction

Change: TermTransactions does so once; TermEnded has a module of its own, since four modules raise or catch it.

No decision changes.

--- a/src/carawaystep/scheduler/caller_repository.py
+++ b/src/carawaystep/scheduler/caller_repository.py
@@ -9,11 +9,9 @@
 
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.table_reader import read_table
-from carawaystep.scheduler.workflow_repository import TermEnded
-from carawaystep.store.operation import CheckRow
+from carawaystep.scheduler.term_transactions import TermTransactions
 from carawaystep.store.operation import DeleteRow
 from carawaystep.store.operation import PutRow
-from carawaystep.store.table_failure import TableConflict
 from carawaystep.validation.boundary_decoder import BoundaryDecoder
 
 if TYPE_CHECKING:
@@ -59,7 +57,7 @@
         """
         self._ports = ports
         self._store_health = store_health
-        self._term = term
+        self._transactions = TermTransactions(ports, store_health, term)
         self._versions: dict[str, int] = {}
 
     def revision(self, worker_id: str) -> int:
@@ -112,25 +110,14 @@
         return stored
 
     async def _store_part(self, callers: Mapping[str, frozenset[str]]) -> bool:
-        operations: list[Operation] = [
-            CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term)
-        ]
-        operations.extend(self._operations(callers))
-        result = await self._ports.store.transact(operations)
-        now = self._ports.clock.now()
+        result = await self._transactions.apply(self._operations(callers))
         if isinstance(result, Ok):
-            self._store_health.record_answer(now)
             for worker_id, addresses in callers.items():
-                self._versions[worker_id] = (
-                    result.ok_value.revision if addresses else 0
-                )
+                self._versions[worker_id] = result.ok_value if addresses else 0
             return True
-        failure = result.err_value
-        if isinstance(failure, TableConflict) and failure.versions:
-            self._store_health.record_answer(now)
-            self._adopt_versions(failure)
-        else:
-            self._store_health.record_failure(failure.detail, now)
+        # An unanswered call may have written these rows.
+        for (_, worker_id), version in result.err_value.items():
+            self._versions[worker_id] = version
         return False
 
     def _operations(
@@ -143,13 +130,3 @@
                 yield PutRow(tables.CALLERS, worker_id, version, value)
             elif version:
                 yield DeleteRow(tables.CALLERS, worker_id, version)
-
-    def _adopt_versions(self, conflict: TableConflict) -> None:
-        """Adopt the versions of rows that an unanswered call has written.
-
-        :raises TermEnded: the leader row has changed
-        """
-        for (table, key), version in conflict.versions.items():
-            if table == tables.CONTROL:
-                raise TermEnded
-            self._versions[key] = version
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -38,12 +38,12 @@
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.step_timer import StepTimer
+from carawaystep.scheduler.term_ended import TermEnded
 from carawaystep.scheduler.term_verification import TermVerification
 from carawaystep.scheduler.voter_repository import VoterRepository
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
-from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 from carawaystep.workflow.workflow_state import WorkflowState
 
--- a/src/carawaystep/scheduler/voter_repository.py
+++ b/src/carawaystep/scheduler/voter_repository.py
@@ -10,10 +10,8 @@
 
 from carawaystep.leadership.voter import Voter
 from carawaystep.scheduler import tables
-from carawaystep.scheduler.workflow_repository import TermEnded
-from carawaystep.store.operation import CheckRow
+from carawaystep.scheduler.term_transactions import TermTransactions
 from carawaystep.store.operation import PutRow
-from carawaystep.store.table_failure import TableConflict
 from carawaystep.validation.boundary_decoder import BoundaryDecoder
 
 if TYPE_CHECKING:
@@ -56,7 +54,7 @@
         """
         self._ports = ports
         self._store_health = store_health
-        self._term = term
+        self._transactions = TermTransactions(ports, store_health, term)
         self._version = 0
 
     async def load(self) -> list[VoterSet] | None:
@@ -100,33 +98,12 @@
         :raises TermEnded: another process was elected
         """
         value = {"sets": [sorted(voters) for voters in sets]}
-        result = await self._ports.store.transact(
-            [
-                CheckRow(tables.CONTROL, tables.LEADER_KEY, self._term),
-                PutRow(
-                    tables.CONTROL, tables.VOTERS_KEY, self._version, value
-                ),
-            ]
-        )
-        now = self._ports.clock.now()
+        row = PutRow(tables.CONTROL, tables.VOTERS_KEY, self._version, value)
+        result = await self._transactions.apply([row])
         if isinstance(result, Ok):
-            self._store_health.record_answer(now)
-            self._version = result.ok_value.revision
+            self._version = result.ok_value
             return True
-        failure = result.err_value
-        if isinstance(failure, TableConflict) and failure.versions:
-            self._store_health.record_answer(now)
-            self._adopt_version(failure)
-        else:
-            self._store_health.record_failure(failure.detail, now)
-        return False
-
-    def _adopt_version(self, conflict: TableConflict) -> None:
-        """Adopt the version of a row that an unanswered call has written.
-
-        :raises TermEnded: the leader row has changed
-        """
-        for (_, key), version in conflict.versions.items():
-            if key == tables.LEADER_KEY:
-                raise TermEnded
+        # An unanswered call may have written the row.
+        for version in result.err_value.values():
             self._version = version
+        return False
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -18,6 +18,7 @@
 from carawaystep.scheduler.progress_rows import ProgressRows
 from carawaystep.scheduler.rejected_transaction import log_rejected
 from carawaystep.scheduler.table_reader import read_table
+from carawaystep.scheduler.term_ended import TermEnded
 from carawaystep.scheduler.workflow_change import transactions
 from carawaystep.scheduler.workflow_change import workflow_changes
 from carawaystep.store.operation import CheckRow
@@ -50,10 +51,6 @@
 _REJECTIONS_BEFORE_FAILURE = 3
 
 
-class TermEnded(Exception):
-    """Another process was elected, or this one resigned."""
-
-
 @dataclass(slots=True)
 class CommitOutcome:
     """What a commit has shown of workflows besides that they are stored.
--- a/tests/scheduler/test_caller_repository.py
+++ b/tests/scheduler/test_caller_repository.py
@@ -13,7 +13,7 @@
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.caller_repository import CallerRepository
 from carawaystep.scheduler.store_health import StoreHealth
-from carawaystep.scheduler.workflow_repository import TermEnded
+from carawaystep.scheduler.term_ended import TermEnded
 from carawaystep.store.operation import CheckRow
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableOutcomeUnknown
--- a/tests/scheduler/test_workflow_repository.py
+++ b/tests/scheduler/test_workflow_repository.py
@@ -20,8 +20,8 @@
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.scheduler.store_health import StoreHealth
+from carawaystep.scheduler.term_ended import TermEnded
 from carawaystep.scheduler.workflow_repository import insert_submission
-from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 from carawaystep.store.operation import CheckRow
 from carawaystep.store.operation import PutRow
