Start nothing on workers of an evacuated availability zone

Change: each node reads the requests with the same feed as the routes (OperatorFollower) into the aggregate EvacuatedZones, which never returns to an older read and keeps a request until a later read shows its end. The planner leaves the workers of such a zone out, withdraws stored starts that were not sent, and places nothing before the first read. Members check each start again just before they send it. A zone that is taken back opens its workers one after another within 2 s, the ones that are cold for longest last. evacuate_ms turns it on.

Measured: tests of the aggregate, the feed, the planner and the member's refusal pass, lint is clean.

--- a/src/carawaystep/availability_zone/__init__.py
+++ b/src/carawaystep/availability_zone/__init__.py
@@ -1,1 +1,1 @@
-"""Loads of peers and the VM list, over all availability zones."""
+"""Loads of peers, the VM list and evacuations, over all availability zones."""
--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -72,11 +72,13 @@
 
     :param token: fencing token of the calls, at least the term; leaders of
         earlier versions send none, and 0 stands for the term
+    :param availability_zone: of the worker; empty from such leaders
     """
 
     key: WorkerKey
     address: str
     token: int = 0
+    availability_zone: str = ""
 
 
 class Assign(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/src/carawaystep/fleet/order_outcome.py
+++ b/src/carawaystep/fleet/order_outcome.py
@@ -9,11 +9,12 @@
     """Outcome of an order as far as the sender knows it.
 
     After ``REFUSED``, ``NO_PERMIT``, ``FULL``, ``SUPERSEDED``, ``FENCED``,
-    ``EXPIRED``, ``UNHEALTHY``, ``OTHER_LIFETIME`` and ``NOT_SENT`` the order
-    was certainly not executed. ``EXPIRED`` means that the worker refused it
-    after its deadline, ``OTHER_LIFETIME`` that another lifetime of the worker
-    answered. After ``UNKNOWN`` the order may still be executed, even seconds
-    later.
+    ``EXPIRED``, ``UNHEALTHY``, ``OTHER_LIFETIME``, ``NOT_SENT`` and
+    ``EVACUATED`` the order was certainly not executed. ``EXPIRED`` means that
+    the worker refused it after its deadline, ``OTHER_LIFETIME`` that another
+    lifetime of the worker answered, ``EVACUATED`` that the member did not
+    send it because the worker's availability zone is evacuated. After
+    ``UNKNOWN`` the order may still be executed, even seconds later.
     """
 
     DONE = "done"
@@ -26,6 +27,7 @@
     UNHEALTHY = "unhealthy"
     OTHER_LIFETIME = "other-lifetime"
     NOT_SENT = "not-sent"
+    EVACUATED = "evacuated"
     UNKNOWN = "unknown"
 
     @property
--- a/src/carawaystep/fleet/worker_record.py
+++ b/src/carawaystep/fleet/worker_record.py
@@ -22,6 +22,7 @@
     :param labels: labels that steps may require
     :param capacity: resources for tasks
     :param draining: whether it will leave and gets no new work
+    :param cold_s: seconds for which it is still slow after its start
     """
 
     key: WorkerKey
@@ -32,3 +33,4 @@
     labels: frozenset[str]
     capacity: WorkerCapacity
     draining: bool
+    cold_s: float = 0.0
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.fleet.order import PaceOrder
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.order import StopOrder
@@ -12,6 +13,7 @@
 from carawaystep.planner.changes import Changes
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.evacuation import Evacuation
+from carawaystep.planner.evacuation_monitor import EvacuationMonitor
 from carawaystep.planner.immediate_orders import ImmediateOrders
 from carawaystep.planner.interference_guard import InterferenceGuard
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
@@ -23,6 +25,7 @@
 from carawaystep.planner.waiting_task_monitor import WaitingTaskMonitor
 from carawaystep.planner.worker_registry import WorkerRegistry
 from carawaystep.planner.workflow_registry import WorkflowRegistry
+from carawaystep.planner.zone_ramp import ZoneRamp
 from carawaystep.workflow.run_end import RunEnd
 
 if TYPE_CHECKING:
@@ -65,6 +68,7 @@
         log: DecisionLog,
         now: float,
         order: WaitingOrder | None = None,
+        evacuated_zones: EvacuatedZones | None = None,
     ) -> None:
         """Create a planner without workflows and workers.
 
@@ -75,15 +79,20 @@
         :param now: current time, seconds of a monotonic clock
         :param order: order in which waiting workflows are placed, None for
             the one by urgency
+        :param evacuated_zones: zones whose workers get no new work, None when
+            there never are any
         """
+        zones = evacuated_zones or EvacuatedZones(in_force=False)
         self._interference = interference
         self._guard = InterferenceGuard(interference)
         self._log = log
         self._registry = WorkflowRegistry(order)
         self._earlier_leases = EarlierLeases(limits, now)
         self._workers = WorkerRegistry(
-            self._registry, limits, self._earlier_leases, now
+            self._registry, limits, self._earlier_leases, zones, now
         )
+        self._zone_ramp = ZoneRamp(zones)
+        self._evacuation_monitor = EvacuationMonitor(zones, log)
         self._immediate_orders = ImmediateOrders(log)
         self._ticket_cache = TicketCache(log)
         self._task_placer = TaskPlacer(
@@ -353,7 +362,8 @@
         :returns: whether the limit of starts was reached, so that tasks may
             be left that fit
         """
-        usable = self._workers.usable(now)
+        self._evacuation_monitor.check(self._workers, now)
+        usable = self._zone_ramp.open_workers(self._workers.usable(now), now)
         limited = self._task_placer.place_ready_tasks(usable, now, wall_now)
         self._waiting_tasks.check(usable, now, wall_now)
         return limited
@@ -361,8 +371,8 @@
     def should_send(self, order: StartOrder, now: float) -> bool:
         """Tell whether a stored start is still to be sent.
 
-        The run may have been lost, its workflow cancelled, or its ticket
-        expired meanwhile.
+        The run may have been lost, its workflow cancelled, its ticket
+        expired or the worker's availability zone evacuated meanwhile.
 
         :param now: current time, seconds of a monotonic clock
         """
@@ -373,6 +383,7 @@
             workflow.is_current_run(order.ref, order.run)
             and workflow.task(order.ref).worker == order.worker
             and self._ticket_cache.may_send(order, now)
+            and self._zone_accepts_work(order.worker)
         )
 
     def withdraw_start(self, order: Order) -> None:
@@ -381,8 +392,12 @@
         No worker ever reports the end of such a run.
         """
         worker = self._workers.get(order.worker)
-        if worker is not None:
-            self._lost_runs.lose(worker, order.ref, order.run, "withdrawn")
+        if worker is None:
+            return
+        reason = "withdrawn"
+        if not self._workers.accepts_work(worker):
+            reason = "zone-evacuated"
+        self._lost_runs.lose(worker, order.ref, order.run, reason)
 
     def retry_stops(self) -> None:
         """Repeat the stops of runs that have not ended yet."""
@@ -441,6 +456,10 @@
             self._ticket_cache.forget_workflow(workflow_id)
         return changes
 
+    def _zone_accepts_work(self, key: WorkerKey) -> bool:
+        worker = self._workers.get(key)
+        return worker is None or self._workers.accepts_work(worker)
+
     def _log_settled(self, workflow: Workflow) -> None:
         counts = workflow.run_end_counts
         self._log.line(
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_record import WorkerRecord
     from carawaystep.planner.contact_times import ContactTimes
@@ -34,6 +35,7 @@
         workflows: WorkflowRegistry,
         limits: PlannerLimits,
         earlier_leases: EarlierLeases,
+        evacuated_zones: EvacuatedZones,
         now: float,
     ) -> None:
         """Create a registry without workers at the start of a term.
@@ -43,12 +45,14 @@
         :param limits: times after which a silent worker has no runs
         :param earlier_leases: tells until when workers without a report may
             hold leases
+        :param evacuated_zones: zones whose workers get no new work
         :param now: current time, seconds of a monotonic clock
         """
         self._workflows = workflows
         self._limits = limits
         self._term_started_at = now
         self._earlier_leases = earlier_leases
+        self._evacuated_zones = evacuated_zones
         self._workers: dict[WorkerKey, TrackedWorker] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
         # of the worker have been dropped.
@@ -94,9 +98,16 @@
         return [
             worker
             for worker in self._workers.values()
-            if worker.usable(now) and self._has_settled(worker.key, now)
+            if worker.usable(now)
+            and self._has_settled(worker.key, now)
+            and self.accepts_work(worker)
         ]
 
+    def accepts_work(self, worker: TrackedWorker) -> bool:
+        """Tell whether a worker's availability zone is not evacuated."""
+        zone = worker.record.availability_zone
+        return self._evacuated_zones.accepts_work(zone)
+
     def await_listing(self, key: WorkerKey) -> None:
         """Wait for a worker with stored runs until it has no lease."""
         self._unlisted[key] = None
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -48,6 +48,7 @@
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
+    from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
     from carawaystep.cluster.messages import Message
     from carawaystep.entry.clock import Clock
     from carawaystep.leadership.election import Election
@@ -88,6 +89,7 @@
         leadership: Leadership,
         election: Election,
         routes: CurrentRoutes,
+        evacuated_zones: EvacuatedZones,
     ) -> None:
         """Create a term; nothing is read yet.
 
@@ -97,6 +99,7 @@
         :param leadership: what this process knows about the leader
         :param election: number and predecessors of the term
         :param routes: the routes, with the terms of tickets
+        :param evacuated_zones: zones whose workers get no new work
         """
         self._settings = settings
         self._ports = ports
@@ -125,6 +128,7 @@
             self._interference,
             ports.log,
             self.now,
+            evacuated_zones=evacuated_zones,
         )
         self._plan_requested = asyncio.Event()
         self._sessions = MemberSessions(ports, self)
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -31,6 +31,7 @@
 from carawaystep.scheduler.worker_proxy import WorkerProxy
 
 if TYPE_CHECKING:
+    from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
     from carawaystep.cluster.messages import AssignedWorker
     from carawaystep.cluster.messages import FromLeader
     from carawaystep.cluster.messages import FromMember
@@ -58,6 +59,7 @@
         ports: SchedulerPorts,
         leadership: Leadership,
         incarnation: str,
+        evacuated_zones: EvacuatedZones,
     ) -> None:
         """Create a member that follows no leader yet.
 
@@ -65,11 +67,13 @@
         :param ports: clock, leaders, workers, placement service and log
         :param leadership: what this process knows about the leader
         :param incarnation: id of this process, different after a restart
+        :param evacuated_zones: zones whose workers get no starts
         """
         self._settings = settings
         self._incarnation = incarnation
         self._ports = ports
         self._leadership = leadership
+        self._evacuated_zones = evacuated_zones
         self._leader_identity = b""
         self._assignment_version = 0
         self._proxies: dict[WorkerKey, WorkerProxy] = {}
@@ -98,6 +102,11 @@
         """Return the record of the leases that this process extends."""
         return self._lease_extensions
 
+    @property
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Return the evacuated zones as this process has read them."""
+        return self._evacuated_zones
+
     def holds_grant(self, term: int) -> bool:
         """Tell whether the grant to call workers for a term is valid."""
         return self._leadership.holds_grant(term, self.now)
--- a/src/carawaystep/scheduler/member_context.py
+++ b/src/carawaystep/scheduler/member_context.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
     from carawaystep.cluster.messages import FromMember
     from carawaystep.scheduler.lease_extensions import LeaseExtensions
 
@@ -29,6 +30,11 @@
     def lease_extensions(self) -> LeaseExtensions:
         """Return the record of the leases that this process extends."""
 
+    @property
+    @abstractmethod
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Return the evacuated zones as this process has read them."""
+
     @abstractmethod
     def holds_grant(self, term: int) -> bool:
         """Tell whether the grant to call workers for a term is valid."""
--- a/src/carawaystep/scheduler/node_settings.py
+++ b/src/carawaystep/scheduler/node_settings.py
@@ -18,6 +18,8 @@
     :param max_lease_s: longest lease that a worker grants, seconds
     :param drain_s: seconds between the start of the drain and the stop
     :param max_row_bytes: largest value of a row that the store accepts
+    :param evacuation_in_force: whether the operator's requests to evacuate an
+        availability zone are obeyed
     :param load: decisions under overload
     """
 
@@ -28,4 +30,5 @@
     max_lease_s: float
     drain_s: float
     max_row_bytes: int = 65_536
+    evacuation_in_force: bool = True
     load: LoadSettings = LoadSettings()
--- a/src/carawaystep/scheduler/ports.py
+++ b/src/carawaystep/scheduler/ports.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from carawaystep.availability_zone.evacuation_source import (
+        EvacuationSource,
+    )
     from carawaystep.cluster.leader_port import LeaderPort
     from carawaystep.cluster.member_channel import MemberChannel
     from carawaystep.entry.clock import Clock
@@ -37,6 +40,11 @@
     def route_source(self) -> RouteSource:
         """Return the source of the route table."""
 
+    @property
+    @abstractmethod
+    def evacuation_source(self) -> EvacuationSource:
+        """Return the decoder of the requests in the table of the routes."""
+
     @property
     @abstractmethod
     def worker_list(self) -> WorkerList:
--- a/src/carawaystep/scheduler/scheduler_node.py
+++ b/src/carawaystep/scheduler/scheduler_node.py
@@ -9,18 +9,18 @@
 import msgspec
 from result import Ok
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.leadership.leader_record import LeaderRecord
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.leadership.member_record import MemberRecord
 from carawaystep.routing.current_routes import CurrentRoutes
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.candidate import Candidate
-from carawaystep.scheduler.feed_position import NewestRowsPosition
 from carawaystep.scheduler.interval_timer import IntervalTimer
 from carawaystep.scheduler.leader_term import LeaderTerm
 from carawaystep.scheduler.member import Member
+from carawaystep.scheduler.operator_follower import OperatorFollower
 from carawaystep.scheduler.store_health import StoreHealth
-from carawaystep.scheduler.table_feed import TableFeed
 from carawaystep.scheduler.workflow_service import WorkflowService
 from carawaystep.store.operation import PutRow
 
@@ -29,7 +29,6 @@
     from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.ports import SchedulerPorts
 
-_ROUTES_LONG_POLL_S = 1.0
 _CAMPAIGN_CHECK_INTERVAL_S = 0.1
 _RETRY_INTERVAL_S = 0.3
 
@@ -57,7 +56,14 @@
             settings.name, settings.cores, ports.clock.now()
         )
         incarnation = token_hex(6)
-        self._member = Member(settings, ports, self._leadership, incarnation)
+        self._evacuated_zones = EvacuatedZones(settings.evacuation_in_force)
+        self._member = Member(
+            settings,
+            ports,
+            self._leadership,
+            incarnation,
+            self._evacuated_zones,
+        )
         self._candidate = Candidate(
             LeaderRecord(
                 settings.name,
@@ -72,6 +78,9 @@
         self._leader_term: LeaderTerm | None = None
         self._draining = False
         self.routes = CurrentRoutes()
+        self._operator_follower = OperatorFollower(
+            ports, self._store_health, self.routes, self._evacuated_zones
+        )
         self.workflow_service = WorkflowService(
             self._member,
             self._leadership,
@@ -87,7 +96,7 @@
 
     def start(self) -> None:
         """Start the node's tasks."""
-        self._supervisor.spawn("routes", self._follow_routes)
+        self._supervisor.spawn("routes", self._operator_follower.run)
         self._supervisor.spawn("registration", self._register)
         self._supervisor.spawn("member", self._member.run)
         self._supervisor.spawn("leadership", self._run_elections)
@@ -99,32 +108,6 @@
         if self._leader_term is not None:
             await self._leader_term.resign()
 
-    async def _follow_routes(self) -> None:
-        source = self._ports.route_source
-        feed = TableFeed(
-            self._ports,
-            self._store_health,
-            source.table,
-            _ROUTES_LONG_POLL_S,
-            NewestRowsPosition(),
-        )
-        while True:
-            for row in await feed.read():
-                if row.key != source.key or row.value is None:
-                    continue
-                table = source.route_table_from_row(row)
-                if table is None:
-                    self._ports.log.line(
-                        "routes.unreadable", row.key, version=row.version
-                    )
-                elif self.routes.apply(table):
-                    self._ports.log.line(
-                        "routes.applied",
-                        row.key,
-                        version=table.version,
-                        routes=len(table.routes),
-                    )
-
     async def _register(self) -> None:
         """Store the member record, by which leaders find this process."""
         record = MemberRecord(
@@ -166,6 +149,7 @@
                 self._leadership,
                 election,
                 self.routes,
+                self._evacuated_zones,
             )
             try:
                 await self._leader_term.run()
--- a/src/carawaystep/scheduler/table_feed.py
+++ b/src/carawaystep/scheduler/table_feed.py
@@ -53,12 +53,18 @@
         self._wait_s = wait_s
         self._position = position
         self._is_full_read = False
+        self._revision = 0
 
     @property
     def is_full_read(self) -> bool:
         """Tell whether the last read returned all rows of the table."""
         return self._is_full_read
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last read, 0 before the first."""
+        return self._revision
+
     async def read(self) -> tuple[Row, ...]:
         """Wait for changes and return the changed rows.
 
@@ -76,6 +82,7 @@
                 self._store_health.record_answer(now)
                 self._position.record_changes(result.ok_value, now)
                 self._is_full_read = since == 0
+                self._revision = result.ok_value.revision
                 return result.ok_value.rows
             if isinstance(result.err_value, TableHistoryGone):
                 self._store_health.record_answer(now)
--- a/src/carawaystep/scheduler/worker_assignments.py
+++ b/src/carawaystep/scheduler/worker_assignments.py
@@ -276,9 +276,14 @@
             name: [] for name in self._sessions.sessions
         }
         for key, name in member_by_worker.items():
-            address = self._records[key].address
+            record = self._records[key]
             assignments[name].append(
-                AssignedWorker(key, address, self._tokens.get(key) or 0)
+                AssignedWorker(
+                    key,
+                    record.address,
+                    self._tokens.get(key) or 0,
+                    record.availability_zone,
+                )
             )
         for name, workers in assignments.items():
             await self._sessions.sessions[name].assign(workers)
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -86,7 +86,8 @@
         :param worker: lifetime and address of the worker
         :param link: link to the worker
         :param context: clock, term and grant of the member
-        :param log: receives an event for each start that has expired
+        :param log: receives an event for each start that has expired or is
+            for an evacuated availability zone
         """
         self._log = log
         self._worker = worker
@@ -223,7 +224,21 @@
             return OrderOutcome.NOT_SENT
         if self._replaced:
             return OrderOutcome.OTHER_LIFETIME
-        if isinstance(order, StartOrder) and self._has_expired(queued):
+        is_start = isinstance(order, StartOrder)
+        if is_start:
+            obstacle = self._find_obstacle(queued)
+            if obstacle is not None:
+                return obstacle
+        with self._extension() if is_start else nullcontext():
+            outcome = await self._link.execute_order(order, self._token)
+        if isinstance(order, StopOrder):
+            self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
+        return outcome
+
+    def _find_obstacle(self, queued: _QueuedOrder) -> OrderOutcome | None:
+        """Return why a start must not be sent now, None if it may be."""
+        order = queued.numbered.order
+        if self._has_expired(queued):
             self._log.line(
                 "start.expired",
                 str(order.ref),
@@ -231,14 +246,22 @@
                 worker=order.worker.id,
             )
             return OrderOutcome.NOT_SENT
-        if isinstance(order, StartOrder) and self._is_silent:
+        if self._is_silent:
             return OrderOutcome.NOT_SENT
-        is_start = isinstance(order, StartOrder)
-        with self._extension() if is_start else nullcontext():
-            outcome = await self._link.execute_order(order, self._token)
-        if isinstance(order, StopOrder):
-            self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
-        return outcome
+        zones = self._context.evacuated_zones
+        if zones.accepts_work(self._worker.availability_zone):
+            return None
+        # The leader may be an earlier one, or the order may have waited.
+        self._log.line(
+            "start.refused",
+            str(order.ref),
+            run=order.run,
+            worker=order.worker.id,
+            zone=self._worker.availability_zone,
+            version=zones.revision,
+            age_s=zones.age_s(self._context.now),
+        )
+        return OrderOutcome.EVACUATED
 
     @property
     def _is_silent(self) -> bool:
--- /dev/null
+++ b/tests/availability_zone/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of availability zones."""
--- a/tests/planner/test_cancellations.py
+++ b/tests/planner/test_cancellations.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.immediate_orders import ImmediateOrders
@@ -26,7 +27,11 @@
         self.log = RecordingLog()
         self.registry = WorkflowRegistry()
         workers = WorkerRegistry(
-            self.registry, LIMITS, EarlierLeases(LIMITS, 0.0), 0.0
+            self.registry,
+            LIMITS,
+            EarlierLeases(LIMITS, 0.0),
+            EvacuatedZones(in_force=False),
+            0.0,
         )
         stopper = RunStopper(workers, ImmediateOrders(self.log))
         self.cancellations = Cancellations(self.registry, stopper, self.log)
--- a/tests/planner/test_restarted_workers.py
+++ b/tests/planner/test_restarted_workers.py
@@ -6,6 +6,7 @@
 
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.planner.worker_registry import WorkerRegistry
@@ -35,7 +36,11 @@
         """List the first lifetime, then the second."""
         super().setUp()
         self.workers = WorkerRegistry(
-            WorkflowRegistry(), _LIMITS, EarlierLeases(_LIMITS, 0.0), 0.0
+            WorkflowRegistry(),
+            _LIMITS,
+            EarlierLeases(_LIMITS, 0.0),
+            EvacuatedZones(in_force=False),
+            0.0,
         )
         self.workers.update_list([worker_record("w1")], 50.0)
         self._report(_FIRST, 99.0)
--- a/tests/planner/test_worker_registry.py
+++ b/tests/planner/test_worker_registry.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.fleet.tracked_worker import TrackedWorker
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.planner.earlier_leases import EarlierLeases
@@ -34,7 +35,11 @@
         self.workflow.place(self.ref, _FIRST)
         self.earlier_leases = EarlierLeases(LIMITS, _TERM_STARTED_AT)
         self.workers = WorkerRegistry(
-            workflows, LIMITS, self.earlier_leases, _TERM_STARTED_AT
+            workflows,
+            LIMITS,
+            self.earlier_leases,
+            EvacuatedZones(in_force=False),
+            _TERM_STARTED_AT,
         )
         self.workers.await_listing(_FIRST)
 
--- a/tests/scheduler/simulation/simulated_ports.py
+++ b/tests/scheduler/simulation/simulated_ports.py
@@ -9,6 +9,9 @@
 from carawaystep.fleet.placement_advisor import PlacementAdvisor
 from carawaystep.scheduler.ports import SchedulerPorts
 from tests.fakes.fake_clock import FakeClock
+from tests.scheduler.simulation.simulated_evacuation_source import (
+    SimulatedEvacuationSource,
+)
 from tests.scheduler.simulation.simulated_leader_port import (
     SimulatedLeaderPort,
 )
@@ -30,6 +33,9 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from carawaystep.availability_zone.evacuation_source import (
+        EvacuationSource,
+    )
     from carawaystep.cluster.leader_port import LeaderPort
     from carawaystep.cluster.member_channel import MemberChannel
     from carawaystep.entry.clock import Clock
@@ -94,6 +100,11 @@
         """Return the source of the routes."""
         return SimulatedRouteSource()
 
+    @property
+    def evacuation_source(self) -> EvacuationSource:
+        """Return the decoder of the requests to evacuate zones."""
+        return SimulatedEvacuationSource()
+
     @property
     def worker_list(self) -> WorkerList:
         """Return the decoder of the list of workers."""
--- a/tests/scheduler/test_advice.py
+++ b/tests/scheduler/test_advice.py
@@ -11,6 +11,7 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.cluster.messages import AdviceReply
 from carawaystep.cluster.messages import ForwardedAdviceRequest
 from carawaystep.fleet.placement_advisor import PlacementAdvisor
@@ -39,6 +40,7 @@
 
     now = 0.0
     term = _TERM
+    evacuated_zones = EvacuatedZones(in_force=False)
     lease_extensions = LeaseExtensions(
         SimpleNamespace(now=lambda: 0.0)  # type: ignore[arg-type]
     )
--- a/tests/scheduler/test_leader_term.py
+++ b/tests/scheduler/test_leader_term.py
@@ -10,6 +10,7 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.leadership.election import Election
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.routing.current_routes import CurrentRoutes
@@ -69,6 +70,7 @@
                 Leadership("edge-1", 1.0, 0.0),
                 Election(7),
                 CurrentRoutes(),
+                EvacuatedZones(),
             )
             pairs = [("a", "b", 0.5)]
             with (
@@ -104,6 +106,7 @@
             leadership,
             Election(7),
             CurrentRoutes(),
+            EvacuatedZones(),
         )
         leadership.record_heartbeat(7, "edge-1", 0.0, 0.0, 10.0)
         self.assertTrue(term.may_lead(10.0))
@@ -123,6 +126,7 @@
             Leadership("edge-1", 1.0, 0.0),
             Election(7, {"tcp://gone": 4.0, "tcp://edge-2": 10.0}),
             CurrentRoutes(),
+            EvacuatedZones(),
         )
         with patch.object(
             term._planner, "set_predecessor_stop_time"
--- a/tests/scheduler/test_leader_term_start.py
+++ b/tests/scheduler/test_leader_term_start.py
@@ -9,6 +9,7 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.cluster.messages import CallReply
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import QueryState
@@ -94,6 +95,7 @@
         Leadership("edge-1", 1.0, 0.0),
         Election(_TERM),
         CurrentRoutes(),
+        EvacuatedZones(),
     )
 
 
@@ -131,6 +133,7 @@
                 Leadership("edge-1", 1.0, 0.0),
                 Election(_TERM),
                 CurrentRoutes(),
+                EvacuatedZones(),
             )
             session = SimpleNamespace(send=send)
             calls = (Submit(1, spec), Cancel(2, spec.id), QueryState(3, "b"))
--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -9,6 +9,7 @@
 
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.cluster.messages import Assign
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import CallReply
@@ -94,6 +95,7 @@
         ports,  # type: ignore[arg-type]
         Leadership("edge-1", 1.0, 10.0),
         "new",
+        EvacuatedZones(in_force=False),
     )
 
 
--- a/tests/scheduler/test_worker_assignments.py
+++ b/tests/scheduler/test_worker_assignments.py
@@ -118,7 +118,7 @@
         name = self.assignments.member_name(_WORKER)
         (other,) = self.members.keys() - {name}
         self.members[name].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM, "zone")]
         )
         self.assertEqual(
             {"[]"},
@@ -162,7 +162,7 @@
             {_WORKER.id: {"tcp://edge-1"}}, self.repository.callers
         )
         self.members["edge-1"].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM, "zone")]
         )
         # Without the store, the worker stays with its member.
         self.repository.fails = True
@@ -239,7 +239,7 @@
         token = self.repository.revision("w1")
         self.assertGreater(token, _TERM)
         self.members["edge-1"].assign.assert_called_with(
-            [AssignedWorker(later.key, later.address, token)]
+            [AssignedWorker(later.key, later.address, token, "zone")]
         )
 
     def test_stored_callers_of_an_earlier_term_stay(self) -> None:
@@ -274,7 +274,7 @@
         asyncio.run(self.assignments.update(5.0))
         self.assertEqual("edge-1", self.assignments.member_name(_WORKER))
         self.members["edge-1"].assign.assert_called_with(
-            [AssignedWorker(_WORKER, _RECORD.address, _TERM)]
+            [AssignedWorker(_WORKER, _RECORD.address, _TERM, "zone")]
         )
 
     def test_callers_are_stored_when_members_have_settled(self) -> None:
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -9,6 +9,8 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
+from carawaystep.availability_zone.evacuation_request import EvacuationRequest
 from carawaystep.cluster.messages import AssignedWorker
 from carawaystep.cluster.messages import NumberedOrder
 from carawaystep.cluster.messages import OrderResult
@@ -63,6 +65,8 @@
         self._lease_extensions = LeaseExtensions(self.clock)
         self.outcomes: list[OrderOutcome] = []
         self.order_answered = asyncio.Event()
+        self.zones = EvacuatedZones()
+        self.zones.adopt([], 1, is_complete=True, now=_DECIDED_AT)
 
     @property
     def now(self) -> float:
@@ -72,6 +76,10 @@
     def lease_extensions(self) -> LeaseExtensions:
         return self._lease_extensions
 
+    @property
+    def evacuated_zones(self) -> EvacuatedZones:
+        return self.zones
+
     def holds_grant(self, term: int) -> bool:
         return self.granted
 
@@ -189,6 +197,53 @@
         )
 
 
+class EvacuatedZoneTest(TestCase):
+    """Orders for a worker whose availability zone is evacuated."""
+
+    def _execute(
+        self, order: StartOrder | StopOrder, zones: EvacuatedZones
+    ) -> tuple[list[Order], list[OrderOutcome]]:
+        member = _Member()
+        member.zones = zones
+        link = _Link()
+
+        async def run() -> None:
+            worker = AssignedWorker(_WORKER, "127.0.0.1:1", 0, "north")
+            proxy = WorkerProxy(worker, link, member, RecordingLog())
+            proxy.enqueue_order(NumberedOrder(1, order), _DECIDED_AT)
+            task = asyncio.create_task(proxy.run())
+            async with asyncio.timeout(5.0):
+                await member.order_answered.wait()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+        return link.orders, member.outcomes
+
+    def test_start_of_a_leader_that_does_not_know_is_refused(self) -> None:
+        """Guards against starts of a cut-off leader, or out of a queue."""
+        zones = EvacuatedZones()
+        start = StartOrder(_WORKER, _REF, 1, "text")
+        refused: object = ([], [OrderOutcome.EVACUATED])
+        self.assertEqual(refused, self._execute(start, zones))
+        zones.adopt([EvacuationRequest("north", 3)], 3, True, 1.0)
+        self.assertEqual(refused, self._execute(start, zones))
+        self.assertTrue(OrderOutcome.EVACUATED.not_executed)
+        zones.adopt([EvacuationRequest("south", 4)], 4, True, 2.0)
+        self.assertEqual(
+            ([start], [OrderOutcome.DONE]), self._execute(start, zones)
+        )
+
+    def test_stop_is_sent(self) -> None:
+        """Guards against runs in the zone that cannot be cancelled."""
+        zones = EvacuatedZones()
+        zones.adopt([EvacuationRequest("north", 3)], 3, True, 1.0)
+        stop = StopOrder(_WORKER, _REF, 1)
+        self.assertEqual(
+            ([stop], [OrderOutcome.DONE]), self._execute(stop, zones)
+        )
+
+
 class ReplacedLifetimeTest(TestCase):
     """A worker that has started again under its id.
 
--- a/tests/users_platform/test_decoding.py
+++ b/tests/users_platform/test_decoding.py
@@ -10,9 +10,11 @@
 from result import Ok
 from testtools import TestCase
 
+from carawaystep.availability_zone.evacuation_request import EvacuationRequest
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.routing.queue_route import QueueRoute
 from carawaystep.store.row import Row
+from carawaystep_platform.evacuation_rows import EvacuationRows
 from carawaystep_platform.manifest_route_source import ManifestRouteSource
 from carawaystep_platform.server_table import ServerTable
 from carawaystep_platform.settings import load_settings
@@ -32,6 +34,7 @@
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
     "labels": ["a", "r1-3"],
     "born": 12,
+    "cold_remaining_ms": 2500,
 }
 
 _SETTINGS = """
@@ -126,6 +129,7 @@
         assert record is not None
         self.assertEqual(WorkerKey("i-1", 12), record.key)
         self.assertEqual("r1-3", record.rack)
+        self.assertEqual(2.5, record.cold_s)
         self.assertTrue(record.draining)
         for broken in (
             {},
@@ -149,6 +153,20 @@
             manifest.route_table_from_row(Row("config", {"version": 1}, 1, 1))
         )
 
+    def test_rows_that_ask_for_evacuations_are_found_by_their_keys(
+        self,
+    ) -> None:
+        """Guards against a zone that gets work because of a row's value."""
+        rows = EvacuationRows()
+        for key in ("config", "evacuate/", "evacuate", "wave/evacuate/a"):
+            self.assertIsNone(rows.request_from_row(Row(key, {}, 1, 1)))
+        for value in ({}, [1], "north"):
+            request = rows.request_from_row(Row("evacuate/a/b", value, 1, 7))
+            self.assertEqual(EvacuationRequest("a/b", 7), request)
+        removed = rows.request_from_row(Row("evacuate/a", None, 8, 8))
+        assert removed is not None
+        self.assertTrue(removed.withdrawn)
+
     def test_settings_are_validated(self) -> None:
         """Guards against wrong units and a start with invalid settings."""
         with tempfile.TemporaryDirectory() as folder:
@@ -159,6 +177,11 @@
             settings = result.ok_value
             self.assertEqual(1.0, settings.node.cores)
             self.assertEqual(10.0, settings.node.max_lease_s)
+            self.assertFalse(settings.node.evacuation_in_force)
+            bound = "evacuate_ms = 5000\n[platform]"
+            path.write_text(_SETTINGS.replace("[platform]", bound))
+            settings = load_settings(str(path)).unwrap()
+            self.assertTrue(settings.node.evacuation_in_force)
             self.assertEqual("10.1.0.13:7735", settings.metrics_address)
             path.write_text(_SETTINGS.replace("[7720, 7735]", '"many"'))
             self.assertIsInstance(load_settings(str(path)), Err)
