Evacuate zones in simulations, and check that no start comes too late

Cause: the rule of an evacuated zone had no check under other faults.

Change: `--evacuate` (EVACUATE=1 of make simulate) puts the workers of a simulation into two zones, which are evacuated and taken back at random, beside a zone that nobody knows. A start counts if its node was in touch. Two faulty variants: nodes that take a read of changes for one of all rows, and nodes that ignore the requests. Without the option requests are not in force, so that earlier seeds repeat the runs that they had.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 CORES ?= 6
 SEEDS ?= 1
 VARIANT ?= none
+EVACUATE ?=
 BIN = $(VENV)/bin
 export PYTHONPATH = src:platform:.
 # Random runs repeat exactly only when sets iterate in the same order.
@@ -60,7 +61,8 @@
 # Random faults of the scheduler's nodes, for SEEDS seeds from SEED on.
 simulate: install
 	$(BIN)/python -m tests.scheduler.simulation $(SEED) $(SECONDS) \
-		--seeds $(SEEDS) --variant $(VARIANT)
+		--seeds $(SEEDS) --variant $(VARIANT) \
+		$(if $(EVACUATE),--evacuate)
 
 check-model: install
 	$(BIN)/python -m tools.check_model
--- a/tests/scheduler/simulation/__main__.py
+++ b/tests/scheduler/simulation/__main__.py
@@ -24,11 +24,14 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--variant", choices=VARIANT_NAMES, default="none")
     parser.add_argument("--history", action="store_true")
+    parser.add_argument("--evacuate", action="store_true")
     arguments = parser.parse_args()
     status = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with faulty_variant(arguments.variant):
-            record = SchedulerSimulation(seed, arguments.seconds).run()
+            record = SchedulerSimulation(
+                seed, arguments.seconds, arguments.evacuate
+            ).run()
         if arguments.history:
             print("\n".join(record.history), file=sys.stderr)
         for violation in record.violations[:_MAX_VIOLATIONS]:
--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
+from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.scheduler import member
@@ -26,6 +27,9 @@
     from collections.abc import Sequence
     from contextlib import AbstractContextManager
 
+    from carawaystep.availability_zone.evacuation_request import (
+        EvacuationRequest,
+    )
     from carawaystep.scheduler.waiting_calls import WaitingCall
     from carawaystep.store.operation import Operation
     from carawaystep.workflow.workflow_state import WorkflowState
@@ -142,6 +146,29 @@
     return patch.object(LeaderTerm, "verified_at", lambda term: term.now)
 
 
+def _take_changes_for_all_rows() -> AbstractContextManager[object]:
+    """End evacuations whose rows a read of changes does not list."""
+    adopt = EvacuatedZones.adopt
+
+    def adopt_all(
+        zones: EvacuatedZones,
+        requests: list[EvacuationRequest],
+        revision: int,
+        is_complete: bool,
+        now: float,
+    ) -> object:
+        return adopt(zones, requests, revision, True, now)
+
+    return patch.object(EvacuatedZones, "adopt", adopt_all)
+
+
+def _plan_in_evacuated_zones() -> AbstractContextManager[object]:
+    """Let leader and members ignore the operator's requests."""
+    return patch.object(
+        EvacuatedZones, "accepts_work", lambda zones, name: True
+    )
+
+
 _VARIANTS = {
     "none": nullcontext,
     "confirm-by-any-commit": _confirm_by_any_commit,
@@ -153,6 +180,8 @@
     "ignore-silent-callers": _ignore_silent_callers,
     "forget-extensions": _forget_extensions,
     "grant-without-majority": _grant_without_majority,
+    "take-changes-for-all-rows": _take_changes_for_all_rows,
+    "plan-in-evacuated-zones": _plan_in_evacuated_zones,
 }
 VARIANT_NAMES = tuple(_VARIANTS)
 
--- a/tests/scheduler/simulation/scheduler_simulation.py
+++ b/tests/scheduler/simulation/scheduler_simulation.py
@@ -4,11 +4,14 @@
 
 import asyncio
 from random import Random
+from typing import TYPE_CHECKING
 
 import looptime
 
 from carawaystep.store.operation import PutRow
 from tests.scheduler.simulation.calm_period import CalmPeriod
+from tests.scheduler.simulation.evacuations import Evacuations
+from tests.scheduler.simulation.evacuations import WORKER_ZONES
 from tests.scheduler.simulation.fault_driver import FaultDriver
 from tests.scheduler.simulation.promise_checks import PromiseChecks
 from tests.scheduler.simulation.simulated_callers import SimulatedCallers
@@ -22,6 +25,10 @@
 from tests.scheduler.simulation.simulation_record import SimulationRecord
 from tests.scheduler.simulation.task_factory import TaskFactory
 
+if TYPE_CHECKING:
+    from carawaystep.fleet.order import StartOrder
+    from tests.planner.simulated_worker import SimulatedWorker
+
 _NODES = 4
 _WORKERS = 6
 _CHECK_INTERVAL_S = 0.25
@@ -35,12 +42,18 @@
 class SchedulerSimulation:
     """One run, which its seed and the hash seed of Python repeat exactly."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(
+        self, seed: int, seconds: float, evacuates: bool = False
+    ) -> None:
         """Create a run.
 
         :param seed: seed of all random decisions
         :param seconds: virtual duration of calls and faults
+        :param evacuates: whether the workers are in two zones, which are
+            evacuated at times
         """
+        self._seed = seed
+        self._evacuates = evacuates
         self._random = Random(seed)
         self._seconds = seconds
         self._nodes: list[SimulatedNode] = []
@@ -55,23 +68,40 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         workers = [f"worker-{number}" for number in range(_WORKERS)]
-        environment = SimulatedEnvironment(workers, self._random, self.record)
+        zones = {
+            name: WORKER_ZONES[number % len(WORKER_ZONES)]
+            for number, name in enumerate(workers)
+        }
+        environment = SimulatedEnvironment(
+            workers,
+            self._random,
+            self.record,
+            zones if self._evacuates else {},
+        )
         calm = CalmPeriod(loop.time)
         fleet = environment.fleet
         checks = PromiseChecks(
             environment.store, fleet.workers, calm, self.record
         )
         environment.store.on_write = checks.check_write
-        fleet.on_start = checks.check_start
         fleet.on_end_acknowledged = checks.record_acknowledged_end
         source = SimulatedRouteSource()
         environment.store.transact(
             [PutRow(source.table, source.key, None, {})]
         )
         self._nodes = [
-            SimulatedNode(f"edge-{number}", environment)
+            SimulatedNode(f"edge-{number}", environment, self._evacuates)
             for number in range(_NODES)
         ]
+        evacuations = Evacuations(self._nodes, environment, self._seed)
+
+        def check_start(
+            worker: SimulatedWorker, order: StartOrder, late: bool, node: str
+        ) -> None:
+            checks.check_start(worker, order, late)
+            evacuations.check_start(worker.name, late, node)
+
+        fleet.on_start = check_start
         background = [
             asyncio.create_task(fleet.run()),
             asyncio.create_task(self._check_continuously(checks)),
@@ -86,7 +116,10 @@
         driver = FaultDriver(self._nodes, environment, calm, self.record)
         callers.on_call = driver.fail_leader
         driver.on_busy_node = callers.submit_burst
-        await asyncio.gather(callers.run(until), driver.run(until))
+        parts = [callers.run(until), driver.run(until)]
+        if self._evacuates:
+            parts.append(evacuations.run(until))
+        await asyncio.gather(*parts)
         await self._wait_for_ends(callers, checks)
         checks.check_end()
         for node in self._nodes:
--- a/tests/scheduler/simulation/simulated_environment.py
+++ b/tests/scheduler/simulation/simulated_environment.py
@@ -14,6 +14,7 @@
 from tests.scheduler.simulation.store_faults import StoreFaults
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from random import Random
 
     from tests.scheduler.simulation.simulation_record import SimulationRecord
@@ -23,13 +24,18 @@
     """The store, the workers, the network and their faults."""
 
     def __init__(
-        self, workers: list[str], random: Random, record: SimulationRecord
+        self,
+        workers: list[str],
+        random: Random,
+        record: SimulationRecord,
+        zones: Mapping[str, str],
     ) -> None:
         """Create environment without faults.
 
         :param workers: ids of the workers
         :param random: source of all random decisions
         :param record: record of the simulation
+        :param zones: zones of the workers by their ids, by default the same
         """
         self.random = random
         self.record = record
@@ -37,5 +43,5 @@
         self.store_faults = StoreFaults()
         self.network = SimulatedNetwork(random)
         self.connections = SimulatedConnections(self.network)
-        self.fleet = SimulatedFleet(workers, self.store, random)
+        self.fleet = SimulatedFleet(workers, self.store, random, zones)
         self.order_faults = OrderFaults()
--- a/tests/scheduler/simulation/simulated_fleet.py
+++ b/tests/scheduler/simulation/simulated_fleet.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from random import Random
 
     from carawaystep.fleet.order import StartOrder
@@ -38,26 +39,32 @@
 class SimulatedFleet:
     """Runs tasks on workers, and lists the workers in the store.
 
-    ``on_start`` is called with the worker, the order and whether the worker
-    carried the order out late, after each start; ``on_end_acknowledged``
-    with each end that a worker forgets because it is acknowledged while the
-    lease lasts that the worker had at the end.
+    ``on_start`` is called with the worker, the order, whether the worker
+    carried the order out late and the node that sent it, after each start;
+    ``on_end_acknowledged`` with each end that a worker forgets because it is
+    acknowledged while the lease lasts that the worker had at the end.
     """
 
     def __init__(
-        self, names: list[str], store: SimulatedStore, random: Random
+        self,
+        names: list[str],
+        store: SimulatedStore,
+        random: Random,
+        zones: Mapping[str, str],
     ) -> None:
         """Create workers that are listed.
 
         :param names: ids of the workers
         :param store: holds the list of workers
         :param random: source of all random decisions
+        :param zones: zones of the workers by their ids, by default the same
         """
         self._store = store
+        self._zones = zones
         self._random = random
         self.workers = {name: SimulatedWorker(name) for name in names}
-        self.on_start: Callable[[SimulatedWorker, StartOrder, bool], None]
-        self.on_start = lambda worker, order, late: None
+        self.on_start: Callable[[SimulatedWorker, StartOrder, bool, str], None]
+        self.on_start = lambda worker, order, late, node: None
         self.on_end_acknowledged: Callable[[EndedRun], None]
         self.on_end_acknowledged = lambda ended: None
         self._started_at = dict.fromkeys(names, 0.0)
@@ -65,6 +72,10 @@
         for name in names:
             self.list_worker(name)
 
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of a worker."""
+        return self._zones.get(name, "zone")
+
     async def run(self) -> None:
         """End runs when they are due until the task is cancelled."""
         loop = asyncio.get_running_loop()
@@ -110,12 +121,18 @@
         return report
 
     def start(
-        self, order: StartOrder, token: int, deadline: float, late: bool
+        self,
+        order: StartOrder,
+        token: int,
+        deadline: float,
+        late: bool,
+        node: str,
     ) -> bool:
         """Start a run on the present lifetime of the order's worker.
 
         :param deadline: end of the lease on the worker's clock
         :param late: whether the worker carries the order out late
+        :param node: name of the node that sent the order
         :returns: False if the worker refuses it
         """
         name = order.worker.id
@@ -132,7 +149,7 @@
         lease_until = min(deadline + self._started_at[name], now + MAX_LEASE_S)
         if not worker.start(order.ref, run, token, lease_until, now):
             return False
-        self.on_start(worker, order, late)
+        self.on_start(worker, order, late, node)
         return True
 
     def _draw_run_s(self) -> float:
@@ -152,7 +169,10 @@
 
     def list_worker(self, name: str) -> None:
         """Add a worker to the list."""
-        value = {"started_at_ms": self.workers[name].started_at_ms}
+        value = {
+            "started_at_ms": self.workers[name].started_at_ms,
+            "zone": self.zone_of(name),
+        }
         self._store.transact(
             [PutRow(SimulatedWorkerList.table, name, None, value)]
         )
--- a/tests/scheduler/simulation/simulated_node.py
+++ b/tests/scheduler/simulation/simulated_node.py
@@ -31,14 +31,21 @@
 class SimulatedNode:
     """Runs the real code of a node, under one name and address."""
 
-    def __init__(self, name: str, environment: SimulatedEnvironment) -> None:
+    def __init__(
+        self,
+        name: str,
+        environment: SimulatedEnvironment,
+        evacuation_in_force: bool = False,
+    ) -> None:
         """Create a node without a process.
 
         :param name: name of the node
         :param environment: all that is outside the processes
+        :param evacuation_in_force: whether it obeys requests to evacuate
         """
         self.name = name
         self._environment = environment
+        self._evacuation_in_force = evacuation_in_force
         self._address = f"tcp://{name}:1"
         self._process_count = 0
         self._process: SimulatedProcess | None = None
@@ -73,7 +80,13 @@
         process = SimulatedProcess(self.name, self._process_count)
         ports = SimulatedPorts(process, self._environment)
         settings = NodeSettings(
-            self.name, "zone", 1.0, self._address, MAX_LEASE_S, _DRAIN_S
+            self.name,
+            "zone",
+            1.0,
+            self._address,
+            MAX_LEASE_S,
+            _DRAIN_S,
+            evacuation_in_force=self._evacuation_in_force,
         )
         self._process = process
         self._supervisor = Supervisor(self._counters)
--- a/tests/scheduler/simulation/simulated_worker_link.py
+++ b/tests/scheduler/simulation/simulated_worker_link.py
@@ -171,7 +171,8 @@
         elif isinstance(order, StartOrder) and deadline is not None:
             if deadline < self._fleet.clock(self._name, now):
                 return OrderOutcome.EXPIRED
-            if not self._fleet.start(order, token, deadline, late):
+            node = self._process.node
+            if not self._fleet.start(order, token, deadline, late, node):
                 return OrderOutcome.SUPERSEDED
         return OrderOutcome.DONE
 
--- a/tests/scheduler/simulation/simulated_worker_list.py
+++ b/tests/scheduler/simulation/simulated_worker_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from carawaystep.fleet.worker_list import WorkerList
@@ -19,4 +20,7 @@
 
     def record_from_row(self, row: Row) -> WorkerRecord | None:
         """Return the record of a worker."""
-        return worker_record(row.key, started_at_ms=row.value["started_at_ms"])
+        record = worker_record(
+            row.key, started_at_ms=row.value["started_at_ms"]
+        )
+        return replace(record, availability_zone=row.value["zone"])
--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -33,6 +33,27 @@
             history, self._run(5, "none", "--history", seconds=5)[1]
         )
 
+    def test_evacuated_zones_get_no_starts(self) -> None:
+        """Guards against starts in zones evacuated under other faults."""
+        results, errors = self._run(1, "none", "--evacuate", seeds=_SEEDS)
+        self.assertEqual([0] * _SEEDS, [r["violations"] for r in results])
+        self.assertEqual("", errors)
+
+    def test_evacuation_that_another_change_ends_is_detected(self) -> None:
+        """Guards against runs in which no request outlasts another one.
+
+        The faulty nodes take a read of changes for one of all rows.
+        """
+        self._assert_found(
+            "take-changes-for-all-rows", 1, "was evacuated", "--evacuate"
+        )
+
+    def test_ignored_evacuation_is_detected(self) -> None:
+        """Guards against runs in which nobody would start in the zone."""
+        self._assert_found(
+            "plan-in-evacuated-zones", 1, "was evacuated", "--evacuate"
+        )
+
     def test_confirmation_by_another_commit_is_detected(self) -> None:
         """Guards against runs that miss confirmations of what is lost.
 
@@ -104,9 +125,11 @@
         """
         self._assert_found("grant-without-majority", 201, "and runs on")
 
-    def _assert_found(self, variant: str, seed: int, violation: str) -> None:
+    def _assert_found(
+        self, variant: str, seed: int, violation: str, *options: str
+    ) -> None:
         """Check that one run finds the fault of a variant."""
-        results, errors = self._run(seed, variant)
+        results, errors = self._run(seed, variant, *options)
         self.assertGreater(results[0]["violations"], 0, variant)
         self.assertIn(violation, errors)
 
