Check manifests without a running system

Change: configuration_check holds the checks, one class for each kind of finding, over a validated configuration in the product's words. `make check-manifest MANIFEST=file` and platform/check_manifest.py run it.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export PYTHONHASHSEED = 0
 
 .PHONY: install demo test lint format unit prove prove-processes
-.PHONY: check-model measure-capacity simulate
+.PHONY: check-model measure-capacity simulate check-manifest
 
 # SKIP_INSTALL=1 uses the environment as it is.
 ifeq ($(SKIP_INSTALL),)
@@ -64,3 +64,11 @@
 
 check-model: install
 	$(BIN)/python -m tools.check_model
+
+# MANIFEST=file [IN_FORCE=file] [FLEET=file] [SAMPLES=file] [FORMAT=json]
+# [STRICT=1]; docs/operators/check.md.
+check-manifest: install
+	@$(BIN)/python platform/check_manifest.py "$(MANIFEST)" \
+		$(if $(IN_FORCE),--in-force "$(IN_FORCE)") \
+		$(if $(FLEET),--fleet "$(FLEET)") $(if $(SAMPLES),--samples "$(SAMPLES)") \
+		$(if $(FORMAT),--format $(FORMAT)) $(if $(STRICT),--strict)
--- /dev/null
+++ b/src/carawaystep/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration that need no running system."""
--- /dev/null
+++ b/src/carawaystep/configuration_check/checks/__init__.py
@@ -0,0 +1,1 @@
+"""The checks, one class for each kind of finding."""
