--- a/src/carawaystep/configuration_check/checks/shadowed_route.py
+++ b/src/carawaystep/configuration_check/checks/shadowed_route.py
@@ -18,11 +18,14 @@
     from carawaystep.configuration_check.finding import Finding
 
 
+_SHORTEST_PATH = "/"
+
+
 class ShadowedRouteCheck(Check):
     """Finds routes that the router never returns.
 
-    A path that is a route's prefix and no longer is resolved to that route
-    unless another one has the same host and prefix and stands before it.
+    The shortest path of a route's calls is its prefix. The router returns the
+    route for it unless another one takes all paths that begin with the prefix.
     """
 
     code = FindingCode.SHADOWED_ROUTE
@@ -36,7 +39,9 @@
             id(route): position for position, route in enumerate(table.routes)
         }
         for position, route in enumerate(table.routes):
-            taken_by = table.resolve(route.host, route.path_prefix)
+            taken_by = table.resolve(
+                route.host, route.path_prefix or _SHORTEST_PATH
+            )
             if taken_by is None or taken_by is route:
                 continue
             first = Location(Section.ROUTES, positions[id(taken_by)])
--- a/tests/users_platform/manifest_check/test_findings.py
+++ b/tests/users_platform/manifest_check/test_findings.py
@@ -89,6 +89,13 @@
         ),
         _TWO,
     ),
+    _Case(
+        "shadowed-route warning routes[0].path_prefix",
+        make_manifest(
+            make_route(path_prefix=""), make_route(2, path_prefix="/")
+        ),
+        _TWO,
+    ),
     _route_case(
         "unreachable-host warning routes[0].host", host="desk.example:80"
     ),
