Check service documents against workers and their own deadlines

Cause: `document check` accepted documents whose jobs fit no worker or are due before their declared run time is over.

Change: it runs the checks of declared work that the manifest check has, over the documents in the product's words; `--fleet FILE` names the sizes of the workers, `--strict` refuses warnings. Exit codes stay as they are.

--- a/src/carawaystep/console/commands/document_check.py
+++ b/src/carawaystep/console/commands/document_check.py
@@ -3,17 +3,40 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+from typing import TYPE_CHECKING
 
 import cappa
 from result import Err
 
+from carawaystep.configuration_check.configuration import CheckSubject
+from carawaystep.configuration_check.configuration_checker import (
+    ConfigurationChecker,
+)
+from carawaystep.configuration_check.configuration_checker import is_accepted
+from carawaystep.configuration_check.document_paths import DocumentPaths
+from carawaystep.configuration_check.service_configuration import (
+    configuration_of_services,
+)
+from carawaystep.configuration_check.standard_checks import work_checks
 from carawaystep.console.document_files import load_local_documents
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
+from carawaystep.console.finding_output import print_checked_documents
+from carawaystep.console.finding_output import print_checked_documents_as_json
+from carawaystep.console.fleet_file import load_fleet_file
 from carawaystep.console.options import DocumentPathsArgument  # noqa: TC001
 from carawaystep.console.options import JsonOption  # noqa: TC001
 from carawaystep.console.problem_output import print_problems
-from carawaystep.console.problem_output import print_problems_as_json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaystep.configuration_check.finding import Finding
+    from carawaystep.configuration_check.fleet import Fleet
+    from carawaystep.console.local_document import LocalDocument
+    from carawaystep.validation.problem import Problem
 
 
 @cappa.command(
@@ -25,17 +48,54 @@
 )
 @dataclass
 class DocumentCheck:
-    """Reports all problems of document files."""
+    """Reports problems of document files, and what cannot work."""
 
     paths: DocumentPathsArgument
+    fleet: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            value_name="FILE",
+            help="YAML file that lists the sizes of the workers.",
+        ),
+    ] = None
+    strict: Annotated[
+        bool, cappa.Arg(long=True, help="Refuse warnings, too.")
+    ] = False
     json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command and return its exit code."""
+        fleet = None
+        if self.fleet is not None:
+            read = load_fleet_file(Path(self.fleet))
+            if isinstance(read, Err):
+                print_problems(read.err_value)
+                return ExitCode.USAGE
+            fleet = read.ok_value
+        problems: tuple[Problem, ...] = ()
+        findings: tuple[Finding, ...] = ()
         loaded = load_local_documents(self.paths)
-        problems = loaded.err_value if isinstance(loaded, Err) else ()
+        if isinstance(loaded, Err):
+            problems = loaded.err_value
+        else:
+            findings = _check(loaded.ok_value, fleet)
+        accepted = not problems and is_accepted(findings, self.strict)
         if self.json:
-            print_problems_as_json(problems)
+            print_checked_documents_as_json(problems, findings, accepted)
         else:
-            print_problems(problems)
-        return ExitCode.INVALID_DOCUMENT if problems else ExitCode.OK
+            print_checked_documents(problems, findings)
+        return ExitCode.OK if accepted else ExitCode.INVALID_DOCUMENT
+
+
+def _check(
+    documents: Iterable[LocalDocument], fleet: Fleet | None
+) -> tuple[Finding, ...]:
+    """Return the findings about valid documents."""
+    ordered = tuple(documents)
+    subject = CheckSubject(
+        configuration_of_services(document.spec for document in ordered),
+        DocumentPaths(tuple(str(document.path) for document in ordered)),
+        fleet=fleet,
+    )
+    return ConfigurationChecker(work_checks()).check(subject)
--- a/src/carawaystep/console/document_files.py
+++ b/src/carawaystep/console/document_files.py
@@ -63,6 +63,4 @@
     if isinstance(text, Err):
         return text
     loaded = load_document(text.ok_value, str(path), 0)
-    return loaded.map(
-        lambda spec: LocalDocument(path, text.ok_value, spec.service)
-    )
+    return loaded.map(lambda spec: LocalDocument(path, text.ok_value, spec))
--- a/src/carawaystep/console/finding_output.py
+++ b/src/carawaystep/console/finding_output.py
@@ -5,14 +5,17 @@
 from collections import Counter
 from dataclasses import asdict
 import json
+import sys
 from typing import TYPE_CHECKING
 
 from carawaystep.configuration_check.severity import Severity
+from carawaystep.console.problem_output import print_problems
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from carawaystep.configuration_check.finding import Finding
+    from carawaystep.validation.problem import Problem
 
 
 def print_findings(source: str, findings: Iterable[Finding]) -> None:
@@ -34,12 +37,32 @@
 
     :param accepted: whether the configuration may be used
     """
-    print(json.dumps({"ok": accepted, "findings": finding_rows(findings)}))
+    rows = [asdict(finding) for finding in findings]
+    print(json.dumps({"ok": accepted, "findings": rows}))
 
 
-def finding_rows(findings: Iterable[Finding]) -> list[dict[str, str]]:
-    """Return the findings as JSON objects."""
-    return [asdict(finding) for finding in findings]
+def print_checked_documents(
+    problems: Iterable[Problem], findings: Iterable[Finding]
+) -> None:
+    """Write one line for each problem and finding to stderr."""
+    print_problems(problems)
+    for finding in findings:
+        print(finding, file=sys.stderr)
+
+
+def print_checked_documents_as_json(
+    problems: Iterable[Problem], findings: Iterable[Finding], accepted: bool
+) -> None:
+    """Write one JSON object with all problems and findings to stdout.
+
+    :param accepted: whether the documents may be applied
+    """
+    report = {
+        "ok": accepted,
+        "problems": [asdict(problem) for problem in problems],
+        "findings": [asdict(finding) for finding in findings],
+    }
+    print(json.dumps(report))
 
 
 def _describe_counts(counts: Counter[Severity]) -> str:
--- a/src/carawaystep/console/local_document.py
+++ b/src/carawaystep/console/local_document.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from carawaystep.document.service_spec import ServiceSpec
+
 
 @dataclass(frozen=True, slots=True)
 class LocalDocument:
@@ -15,9 +17,14 @@
 
     :param path: path of the file
     :param text: YAML text of the file
-    :param service: name of the service in the text
+    :param spec: validated content of the text
     """
 
     path: Path
     text: str
-    service: str
+    spec: ServiceSpec
+
+    @property
+    def service(self) -> str:
+        """Return the name of the service in the text."""
+        return self.spec.service
--- a/tests/console/test_document_commands.py
+++ b/tests/console/test_document_commands.py
@@ -222,6 +222,35 @@
         self.assertEqual(65, code)
         self.assertIn('service "b" is also in', errors)
 
+    def test_check_against_a_fleet(self) -> None:
+        """Guards against documents whose jobs can never start or be on time.
+
+        The same documents pass with larger workers and a later due time.
+        """
+        path = self._directory / "a.yaml"
+        fleet = self._new_directory() / "fleet.yaml"
+        check = ["document", "check", str(path), "--fleet", str(fleet)]
+        late = "batch: {run_s: 20, due_s: 19}\n"
+        for batch, cpu, found in (
+            (late, 1, [("unmeetable-deadline", "batch.run_s")]),
+            ("", 0.5, [("size-without-workers", "needs.cpu")]),
+            ("", 1, []),
+        ):
+            path.write_text(_text("a") + batch)
+            fleet.write_text(f"workers: [{{cpu: {cpu}, memory_mb: 64}}]\n")
+            code, output, _ = self._run([*check, "--json"])
+            answer = json.loads(output)
+            self.assertEqual((0, True), (code, answer["ok"]))
+            self.assertEqual(
+                [(kind, f"{path}: {key}") for kind, key in found],
+                [(row["code"], row["path"]) for row in answer["findings"]],
+            )
+            code, _, errors = self._run([*check, "--strict"])
+            self.assertEqual(65 if found else 0, code)
+            self.assertEqual(len(found), errors.count("warning "))
+        fleet.write_text("workers: 1\n")
+        self.assertEqual(2, self._run(check)[0])
+
     def _apply_concurrently(
         self, path: Path, barrier: threading.Barrier, codes: list[int]
     ) -> None:
