--- a/src/carawaystep/configuration_check/checks/route_changed.py
+++ b/src/carawaystep/configuration_check/checks/route_changed.py
@@ -81,7 +81,7 @@
     affects: str,
     unit: str = "",
 ) -> tuple[ConfiguredField, str]:
-    detail = f"{before:g}{unit} -> {after:g}{unit}: affects {affects}"
+    detail = f"{before:.10g}{unit} -> {after:.10g}{unit}: affects {affects}"
     return field, detail
 
 
