Show what a changed service document means for waiting work

Cause: `document diff` shows changed lines, and not which of them waiting jobs see or which cannot be taken back.

Change: `document check --in-force PATH` compares documents with those in force, in checks of the configuration_check aggregate: fewer attempts, fewer replicas, requests that may run twice and another kind are warnings, all other changes notices.

--- a/src/carawaystep/configuration_check/configuration.py
+++ b/src/carawaystep/configuration_check/configuration.py
@@ -13,6 +13,7 @@
     from carawaystep.configuration_check.field_paths import FieldPaths
     from carawaystep.configuration_check.fleet import Fleet
     from carawaystep.configuration_check.location import Location
+    from carawaystep.document.service_spec import ServiceSpec
 
 
 def _no_routes() -> RouteTable:
@@ -29,12 +30,15 @@
     :param services: names of the declared services in their order, empty
         when the configuration declares none
     :param work: work whose size is declared
+    :param documents: service documents, of which each declares the work in
+        its position
     """
 
     table: RouteTable = field(default_factory=_no_routes)
     call_timeouts_s: tuple[float, ...] = ()
     services: tuple[str, ...] = ()
     work: tuple[DeclaredWork, ...] = ()
+    documents: tuple[ServiceSpec, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carawaystep/configuration_check/document_paths.py
+++ b/src/carawaystep/configuration_check/document_paths.py
@@ -15,6 +15,16 @@
     ConfiguredField.MEMORY: "needs.memory_mb",
     ConfiguredField.ACCELERATORS: "needs.accelerators",
     ConfiguredField.RUN_TIME: "batch.run_s",
+    ConfiguredField.DUE_TIME: "batch.due_s",
+    ConfiguredField.MAX_ATTEMPTS: "batch.max_attempts",
+    ConfiguredField.KIND: "kind",
+    ConfiguredField.TEAM: "team",
+    ConfiguredField.URGENCY: "urgency",
+    ConfiguredField.REPLICAS: "standing.replicas",
+    ConfiguredField.IDEMPOTENT: "requests.idempotent",
+    ConfiguredField.REQUEST_DEADLINE: "requests.deadline_s",
+    ConfiguredField.QUEUE_LIMIT: "requests.queue_limit",
+    ConfiguredField.MAX_BODY: "requests.max_body_bytes",
 }
 
 
--- a/src/carawaystep/configuration_check/service_configuration.py
+++ b/src/carawaystep/configuration_check/service_configuration.py
@@ -20,11 +20,15 @@
 
 
 def configuration_of_services(specs: Iterable[ServiceSpec]) -> Configuration:
-    """Return a configuration whose work is that of the services.
+    """Return a configuration with the work that documents declare.
 
-    :param specs: validated documents, in the order of their work
+    :param specs: validated documents
     """
-    return Configuration(work=tuple(_declared_work(spec) for spec in specs))
+    documents = tuple(specs)
+    return Configuration(
+        work=tuple(_declared_work(spec) for spec in documents),
+        documents=documents,
+    )
 
 
 def capacity_of(resources: Resources) -> WorkerCapacity:
--- a/src/carawaystep/configuration_check/standard_checks.py
+++ b/src/carawaystep/configuration_check/standard_checks.py
@@ -13,12 +13,24 @@
 from carawaystep.configuration_check.checks.body_limit_too_small import (
     BodyLimitTooSmallCheck,
 )
+from carawaystep.configuration_check.checks.document_added import (
+    DocumentAddedCheck,
+)
+from carawaystep.configuration_check.checks.document_changed import (
+    DocumentChangedCheck,
+)
 from carawaystep.configuration_check.checks.duplicate_route import (
     DuplicateRouteCheck,
 )
 from carawaystep.configuration_check.checks.duplicate_service import (
     DuplicateServiceCheck,
 )
+from carawaystep.configuration_check.checks.job_attempts_reduced import (
+    JobAttemptsReducedCheck,
+)
+from carawaystep.configuration_check.checks.kind_changed import (
+    KindChangedCheck,
+)
 from carawaystep.configuration_check.checks.label_without_workers import (
     LabelWithoutWorkersCheck,
 )
@@ -29,6 +41,12 @@
 from carawaystep.configuration_check.checks.objective_over_timeout import (
     ObjectiveOverTimeoutCheck,
 )
+from carawaystep.configuration_check.checks.repeats_allowed import (
+    RepeatsAllowedCheck,
+)
+from carawaystep.configuration_check.checks.replicas_reduced import (
+    ReplicasReducedCheck,
+)
 from carawaystep.configuration_check.checks.route_added import RouteAddedCheck
 from carawaystep.configuration_check.checks.route_changed import (
     RouteChangedCheck,
@@ -87,6 +105,19 @@
     )
 
 
+def document_checks() -> tuple[Check, ...]:
+    """Return all checks of service documents."""
+    return (
+        *work_checks(),
+        KindChangedCheck(),
+        JobAttemptsReducedCheck(),
+        ReplicasReducedCheck(),
+        RepeatsAllowedCheck(),
+        DocumentAddedCheck(),
+        DocumentChangedCheck(),
+    )
+
+
 def route_checks() -> tuple[Check, ...]:
     """Return all checks of a configuration with routes."""
     return (
--- a/src/carawaystep/console/commands/document_check.py
+++ b/src/carawaystep/console/commands/document_check.py
@@ -9,6 +9,8 @@
 
 import cappa
 from result import Err
+from result import Ok
+from result import Result
 
 from carawaystep.configuration_check.configuration import CheckSubject
 from carawaystep.configuration_check.configuration_checker import (
@@ -19,7 +21,7 @@
 from carawaystep.configuration_check.service_configuration import (
     configuration_of_services,
 )
-from carawaystep.configuration_check.standard_checks import work_checks
+from carawaystep.configuration_check.standard_checks import document_checks
 from carawaystep.console.document_files import load_local_documents
 from carawaystep.console.exit_code import exit_codes_help
 from carawaystep.console.exit_code import ExitCode
@@ -31,8 +33,7 @@
 from carawaystep.console.problem_output import print_problems
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
+    from carawaystep.configuration_check.configuration import Configuration
     from carawaystep.configuration_check.finding import Finding
     from carawaystep.configuration_check.fleet import Fleet
     from carawaystep.console.local_document import LocalDocument
@@ -59,6 +60,14 @@
             help="YAML file that lists the sizes of the workers.",
         ),
     ] = None
+    in_force: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            value_name="PATH",
+            help="File or directory of the documents that are in force.",
+        ),
+    ] = None
     strict: Annotated[
         bool, cappa.Arg(long=True, help="Refuse warnings, too.")
     ] = False
@@ -66,20 +75,19 @@
 
     def __call__(self) -> int:
         """Run the command and return its exit code."""
-        fleet = None
-        if self.fleet is not None:
-            read = load_fleet_file(Path(self.fleet))
+        fleet = _load_fleet(self.fleet)
+        in_force = _load_in_force(self.in_force)
+        for read in (fleet, in_force):
             if isinstance(read, Err):
                 print_problems(read.err_value)
                 return ExitCode.USAGE
-            fleet = read.ok_value
         problems: tuple[Problem, ...] = ()
         findings: tuple[Finding, ...] = ()
         loaded = load_local_documents(self.paths)
         if isinstance(loaded, Err):
             problems = loaded.err_value
         else:
-            findings = _check(loaded.ok_value, fleet)
+            findings = _check(loaded.ok_value, fleet.ok(), in_force.ok())
         accepted = not problems and is_accepted(findings, self.strict)
         if self.json:
             print_checked_documents_as_json(problems, findings, accepted)
@@ -89,13 +97,35 @@
 
 
 def _check(
-    documents: Iterable[LocalDocument], fleet: Fleet | None
+    documents: tuple[LocalDocument, ...],
+    fleet: Fleet | None,
+    in_force: Configuration | None,
 ) -> tuple[Finding, ...]:
     """Return the findings about valid documents."""
-    ordered = tuple(documents)
     subject = CheckSubject(
-        configuration_of_services(document.spec for document in ordered),
-        DocumentPaths(tuple(str(document.path) for document in ordered)),
+        configuration_of_services(document.spec for document in documents),
+        DocumentPaths(tuple(str(document.path) for document in documents)),
+        in_force=in_force,
         fleet=fleet,
     )
-    return ConfigurationChecker(work_checks()).check(subject)
+    return ConfigurationChecker(document_checks()).check(subject)
+
+
+def _load_fleet(
+    path: str | None,
+) -> Result[Fleet | None, tuple[Problem, ...]]:
+    if path is None:
+        return Ok(None)
+    return load_fleet_file(Path(path)).map(lambda fleet: fleet)
+
+
+def _load_in_force(
+    path: str | None,
+) -> Result[Configuration | None, tuple[Problem, ...]]:
+    if path is None:
+        return Ok(None)
+    return load_local_documents([path]).map(
+        lambda documents: configuration_of_services(
+            document.spec for document in documents
+        )
+    )
--- /dev/null
+++ b/tests/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of configurations."""
--- a/tests/console/test_document_commands.py
+++ b/tests/console/test_document_commands.py
@@ -251,6 +251,18 @@
         fleet.write_text("workers: 1\n")
         self.assertEqual(2, self._run(check)[0])
 
+    def test_check_against_documents_in_force(self) -> None:
+        """Guards against a check that ignores the documents in force."""
+        in_force = self._new_directory()
+        (in_force / "a.yaml").write_text(_text("a"))
+        self._write("a", 2)
+        check = ["document", "check", str(self._directory), "--in-force"]
+        code, _, errors = self._run([*check, str(in_force)])
+        self.assertEqual(0, code)
+        self.assertIn("notice document-changed", errors)
+        self.assertIn("urgency: 1 -> 2", errors)
+        self.assertEqual(2, self._run([*check, str(in_force / "b.yaml")])[0])
+
     def _apply_concurrently(
         self, path: Path, barrier: threading.Barrier, codes: list[int]
     ) -> None:
--- a/tests/users_platform/manifest_check/test_findings.py
+++ b/tests/users_platform/manifest_check/test_findings.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 
 from carawaystep.configuration_check.finding_code import FindingCode
+from tests.configuration_check.test_service_documents import DOCUMENT_CODES
 from tests.users_platform.manifest_check.manifests import check
 from tests.users_platform.manifest_check.manifests import FLEET
 from tests.users_platform.manifest_check.manifests import make_manifest
@@ -258,7 +259,8 @@
     def test_each_code_has_a_case(self) -> None:
         """Guards against a kind of finding that no test produces."""
         found = " ".join(case.found for case in _CASES).split()
-        self.assertEqual([], sorted(set(FindingCode) - set(found)))
+        expected = set(FindingCode) - DOCUMENT_CODES
+        self.assertEqual([], sorted(expected - set(found)))
 
     def test_page_of_the_operators_has_each_code(self) -> None:
         """Guards against a finding that the operators' page leaves out."""
