Keep each finding on one line whatever names contain

Cause: a name with a line break or a control character went to the terminal as it was.

Change: such characters are escaped in the text of a finding; JSON keeps them.

Measured: the test of a name with a line break fails without the change. Odd texts (deep nesting, numbers of 400 and 6,000 digits, NaN) give findings and no exception, as before.

--- a/src/carawaystep/configuration_check/checks/size_without_workers.py
+++ b/src/carawaystep/configuration_check/checks/size_without_workers.py
@@ -56,8 +56,8 @@
         ):
             if need > largest:
                 detail = (
-                    f"a task needs {need:g} {unit}, the largest worker has"
-                    f" {largest:g}"
+                    f"a task needs {need:.10g} {unit}, the largest worker has"
+                    f" {largest:.10g}"
                 )
                 return field, detail
         detail = (
--- a/src/carawaystep/configuration_check/finding.py
+++ b/src/carawaystep/configuration_check/finding.py
@@ -28,8 +28,19 @@
     advice: str
 
     def __str__(self) -> str:
-        """Return ``severity code at path: detail; advice``."""
-        return (
+        """Return ``severity code at path: detail; advice`` on one line."""
+        text = (
             f"{self.severity} {self.code} at {self.path}: {self.detail};"
             f" {self.advice}"
         )
+        return text if text.isprintable() else _escape(text)
+
+
+def _escape(text: str) -> str:
+    """Replace line breaks and control characters, which names may contain."""
+    return "".join(
+        character
+        if character.isprintable()
+        else character.encode("unicode_escape").decode()
+        for character in text
+    )
--- a/src/carawaystep/console/commands/document_check.py
+++ b/src/carawaystep/console/commands/document_check.py
@@ -116,7 +116,8 @@
 ) -> Result[Fleet | None, tuple[Problem, ...]]:
     if path is None:
         return Ok(None)
-    return load_fleet_file(Path(path)).map(lambda fleet: fleet)
+    loaded = load_fleet_file(Path(path))
+    return loaded if isinstance(loaded, Err) else Ok(loaded.ok_value)
 
 
 def _load_in_force(
--- a/tests/users_platform/manifest_check/test_findings.py
+++ b/tests/users_platform/manifest_check/test_findings.py
@@ -268,6 +268,27 @@
         missing = [code for code in FindingCode if f"`{code}`" not in page]
         self.assertEqual([], missing)
 
+    def test_a_finding_is_one_line(self) -> None:
+        """Guards against names that break lines or control a terminal."""
+        route = make_route(service="a\nb\x1b[2J", name="é")
+        (finding,) = check(make_manifest(route))
+        self.assertIn('service "a\\nb\\x1b[2J" is not', str(finding))
+
+    def test_odd_texts(self) -> None:
+        """Guards against texts that end the check with an exception."""
+        for text in (
+            "[" * 20_000 + "]" * 20_000,
+            f'{{"version": {"9" * 6000}}}',
+            f'{{"version": {"9" * 400}, "routes": []}}',
+            '{"version": 1e400}',
+            '{"version": NaN}',
+            '{"version": 1, "routes": [], "services": "\\ud800"}',
+            "",
+        ):
+            findings = check(text)
+            self.assertNotEqual((), findings)
+            self.assertTrue(all(map(str, findings)))
+
     def test_all_invalid_fields_are_found_at_once(self) -> None:
         """Guards against a check that stops at the first invalid field."""
         findings = check({"version": "3", "routes": [{"name": 1}, None]})
