Limit the memory and the connections that clients hold

Change: ClientAccount decides for all HTTP addresses of a process which connection is admitted, whether received bytes may be kept and who is closed to make room; limits follow from memory_mb and max_fds of the settings. ClientProtocol applies it at the edge of uvicorn, RequestReader limits header fields, the listening socket the kernel's buffers and the backlog. A request is refused only before it is passed on. clients.limited and clients.unlimited are logged once for a change of state, metrics show what is held.

--- a/src/carawaystep/adapters/http/uvicorn_server.py
+++ b/src/carawaystep/adapters/http/uvicorn_server.py
@@ -4,23 +4,33 @@
 
 import asyncio
 import contextlib
+from functools import partial
 import socket
+from typing import cast
 from typing import TYPE_CHECKING
 
 from uvicorn import Config
 from uvicorn import Server
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from carawaystep.adapters.http.client_protocol import ClientProtocol
+
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
     from starlette.types import Receive
     from starlette.types import Scope
     from starlette.types import Send
 
+    from carawaystep.adapters.http.client_gate import Listener
+
 # A client that sends a request while the server closes an idle connection
 # cannot tell whether the request ran. A long timeout makes this rare.
 _KEEP_ALIVE_TIMEOUT_S = 75
 _LISTEN_BACKLOG = 1024
+# What a client sends or does not read stays in these buffers, which would
+# otherwise grow to megabytes.
+_RECEIVE_BUFFER_BYTES = 32_768
+_SEND_BUFFER_BYTES = 65_536
 
 
 class UvicornServer:
@@ -30,16 +40,24 @@
     uvicorn's main loop, which wakes up ten times a second.
     """
 
-    def __init__(self, app: ASGIApp, host: str, port: int) -> None:
+    def __init__(
+        self,
+        app: ASGIApp,
+        host: str,
+        port: int,
+        listener: Listener | None = None,
+    ) -> None:
         """Create a server that does not listen yet.
 
         :param app: ASGI application
         :param host: IPv4 or IPv6 address to listen on
         :param port: TCP port to listen on, 0 for one that is free
+        :param listener: limits of the clients, None when they are trusted
         """
         self._app = app
         self._host = host
         self._port = port
+        self._limited_listener = listener
         self._listener: socket.socket | None = None
         self._aborting = False
         self._server = Server(
@@ -56,6 +74,7 @@
                 server_header=False,
                 date_header=False,
                 timeout_keep_alive=_KEEP_ALIVE_TIMEOUT_S,
+                backlog=self._backlog,
             )
         )
 
@@ -120,7 +139,23 @@
                 raise
 
     def _protocol_class(self) -> type[H11Protocol]:
-        return H11Protocol
+        if self._limited_listener is None:
+            return H11Protocol
+        # uvicorn only calls it.
+        return cast(
+            "type[H11Protocol]",
+            partial(ClientProtocol, self._limited_listener),
+        )
+
+    @property
+    def _backlog(self) -> int:
+        """Return the number of connections that wait to be accepted.
+
+        asyncio accepts as many at once before any of them can be refused.
+        """
+        if self._limited_listener is None:
+            return _LISTEN_BACKLOG
+        return self._limited_listener.limits.backlog
 
     def _create_listener(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
@@ -131,10 +166,21 @@
         )
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if self._limited_listener is not None:
+                self._limit_buffers(listener)
             listener.bind((self._host, self._port))
-            listener.listen(_LISTEN_BACKLOG)
+            listener.listen(self._backlog)
             listener.setblocking(False)
         except OSError:
             listener.close()
             raise
         return listener
+
+    @staticmethod
+    def _limit_buffers(listener: socket.socket) -> None:
+        """Limit the buffers of the connections that a socket accepts."""
+        for option, size in (
+            (socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, _SEND_BUFFER_BYTES),
+        ):
+            listener.setsockopt(socket.SOL_SOCKET, option, size)
--- /dev/null
+++ b/src/carawaystep/intake/__init__.py
@@ -0,0 +1,1 @@
+"""What clients may hold of a process: connections and memory."""
--- /dev/null
+++ b/tests/adapters/http/test_client_protocol.py
@@ -0,0 +1,182 @@
+"""Tests of connections whose clients are not trusted."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+from result import Err
+from starlette.applications import Starlette
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+from testtools import TestCase
+
+from carawaystep.adapters.http.body_reader import read_body
+from carawaystep.adapters.http.client_gate import ClientGate
+from carawaystep.adapters.http.client_gate import Listener
+from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.intake.client_limits import ClientLimits
+from carawaystep.intake.client_limits import CONNECTION_BYTES
+from carawaystep.intake.client_limits import ListenerLimits
+from tests.planner.planners import RecordingLog
+from tools.port_allocator import LOOPBACK_HOST
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from starlette.requests import Request
+
+_MAX_BODY_BYTES = 100_000
+_FRONT = ListenerLimits(max_connections=40, backlog=50)
+_LIMITS = ClientLimits(50 * CONNECTION_BYTES, _FRONT, _FRONT)
+_ORDINARY = b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\n\r\n42"
+_UNFINISHED = (
+    b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 100000\r\n\r\n"
+    + b"x" * 99_999
+)
+_FRAGMENTS = (
+    _ORDINARY,
+    _UNFINISHED[:9000],
+    b"GET /none HTTP/1.1\r\nHost: e\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: e\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"5\r\nabcde\r\n",
+    b"0\r\n\r\n",
+    b"Expect: 100-continue\r\nConnection: upgrade\r\n\r\n",
+    b"a:\r\n" * 200,
+)
+_FUZZ_SEED = 20261207
+_FUZZ_STREAMS = 150
+_ANSWER_LIMIT_S = 10.0
+
+
+class _Server:
+    """Server with a gate, and the bodies that its application received."""
+
+    def __init__(self) -> None:
+        self.log = RecordingLog()
+        self.gate = ClientGate(_LIMITS, self.log, "edge-0")
+        self.bodies: list[bytes] = []
+        app = Starlette(routes=[Route("/", self._handle, methods=["POST"])])
+        listener = Listener("front", _FRONT, self.gate)
+        self.server = UvicornServer(app, LOOPBACK_HOST, 0, listener)
+        self.server.bind()
+
+    async def _handle(self, request: Request) -> PlainTextResponse:
+        body = await read_body(request, _MAX_BODY_BYTES, 5.0)
+        if isinstance(body, Err):
+            return PlainTextResponse("", body.err_value.status)
+        self.bodies.append(body.ok_value)
+        return PlainTextResponse("ok")
+
+    async def connect(
+        self, data: bytes
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send data."""
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK_HOST, self.server.port
+        )
+        writer.write(data)
+        return reader, writer
+
+    async def status(self, data: bytes) -> bytes:
+        """Return the status of the first response to data."""
+        reader, writer = await self.connect(data)
+        try:
+            async with asyncio.timeout(_ANSWER_LIMIT_S):
+                line = await reader.readline()
+        finally:
+            writer.close()
+        return line[9:12]
+
+
+class ClientProtocolTest(TestCase):
+    """Requests of single clients and of crowds."""
+
+    def _run(self, scenario: Callable[[_Server], Awaitable[None]]) -> _Server:
+        async def run() -> _Server:
+            errors: list[str] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: errors.append(str(context))
+            )
+            server = _Server()
+            await server.server.start()
+            await scenario(server)
+            await server.server.stop(1.0)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], errors)
+            return server
+
+        server = asyncio.run(run())
+        self.assertEqual(0, server.gate.account.held_bytes)
+        return server
+
+    def test_body_within_the_limit_is_served_in_calm(self) -> None:
+        """Guards against limits that an ordinary client meets."""
+
+        async def scenario(server: _Server) -> None:
+            self.assertEqual(b"200", await server.status(_UNFINISHED + b"x"))
+
+        server = self._run(scenario)
+        self.assertEqual([_MAX_BODY_BYTES], [len(b) for b in server.bodies])
+
+    def test_refused_body_is_not_passed_on(self) -> None:
+        """Guards against a refusal of a request that runs all the same."""
+
+        async def scenario(server: _Server) -> None:
+            crowd = [await server.connect(_UNFINISHED) for _ in range(20)]
+            first_lines = await asyncio.gather(
+                *(
+                    asyncio.wait_for(reader.readline(), _ANSWER_LIMIT_S)
+                    for reader, _ in crowd
+                )
+            )
+            self.assertIn(b"HTTP/1.1 503 Service Unavailable\r\n", first_lines)
+            self.assertEqual(b"200", await server.status(_ORDINARY))
+            for _, writer in crowd:
+                writer.close()
+
+        server = self._run(scenario)
+        self.assertEqual([b"42"], server.bodies)
+        self.assertIn(
+            "clients.limited", [event for event, _ in server.log.events]
+        )
+
+    def test_oversized_header_is_refused(self) -> None:
+        """Guards against header fields that take much memory once parsed."""
+
+        async def scenario(server: _Server) -> None:
+            head = b"GET / HTTP/1.1\r\nHost: e\r\n"
+            for fields in (b"a:\r\n" * 200, b"a: " + b"x" * 20_000):
+                status = await server.status(head + fields + b"\r\n\r\n")
+                self.assertEqual(b"431", status)
+
+        self._run(scenario)
+
+    def test_random_bytes_leave_the_server_in_service(self) -> None:
+        """Guards against requests that end the server or keep its room.
+
+        Requests are cut, joined and repeated at random.
+        """
+        random = Random(_FUZZ_SEED)
+
+        async def send_random_bytes(server: _Server) -> None:
+            data = bytearray()
+            for _ in range(random.randrange(1, 8)):
+                fragment = random.choice(_FRAGMENTS) * random.randrange(1, 4)
+                data += fragment[: random.randrange(1, 2 * len(fragment))]
+            _, writer = await server.connect(bytes(data))
+            await asyncio.sleep(random.random() / 10)
+            if random.random() < 0.5:
+                writer.transport.abort()
+            writer.close()
+
+        async def scenario(server: _Server) -> None:
+            for _ in range(_FUZZ_STREAMS // 10):
+                await asyncio.gather(
+                    *(send_random_bytes(server) for _ in range(10))
+                )
+            self.assertEqual(b"200", await server.status(_ORDINARY))
+
+        self._run(scenario)
--- /dev/null
+++ b/tests/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the account of clients."""
