Order of waiting work by the cost of its delay

Change: LeastCostOrder, off by default, ranks what has not started by the value lost at the deadline and at the end of use for each second of CPU left; settings.load.waiting_order turns it on. A step that no usable worker could take names that as its limit in place of a label.

--- a/src/carawaystep/planner/wait_limit.py
+++ b/src/carawaystep/planner/wait_limit.py
@@ -26,6 +26,7 @@
 
     PASS_FULL = "pass_full"
     TICKET = "ticket"
+    NO_WORKER = "no_worker"
     LABEL = "label"
     CPU = "cpu"
     MEMORY = "memory"
@@ -50,6 +51,8 @@
     :param usable: workers that may get new work
     :param open_workers: those that are not held for other workflows
     """
+    if not usable:
+        return WaitLimit.NO_WORKER
     step = workflow.step(ref)
     suitable = [w for w in usable if may_run(workflow, ref, w)]
     if not suitable:
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -40,6 +40,7 @@
 from carawaystep.scheduler.step_timer import StepTimer
 from carawaystep.scheduler.term_verification import TermVerification
 from carawaystep.scheduler.voter_repository import VoterRepository
+from carawaystep.scheduler.waiting_orders import create_waiting_order
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
@@ -125,6 +126,7 @@
             self._interference,
             ports.log,
             self.now,
+            create_waiting_order(settings.load),
         )
         self._plan_requested = asyncio.Event()
         self._sessions = MemberSessions(ports, self)
--- a/src/carawaystep/workflow/step_spec.py
+++ b/src/carawaystep/workflow/step_spec.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+MILLIS_PER_CORE = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class StepSpec:
@@ -54,6 +56,11 @@
     fills: bool = False
     max_unavailable: int = 0
 
+    @property
+    def task_cpu_s(self) -> float:
+        """Return the declared CPU time of a task, seconds of one core."""
+        return self.cpu_millis * self.estimated_s / MILLIS_PER_CORE
+
     def needs_at_least(self, other: StepSpec) -> bool:
         """Tell whether a task needs no less of any resource than another."""
         return (
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -7,6 +7,8 @@
 
 from carawaystep.errors.broken_invariant import BrokenInvariant
 from carawaystep.fleet.worker_key import WorkerKey
+from carawaystep.workflow.remaining_work import RemainingWork
+from carawaystep.workflow.remaining_work import USEFUL_TARGET_DURATIONS
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task import Task
 from carawaystep.workflow.task_ref import TaskRef
@@ -26,9 +28,6 @@
 
 _StepKey = tuple[int, int]
 
-# An end later than this multiple of the target duration is of no use.
-_USEFUL_TARGET_DURATIONS = 3.0
-
 
 class Workflow:
     """One accepted workflow: the state of its tasks, and its end.
@@ -147,6 +146,27 @@
             spec.id,
         )
 
+    def remaining_work(self, wall_now: float) -> RemainingWork:
+        """Return what is left of the occurrence that became due last.
+
+        :param wall_now: current wall-clock time in seconds
+        """
+        spec = self._spec
+        occurrence = self._last_due_occurrence(wall_now)
+        begin = spec.begin_at_s(occurrence)
+        target_s = spec.target_duration_s
+        return RemainingWork(
+            deadline=begin + target_s,
+            useful_until=begin + USEFUL_TARGET_DURATIONS * target_s,
+            critical_path_s=spec.critical_path_s(self._done_steps(occurrence)),
+            cpu_s=sum(
+                step.task_cpu_s * self._unfinished[occurrence, number]
+                for number, step in enumerate(spec.steps)
+            ),
+            all_cpu_s=sum(step.task_cpu_s * step.count for step in spec.steps),
+            all_tasks=sum(step.count for step in spec.steps),
+        )
+
     def use_after(self, took_s: float) -> UrgencyStage:
         """Return of what use an end is to the caller: on time, late, expired.
 
@@ -155,7 +175,7 @@
         target_s = self._spec.target_duration_s
         if took_s <= target_s:
             return UrgencyStage.ON_TIME
-        if took_s <= _USEFUL_TARGET_DURATIONS * target_s:
+        if took_s <= USEFUL_TARGET_DURATIONS * target_s:
             return UrgencyStage.LATE
         return UrgencyStage.EXPIRED
 
@@ -444,7 +464,7 @@
         if self._spec.long_running:
             if any(self.interrupted_tasks(wall_now)):
                 return UrgencyStage.INTERRUPTED
-        elif ends_at > begin + _USEFUL_TARGET_DURATIONS * target_s:
+        elif ends_at > begin + USEFUL_TARGET_DURATIONS * target_s:
             return UrgencyStage.EXPIRED
         elif self._started_in_turn:
             return UrgencyStage.STARTED
--- a/tests/planner/arriving_workflows.py
+++ b/tests/planner/arriving_workflows.py
@@ -121,12 +121,20 @@
             for step, run_s in zip(self.spec.steps, self.run_s, strict=True)
         )
 
+    @property
+    def deadline(self) -> float:
+        """Return the wall-clock time by which it is to end."""
+        return self.spec.accepted_at_s + self._target_s
+
     @property
     def useful_until(self) -> float:
         """Return the wall-clock time up to which its end is of use."""
-        spec = self.spec
-        target_s = spec.objective_s + spec.stretch * sum(self.run_s)
-        return spec.accepted_at_s + _USEFUL_TARGET_DURATIONS * target_s
+        useful_s = _USEFUL_TARGET_DURATIONS * self._target_s
+        return self.spec.accepted_at_s + useful_s
+
+    @property
+    def _target_s(self) -> float:
+        return self.spec.objective_s + self.spec.stretch * sum(self.run_s)
 
 
 def draw_workflow(
--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.workflow.workflow_spec import WorkflowSpec
     from tests.planner.arriving_workflows import WorkflowKind
 
@@ -76,11 +77,13 @@
 class ServedShares:
     """Shares of workflows that ended while callers had use for the result.
 
+    :param on_time: share of all workflows that ended by their deadline
     :param all: share of all workflows
     :param largest_tenth: share of the largest tenth by CPU time
     :param fifth_below: share of the fifth below the largest tenth
     """
 
+    on_time: float
     all: float
     largest_tenth: float
     fifth_below: float
@@ -93,15 +96,21 @@
     so that two policies can be compared on it.
     """
 
-    def __init__(self, settings: OverloadSettings, seed: int) -> None:
+    def __init__(
+        self,
+        settings: OverloadSettings,
+        seed: int,
+        order: WaitingOrder | None = None,
+    ) -> None:
         """Create a simulation at time 0.
 
         :param seed: seed of the workflows and of the run times
+        :param order: order of waiting workflows, None for the default
         """
         self._settings = settings
         self._seed = seed
         self._random = Random(seed)
-        self._planner = new_planner()
+        self._planner = new_planner(order=order)
         self._names = [f"w{n}" for n in range(len(settings.cpu_millis))]
         self._idle_millis = dict(
             zip(self._names, settings.cpu_millis, strict=True)
@@ -145,6 +154,7 @@
         )
         tenth = len(by_size) // 10
         return ServedShares(
+            self._share_on_time(by_size),
             self._share_served(by_size),
             self._share_served(by_size[-tenth:]),
             self._share_served(by_size[-3 * tenth : -tenth]),
@@ -238,6 +248,14 @@
         served = [self._served(workflow) for workflow in workflows]
         return sum(served) / len(served)
 
+    def _share_on_time(self, workflows: Sequence[ArrivingWorkflow]) -> float:
+        on_time = [
+            _EPOCH_S + self._settled_at.get(workflow.spec.id, math.inf)
+            <= workflow.deadline
+            for workflow in workflows
+        ]
+        return sum(on_time) / len(on_time)
+
     def _served(self, workflow: ArrivingWorkflow) -> bool:
         settled_at = self._settled_at.get(workflow.spec.id, math.inf)
         return _EPOCH_S + settled_at <= workflow.useful_until
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from carawaystep.fleet.order import StartOrder
 from carawaystep.fleet.worker_capacity import WorkerCapacity
@@ -20,6 +21,9 @@
 from carawaystep.planner.planner_limits import PlannerLimits
 from carawaystep.workflow.step_spec import StepSpec
 
+if TYPE_CHECKING:
+    from carawaystep.planner.waiting_order import WaitingOrder
+
 # The daemon counts events by name; a metric has no other characters.
 _EVENT_PATTERN = re.compile(r"[a-z0-9_]+(\.[a-z0-9_]+)*")
 
@@ -72,10 +76,15 @@
     return ()
 
 
-def new_planner(now: float = 0.0, log: DecisionLog | None = None) -> Planner:
+def new_planner(
+    now: float = 0.0,
+    log: DecisionLog | None = None,
+    order: WaitingOrder | None = None,
+) -> Planner:
     """Return a planner without workflows and workers.
 
     :param log: receives its lines, by default none that is kept
+    :param order: order of waiting workflows, None for the default
     """
     interference = InterferenceModel()
     return Planner(
@@ -84,6 +93,7 @@
         interference,
         log or RecordingLog(),
         now,
+        order,
     )
 
 
--- a/tests/planner/test_overload.py
+++ b/tests/planner/test_overload.py
@@ -117,6 +117,7 @@
     def _check_mean(self, settings: OverloadSettings) -> None:
         runs = [OverloadSimulation(settings, seed).run() for seed in _SEEDS]
         mean = ServedShares(
+            fmean(shares.on_time for shares in runs),
             fmean(shares.all for shares in runs),
             fmean(shares.largest_tenth for shares in runs),
             fmean(shares.fifth_below for shares in runs),
