Forecast for how long accepted work needs the whole CPU

Change: RoomForecaster finds, for each service, priority and kind of step, the last time by which accepted work that is of use only before it takes the whole CPU from now on. It counts only tasks that could run now on any worker, the lower quartile of the learned run times (at most the declared ones), and no work that is of no more use; silent workers count as room. Workflow.ready_counts shares the search of ready steps with ready_tasks. Nothing uses the forecast yet.

--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -17,7 +17,9 @@
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
 from carawaystep.planner.lost_runs import LostRuns
 from carawaystep.planner.reported_runs import ReportedRuns
+from carawaystep.planner.room_forecaster import RoomForecaster
 from carawaystep.planner.run_stopper import RunStopper
+from carawaystep.planner.run_time_ratios import RunTimeRatios
 from carawaystep.planner.task_placer import TaskPlacer
 from carawaystep.planner.ticket_cache import TicketCache
 from carawaystep.planner.waiting_task_monitor import WaitingTaskMonitor
@@ -39,6 +41,7 @@
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
+    from carawaystep.planner.room_forecast import RoomForecast
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.routing.ticket_terms import TicketTerms
@@ -98,6 +101,7 @@
         self._lost_runs = LostRuns(
             self._registry, self._workers, self._stopper, log
         )
+        run_times = RunTimeRatios()
         self._reported_runs = ReportedRuns(
             self._registry,
             self._workers,
@@ -105,7 +109,9 @@
             self._lost_runs,
             self._immediate_orders,
             log,
+            run_times,
         )
+        self._room_forecaster = RoomForecaster(self._registry, run_times)
         self._cancellations = Cancellations(self._registry, self._stopper, log)
         self._evacuation = Evacuation(
             self._registry, self._workers, self._immediate_orders
@@ -166,6 +172,14 @@
         """Return the number of workflows that have not started, by queue."""
         return self._registry.count_queued()
 
+    def forecast_room(self, now: float, wall_now: float) -> RoomForecast:
+        """Return for how long there is no room for further submissions.
+
+        :param now: current time, seconds of a monotonic clock
+        :param wall_now: current wall-clock time in seconds
+        """
+        return self._room_forecaster.forecast(self._workers, now, wall_now)
+
     def admit(self, spec: WorkflowSpec, stored: bool) -> bool:
         """Accept a submitted workflow.
 
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -18,6 +18,7 @@
     from carawaystep.planner.immediate_orders import ImmediateOrders
     from carawaystep.planner.lost_runs import LostRuns
     from carawaystep.planner.run_stopper import RunStopper
+    from carawaystep.planner.run_time_ratios import RunTimeRatios
     from carawaystep.planner.worker_registry import WorkerRegistry
     from carawaystep.planner.workflow_registry import WorkflowRegistry
     from carawaystep.workflow.step_spec import StepSpec
@@ -40,6 +41,7 @@
         lost_runs: LostRuns,
         immediate_orders: ImmediateOrders,
         log: DecisionLog,
+        run_times: RunTimeRatios,
     ) -> None:
         """Create the rules of reported runs.
 
@@ -49,6 +51,7 @@
         :param lost_runs: requeues runs that will never start
         :param immediate_orders: receives the stops of unexpected runs
         :param log: receives a line for each end
+        :param run_times: receives the run times of tasks that are done
         """
         self._registry = registry
         self._workers = workers
@@ -56,6 +59,7 @@
         self._lost_runs = lost_runs
         self._immediate_orders = immediate_orders
         self._log = log
+        self._run_times = run_times
 
     def apply_end(
         self, worker: TrackedWorker, ended: EndedRun, now: float
@@ -80,6 +84,10 @@
         workflow.end_run(ref, run, end, ended.checkpoint, now)
         if end is RunEnd.DONE:
             worker.health.record_success()
+            if tracked is not None and not tracked.inherited:
+                self._run_times.record(
+                    workflow.spec.queue, tracked.step.estimated_s, seconds
+                )
         elif end is RunEnd.FAILED and worker.health.record_failure(
             ref.workflow, now
         ):
--- /dev/null
+++ b/src/carawaystep/planner/room_forecast.py
@@ -0,0 +1,48 @@
+"""Forecast of the room for further submissions."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class LaneForecast(msgspec.Struct, array_like=True, frozen=True):
+    """Room for the submissions of one service, priority and kind of step.
+
+    :param service: service whose workers run the tasks
+    :param priority: priority of the submissions, 0 is the highest
+    :param best_effort: whether it is for steps that use only idle CPU
+    :param room_from_s: seconds after the forecast for which all of the CPU
+        is needed by accepted work that is not to be displaced
+    :param smallest_cpu_millis: CPU of the smallest task that waits; a
+        smaller one may find a gap, thousandths of a core
+    """
+
+    service: str
+    priority: int
+    best_effort: bool
+    room_from_s: float
+    smallest_cpu_millis: int
+
+
+class RoomForecast(msgspec.Struct, array_like=True, frozen=True):
+    """What a leader knows about the room for further submissions.
+
+    :param made_at: when it was made, seconds of the leader's clock
+    :param lanes: those without room; any other submission may find some
+    :param shortest_run_ratios: lowest ratio of the real to the declared run
+        time of a task, by queue
+    """
+
+    made_at: float
+    lanes: tuple[LaneForecast, ...] = ()
+    shortest_run_ratios: dict[str, float] = {}
+
+    def lane(
+        self, service: str, priority: int, best_effort: bool
+    ) -> LaneForecast | None:
+        """Return the lane of a submission, None if it may find room."""
+        wanted = (service, priority, best_effort)
+        for lane in self.lanes:
+            if (lane.service, lane.priority, lane.best_effort) == wanted:
+                return lane
+        return None
--- /dev/null
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -0,0 +1,256 @@
+"""Forecast of room from the accepted work and the workers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import groupby
+from typing import TYPE_CHECKING
+
+from carawaystep.planner.room_forecast import LaneForecast
+from carawaystep.planner.room_forecast import RoomForecast
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from carawaystep.fleet.tracked_run import TrackedRun
+    from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.planner.run_time_ratios import RunTimeRatios
+    from carawaystep.planner.workflow_registry import WorkflowRegistry
+    from carawaystep.workflow.step_spec import StepSpec
+    from carawaystep.workflow.workflow import Workflow
+
+# Bounds the size of the message; the most urgent priorities are kept.
+_MAX_LANES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    """Work of accepted tasks that could run now.
+
+    :param priority: priority of its workflow
+    :param best_effort: whether it uses only idle CPU
+    :param work: CPU time in thousandths of core-seconds
+    :param cpu_millis: CPU of one task, thousandths of a core
+    :param useful_for_s: seconds for which its result can still be of use
+    """
+
+    priority: int
+    best_effort: bool
+    work: float
+    cpu_millis: int
+    useful_for_s: float
+
+
+@dataclass(slots=True)
+class _ServiceLoad:
+    """Workers and accepted work of one service.
+
+    :param cpu_millis: CPU of the workers
+    :param idle_cpu_millis: CPU for best-effort tasks, if they alone ran
+        beside the long-running ones
+    :param lasting_cpu_millis: CPU that long-running tasks reserve, by
+        priority
+    :param running: work of runs that is left in thousandths of
+        core-seconds, by priority and whether they are best-effort
+    :param waiting: tasks without a run
+    """
+
+    cpu_millis: int = 0
+    idle_cpu_millis: float = 0.0
+    lasting_cpu_millis: Counter[int] = field(default_factory=Counter)
+    running: dict[tuple[int, bool], float] = field(default_factory=dict)
+    waiting: list[_Demand] = field(default_factory=list)
+
+
+class RoomForecaster:
+    """Finds until when accepted work surely needs the whole CPU.
+
+    It counts only tasks that could run now, wherever there is room, and a
+    run time that they surely exceed on average. What will become ready
+    later, is bound to certain workers or can be of no more use counts
+    nothing, and neither do limits other than that of the CPU. A further
+    submission that takes CPU before that time displaces accepted work of
+    its own or a higher priority that is of use only earlier.
+    """
+
+    def __init__(
+        self, registry: WorkflowRegistry, run_times: RunTimeRatios
+    ) -> None:
+        """Create a forecaster.
+
+        :param registry: the accepted workflows
+        :param run_times: run times of ended tasks
+        """
+        self._registry = registry
+        self._run_times = run_times
+
+    def forecast(
+        self, workers: Iterable[TrackedWorker], now: float, wall_now: float
+    ) -> RoomForecast:
+        """Return the forecast for all services.
+
+        Silent workers count as well, because they may come back.
+
+        :param workers: workers that are listed or may still have runs
+        :param now: current time, seconds of a monotonic clock
+        :param wall_now: current wall-clock time in seconds
+        """
+        waiting = self._registry.with_tasks_to_place()
+        if not waiting:
+            return RoomForecast(now)
+        loads: dict[str, _ServiceLoad] = {}
+        for worker in workers:
+            if worker.listed and not worker.leaving:
+                load = loads.setdefault(worker.record.service, _ServiceLoad())
+                self._add_worker(load, worker)
+        for workflow in waiting:
+            waiting_load = loads.get(workflow.spec.service)
+            if waiting_load is not None:
+                demands = self._waiting_demands(workflow, wall_now)
+                waiting_load.waiting.extend(demands)
+        lanes = [
+            lane
+            for service, load in loads.items()
+            for lane in _lanes(service, load)
+        ]
+        if not lanes:
+            return RoomForecast(now)
+        lanes.sort(key=lambda lane: lane.priority)
+        return RoomForecast(
+            now, tuple(lanes[:_MAX_LANES]), self._run_times.all_shortest()
+        )
+
+    def _add_worker(self, load: _ServiceLoad, worker: TrackedWorker) -> None:
+        load.cpu_millis += worker.record.capacity.cpu_millis
+        idle_cpu_millis = worker.estimated_spare_cpu_millis
+        for ref, tracked in worker.runs.items():
+            step = tracked.step
+            if step.fills:
+                paced_millis = step.cpu_millis * tracked.pace_percent / 100
+                idle_cpu_millis += paced_millis
+            elif step.long_running:
+                load.lasting_cpu_millis[tracked.priority] += step.cpu_millis
+            else:
+                idle_cpu_millis += step.cpu_millis
+            if not step.long_running:
+                workflow = self._registry.get(ref.workflow)
+                work = self._remaining_work(tracked, workflow)
+                kind = (tracked.priority, step.fills)
+                load.running[kind] = load.running.get(kind, 0.0) + work
+        load.idle_cpu_millis += max(idle_cpu_millis, 0.0)
+
+    def _remaining_work(
+        self, tracked: TrackedRun, workflow: Workflow | None
+    ) -> float:
+        """Return the CPU time that a run still takes at least."""
+        if workflow is None or workflow.ended or tracked.stopping:
+            return 0.0
+        left = 1.0 - min(tracked.progress_percent, 100.0) / 100
+        return left * self._task_work(workflow, tracked.step)
+
+    def _task_work(self, workflow: Workflow, step: StepSpec) -> float:
+        ratio = self._run_times.typical(workflow.spec.queue)
+        return step.cpu_millis * step.estimated_s * ratio
+
+    def _waiting_demands(
+        self, workflow: Workflow, wall_now: float
+    ) -> Iterator[_Demand]:
+        """Return the demands of the ready tasks that any worker could run."""
+        spec = workflow.spec
+        if spec.long_running or spec.scheduled or spec.permit_s:
+            return
+        useful_until_s = spec.accepted_at_s + spec.useful_duration_s
+        if useful_until_s <= wall_now:
+            return
+        for number, count in workflow.ready_counts(wall_now):
+            step = spec.steps[number]
+            if not count or _is_constrained(step):
+                continue
+            yield _Demand(
+                spec.priority,
+                step.fills,
+                count * self._task_work(workflow, step),
+                step.cpu_millis,
+                useful_until_s - wall_now,
+            )
+
+
+def _is_constrained(step: StepSpec) -> bool:
+    """Tell whether a task may have to wait while workers have CPU left."""
+    return bool(
+        step.gang or step.label or step.max_per_worker or step.accelerators
+    )
+
+
+def _lanes(service: str, load: _ServiceLoad) -> Iterator[LaneForecast]:
+    """Return the lanes of a service that have no room."""
+    priorities = sorted({demand.priority for demand in load.waiting})
+    running = {priority for priority, _ in load.running}
+    for priority in sorted({*priorities, *running}):
+        ahead = [d for d in load.waiting if d.priority <= priority]
+        for best_effort in (False, True):
+            same_kind = [d for d in ahead if d.best_effort == best_effort]
+            if not same_kind:
+                continue
+            # Best-effort tasks take what the others leave.
+            counted = ahead if best_effort else same_kind
+            room_from_s = _saturated_until_s(
+                counted,
+                _running_work(load, priority, best_effort),
+                _cpu_millis(load, priority, best_effort),
+            )
+            if room_from_s > 0:
+                smallest = min(demand.cpu_millis for demand in same_kind)
+                yield LaneForecast(
+                    service, priority, best_effort, room_from_s, smallest
+                )
+
+
+def _cpu_millis(load: _ServiceLoad, priority: int, best_effort: bool) -> float:
+    """Return the CPU that tasks of a priority may get at most."""
+    if best_effort:
+        return load.idle_cpu_millis
+    lasting_millis = sum(
+        cpu_millis
+        for lasting_priority, cpu_millis in load.lasting_cpu_millis.items()
+        if lasting_priority <= priority
+    )
+    return load.cpu_millis - lasting_millis
+
+
+def _running_work(
+    load: _ServiceLoad, priority: int, best_effort: bool
+) -> float:
+    """Return what is left of the runs that a priority does not displace."""
+    return sum(
+        work
+        for (run_priority, fills), work in load.running.items()
+        if run_priority <= priority and (best_effort or not fills)
+    )
+
+
+def _saturated_until_s(
+    waiting: list[_Demand], running_work: float, cpu_millis: float
+) -> float:
+    """Return for how long accepted work needs all of the CPU.
+
+    That is the last time by which the work that is of use only before it
+    takes all of the CPU from now on. Work that cannot be done while it is
+    of use gives way to the rest.
+
+    :returns: seconds, 0 if there may be CPU left
+    """
+    if cpu_millis <= 0:
+        return 0.0
+    busy_s = running_work / cpu_millis
+    saturated_s = 0.0
+    by_use = sorted(waiting, key=lambda demand: demand.useful_for_s)
+    for useful_for_s, demands in groupby(by_use, lambda d: d.useful_for_s):
+        busy_s += sum(demand.work for demand in demands) / cpu_millis
+        if busy_s >= useful_for_s:
+            saturated_s = useful_for_s
+            busy_s = useful_for_s
+    return saturated_s
--- a/src/carawaystep/planner/workflow_registry.py
+++ b/src/carawaystep/planner/workflow_registry.py
@@ -87,14 +87,18 @@
         self._changed.add(workflow.id)
         self._awaiting_placement.add(workflow.id)
 
+    def with_tasks_to_place(self) -> list[Workflow]:
+        """Return the workflows with tasks to place, in no certain order."""
+        workflow_ids = self._awaiting_placement & self._workflows.keys()
+        return [self._workflows[workflow_id] for workflow_id in workflow_ids]
+
     def awaiting_placement(self, wall_now: float) -> list[Workflow]:
         """Return the workflows with tasks to place, in their order.
 
         :param wall_now: current wall-clock time in seconds
         """
-        workflow_ids = self._awaiting_placement & self._workflows.keys()
         return sorted(
-            (self._workflows[workflow_id] for workflow_id in workflow_ids),
+            self.with_tasks_to_place(),
             key=lambda workflow: self._order.rank(workflow, wall_now),
         )
 
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -26,9 +26,6 @@
 
 _StepKey = tuple[int, int]
 
-# An end later than this multiple of the target duration is of no use.
-_USEFUL_TARGET_DURATIONS = 3.0
-
 
 class Workflow:
     """One accepted workflow: the state of its tasks, and its end.
@@ -178,24 +175,20 @@
 
         :param wall_now: current wall-clock time in seconds
         """
-        if self.ended:
-            return
-        for (occurrence, step_number), tasks in self._tasks.items():
-            step = self._spec.steps[step_number]
-            if not self._unfinished[occurrence, step_number]:
-                continue
-            if self._spec.due_at_s(occurrence) > wall_now:
-                continue
-            if any(
-                self._unfinished[occurrence, earlier] for earlier in step.after
-            ):
-                continue
-            if step.gang and any(t.state is TaskState.PLACED for t in tasks):
-                continue
+        for (occurrence, step_number), tasks in self._ready_steps(wall_now):
             for index, task in enumerate(tasks):
                 if task.state is TaskState.WAITING:
                     yield TaskRef(self.id, occurrence, step_number, index)
 
+    def ready_counts(self, wall_now: float) -> Iterator[tuple[int, int]]:
+        """Iterate over the steps that may start now.
+
+        :returns: number of the step and of its waiting tasks, by occurrence
+        """
+        for (_, step_number), tasks in self._ready_steps(wall_now):
+            waiting = [t for t in tasks if t.state is TaskState.WAITING]
+            yield step_number, len(waiting)
+
     def placed_tasks(self) -> Iterator[tuple[TaskRef, Task]]:
         """Iterate over the tasks of which a run may exist."""
         if not self._placed_count:
@@ -419,6 +412,26 @@
         self._cancelled = record.cancelled
         self._failed = record.failed
 
+    def _ready_steps(
+        self, wall_now: float
+    ) -> Iterator[tuple[_StepKey, list[Task]]]:
+        """Iterate over the steps of which tasks may start now."""
+        if self.ended:
+            return
+        for (occurrence, step_number), tasks in self._tasks.items():
+            step = self._spec.steps[step_number]
+            if not self._unfinished[occurrence, step_number]:
+                continue
+            if self._spec.due_at_s(occurrence) > wall_now:
+                continue
+            if any(
+                self._unfinished[occurrence, earlier] for earlier in step.after
+            ):
+                continue
+            if step.gang and any(t.state is TaskState.PLACED for t in tasks):
+                continue
+            yield (occurrence, step_number), tasks
+
     def _urgency_stage(
         self, begin: float, remaining_s: float, wall_now: float
     ) -> UrgencyStage:
@@ -432,7 +445,7 @@
         if self._spec.long_running:
             if any(self.interrupted_tasks(wall_now)):
                 return UrgencyStage.INTERRUPTED
-        elif ends_at > begin + _USEFUL_TARGET_DURATIONS * target_s:
+        elif ends_at > begin + self._spec.useful_duration_s:
             return UrgencyStage.EXPIRED
         elif self._started_in_turn:
             return UrgencyStage.STARTED
--- a/src/carawaystep/workflow/workflow_spec.py
+++ b/src/carawaystep/workflow/workflow_spec.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+# An end later than this multiple of the target duration is of no use.
+_USEFUL_TARGET_DURATIONS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class WorkflowSpec:
@@ -89,6 +92,11 @@
         """
         return self.objective_s + self.stretch * self.critical_path_s()
 
+    @property
+    def useful_duration_s(self) -> float:
+        """Return the time after which an end is of no use, in seconds."""
+        return _USEFUL_TARGET_DURATIONS * self.target_duration_s
+
     def critical_path_s(
         self, done_steps: Collection[int] = frozenset()
     ) -> float:
--- /dev/null
+++ b/tests/planner/test_room_forecast.py
@@ -0,0 +1,112 @@
+"""Tests of the forecast of room for further submissions."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from carawaystep.fleet.tracked_run import TrackedRun
+from carawaystep.fleet.tracked_worker import TrackedWorker
+from carawaystep.planner.room_forecast import LaneForecast
+from carawaystep.planner.room_forecaster import RoomForecaster
+from carawaystep.planner.run_time_ratios import RunTimeRatios
+from carawaystep.planner.workflow_registry import WorkflowRegistry
+from carawaystep.workflow.step_spec import StepSpec
+from carawaystep.workflow.task_ref import TaskRef
+from tests.planner.planners import SERVING
+from tests.planner.planners import worker_record
+from tests.workflow.workflows import workflow_spec
+
+_WALL_NOW = 1000.0
+# Of use for 3 x (0.25 s + 1.5 x 1 s) = 5.25 s after its acceptance.
+_STEP = StepSpec(4, cpu_millis=1000, memory_mb=1, estimated_s=1.0)
+_USEFUL_S = 5.25
+
+
+class RoomForecastTest(TestCase):
+    """Forecast for one worker of 4 cores."""
+
+    def setUp(self) -> None:
+        """Create an idle worker, and runs that took the declared time."""
+        super().setUp()
+        self.worker = TrackedWorker(worker_record("w1", cpu_millis=4000))
+        self.registry = WorkflowRegistry()
+        self.run_times = RunTimeRatios()
+        for _ in range(8):
+            self.run_times.record("bookings", 1.0, 1.0)
+
+    def _admit(
+        self, count: int, step: StepSpec = _STEP, **changes: object
+    ) -> None:
+        for _ in range(count):
+            number = len(self.registry.workflows)
+            spec = workflow_spec(step, id=f"{number:016x}", **changes)
+            self.registry.add(spec)
+
+    def _lanes(self, wall_now: float = _WALL_NOW) -> tuple[LaneForecast, ...]:
+        forecaster = RoomForecaster(self.registry, self.run_times)
+        return forecaster.forecast([self.worker], 0.0, wall_now).lanes
+
+    def test_no_room_while_waiting_work_needs_the_whole_cpu(self) -> None:
+        """Guards against a missed overload, and against a false one.
+
+        Each workflow takes the worker for a second.
+        """
+        self._admit(5)
+        self.assertEqual((), self._lanes())
+        self._admit(1)
+        lane = LaneForecast("desk", 0, False, _USEFUL_S, 1000)
+        self.assertEqual((lane,), self._lanes())
+
+    def test_work_for_which_there_is_no_time_gives_way(self) -> None:
+        """Guards against counting work that newer work will pass."""
+        self._admit(50)
+        self._admit(6, accepted_at_s=_WALL_NOW + 20.0)
+        for wall_now in (_WALL_NOW, _WALL_NOW + 20.0):
+            (lane,) = self._lanes(wall_now)
+            self.assertEqual(_USEFUL_S, lane.room_from_s)
+        self.assertEqual((), self._lanes(_WALL_NOW + _USEFUL_S))
+
+    def test_only_what_is_certain_counts(self) -> None:
+        """Guards against a refusal on doubt.
+
+        Tasks bound to certain workers, later steps, tickets, due times and
+        lower priorities prove nothing about the room.
+        """
+        for changes in (
+            {"label": "a"},
+            {"max_per_worker": 1},
+            {"gang": True},
+            {"estimated_s": 0.0},
+        ):
+            step = replace(_STEP, **changes)  # type: ignore[arg-type]
+            self._admit(50, step)
+        self._admit(50, permit_s=1.0)
+        self._admit(50, first_due_s=_WALL_NOW - 1.0)
+        self._admit(50, queue="never-run")
+        self.assertEqual((), self._lanes())
+        self._admit(50, priority=2)
+        self.assertEqual([2], [lane.priority for lane in self._lanes()])
+
+    def test_long_running_tasks_take_room_that_is_not_preempted(self) -> None:
+        """Guards against room that lasting tasks of a lower rank hold."""
+        self._admit(4)
+        for priority, expected in ((2, 0), (0, 1)):
+            ref = TaskRef("f" * 16, 0, 0, priority)
+            serving = replace(SERVING, cpu_millis=2000)
+            self.worker.add(ref, TrackedRun(1, serving, priority, 0.0))
+            self.assertEqual(expected, len(self._lanes()), priority)
+
+    def test_shorter_runs_shorten_the_forecast(self) -> None:
+        """Guards against trust in declared run times."""
+        self._admit(6)
+        for _ in range(20):
+            self.run_times.record("bookings", 1.0, 0.5)
+        self.assertEqual((), self._lanes())
+
+    def test_silent_worker_still_counts(self) -> None:
+        """Guards against refusals because reports are late."""
+        self.assertFalse(self.worker.usable(100.0))
+        self._admit(5)
+        self.assertEqual((), self._lanes())
