Refuse submissions that cannot be done in time, where admission is on

Change: the leader publishes its forecast of room with the heartbeats, twice a second. The node that a caller has reached refuses at once, before anything is sent, when the bound of the start is past the latest start of use. It does so only with a forecast of its leader under 2 s old (measured on its own clock by the echoed heartbeat), when it has known all accepted ids for 10 s, and when no earlier attempt under the id may take effect; otherwise the leader decides by the ids that it knows. Retry-After is spread by the id over the time of use. A caller who comes back to the node keeps the time of the first attempt, which puts it before newcomers in the order of waiting work. CARAWAYSTEP_ADMISSION and CARAWAYSTEP_WAITING_ORDER are read at the start; the default is as before.

--- a/src/carawaystep/cluster/messages.py
+++ b/src/carawaystep/cluster/messages.py
@@ -15,6 +15,8 @@
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.fleet.worker_report import WorkerReport
 from carawaystep.planner.advice_request import AdviceRequest
+from carawaystep.planner.refusal import Refusal
+from carawaystep.planner.room_forecast import RoomForecast
 
 # The codecs read the annotations at run time.
 from carawaystep.validation.bounds import Seconds  # noqa: TC001
@@ -33,12 +35,15 @@
     :param number: number of messages with states that the leader has sent to
         this member in this term, including this one; shows lost messages. A
         message that only repeats states early does not count.
+    :param forecast: room for further submissions; None if the message
+        carries no forecast
     """
 
     term: int
     states: dict[str, WorkflowState]
     queued: dict[str, int] | None = None
     number: int = 0
+    forecast: RoomForecast | None = None
 
 
 class LeaderHeartbeat(
@@ -152,12 +157,15 @@
         store; for a query, whether the workflow is known
     :param state: state of the workflow, None if unknown
     :param refused: True if nothing was done because the store is unavailable
+        or there is no room in time
+    :param refusal: why there is no room in time, None for any other cause
     """
 
     call: int
     stored: bool
     state: WorkflowState | None = None
     refused: bool = False
+    refusal: Refusal | None = None
 
 
 class MemberHeartbeat(
@@ -254,10 +262,15 @@
 
 
 class Submit(msgspec.Struct, tag=True, array_like=True, frozen=True):
-    """Call to store a workflow that a caller submitted."""
+    """Call to store a workflow that a caller submitted.
+
+    :param may_be_stored: whether an earlier attempt may take effect, so that
+        the workflow must not be refused for lack of room
+    """
 
     call: int
     spec: WorkflowSpec
+    may_be_stored: bool = False
 
 
 class Cancel(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/src/carawaystep/planner/room_forecaster.py
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -174,7 +174,7 @@
                 step.fills,
                 count * self._task_work(workflow, step),
                 step.cpu_millis,
-                useful_until_s - wall_now,
+                min(useful_until_s - wall_now, spec.useful_duration_s),
             )
 
 
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -37,6 +37,7 @@
 from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
+from carawaystep.scheduler.room_publisher import RoomPublisher
 from carawaystep.scheduler.step_timer import StepTimer
 from carawaystep.scheduler.term_verification import TermVerification
 from carawaystep.scheduler.voter_repository import VoterRepository
@@ -161,6 +162,9 @@
             ports.clock,
         )
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
+        self._room_publisher = RoomPublisher(
+            self._planner, self._sessions, self._calls.admission, ports
+        )
         self._term_check_requested = asyncio.Event()
         # Grants are given once the term has been confirmed after the election.
         self._term_check_requested.set()
@@ -452,8 +456,16 @@
                 self._sessions.publish_queue_counts(
                     self._planner.count_queued()
                 )
+                self._publish_room(now)
             self._plan_requested.set()
 
+    def _publish_room(self, now: float) -> None:
+        """Forecast room where submissions are refused by it."""
+        if not self._settings.load.admission:
+            return
+        with self._step_timer.measure("room"):
+            self._room_publisher.publish(now)
+
     async def _store_voters(self) -> None:
         """Keep the voters stored, at the pace of the store."""
         while True:
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -24,6 +24,7 @@
 from carawaystep.cluster.messages import Resignation
 from carawaystep.cluster.messages import Submit
 from carawaystep.fleet.order_outcome import OrderOutcome
+from carawaystep.scheduler.admission import Admission
 from carawaystep.scheduler.advice_proxy import AdviceProxy
 from carawaystep.scheduler.lease_extensions import LeaseExtensions
 from carawaystep.scheduler.member_context import MemberContext
@@ -36,6 +37,7 @@
     from carawaystep.cluster.messages import FromMember
     from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.leadership.leadership import Leadership
+    from carawaystep.planner.room_forecast import RoomForecast
     from carawaystep.scheduler.node_settings import NodeSettings
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -82,6 +84,7 @@
         self._lease_extensions = LeaseExtensions(ports.clock)
         self._advice_proxy = AdviceProxy(ports.advisor, self, ports.log)
         self.published_states = PublishedStateCache()
+        self.admission = Admission(settings.load)
 
     @property
     def now(self) -> float:
@@ -125,15 +128,15 @@
             self._stop_proxies()
 
     async def submit(
-        self, spec: WorkflowSpec, timeout_s: float
+        self, spec: WorkflowSpec, timeout_s: float, may_be_stored: bool = False
     ) -> CallReply | None:
         """Have the leader store a workflow.
 
+        :param may_be_stored: whether an earlier attempt may take effect
         :returns: the leader's answer, None if there is none in time
         """
-        return await self._call(
-            Submit(next(self._call_numbers), spec), timeout_s
-        )
+        message = Submit(next(self._call_numbers), spec, may_be_stored)
+        return await self._call(message, timeout_s)
 
     async def cancel(
         self, workflow_id: str, timeout_s: float
@@ -220,6 +223,7 @@
             if message.term > previous_term:
                 self._stop_proxies()
                 self.published_states.start_term()
+                self.admission.forecast.start_term()
                 self._ports.log.line(
                     "leader.followed", message.leader, term=message.term
                 )
@@ -228,6 +232,7 @@
                 await self._send_lease_ages()
             if message.published is not None:
                 self._apply_published(message.published)
+                self._apply_forecast(message, message.published.forecast)
         heartbeat = MemberHeartbeat(
             self._settings.name,
             self._leadership.term,
@@ -257,6 +262,14 @@
                 message.queued, self.now
             )
 
+    def _apply_forecast(
+        self, message: LeaderHeartbeat, forecast: RoomForecast | None
+    ) -> None:
+        if forecast is not None:
+            self.admission.forecast.replace(
+                forecast, message.timestamp, message.echoed_timestamp
+            )
+
     async def _forward_orders(self, message: Orders) -> None:
         for item in message.orders:
             proxy = self._proxies.get(item.order.worker)
--- a/src/carawaystep/scheduler/member_calls.py
+++ b/src/carawaystep/scheduler/member_calls.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import CallReply
+from carawaystep.scheduler.admission import LeaderAdmission
 from carawaystep.scheduler.waiting_calls import WaitingCall
 from carawaystep.scheduler.waiting_calls import WaitingCalls
 
@@ -16,6 +17,7 @@
     from carawaystep.cluster.messages import QueryState
     from carawaystep.cluster.messages import Submit
     from carawaystep.planner.planner import Planner
+    from carawaystep.planner.refusal import Refusal
     from carawaystep.scheduler.leader_context import LeaderContext
     from carawaystep.scheduler.member_session import MemberSession
     from carawaystep.workflow.workflow_state import WorkflowState
@@ -49,6 +51,7 @@
         self._plan_requested = plan_requested
         self._published_states: dict[str, WorkflowState] = {}
         self._waiting_calls = WaitingCalls()
+        self.admission = LeaderAdmission()
         # Member through which each unfinished workflow was submitted.
         self._submitters: dict[str, MemberSession] = {}
 
@@ -71,6 +74,12 @@
             new = self._planner.state(workflow_id) is None
             await session.send(CallReply(message.call, False, refused=new))
             return
+        refusal = self._find_refusal(message, now)
+        if refusal is not None:
+            await session.send(
+                CallReply(message.call, False, refused=True, refusal=refusal)
+            )
+            return
         self._planner.admit(message.spec, stored=False)
         self._submitters[workflow_id] = session
         self._waiting_calls.add(
@@ -100,6 +109,14 @@
         state = self._published_states.get(message.workflow_id)
         await session.send(CallReply(message.call, state is not None, state))
 
+    def _find_refusal(self, message: Submit, now: float) -> Refusal | None:
+        """Return why a submission is refused, None if it is admitted."""
+        if message.may_be_stored:
+            return None
+        if self._planner.state(message.spec.id) is not None:
+            return None
+        return self.admission.find_refusal(message.spec, now)
+
     def record_published(self, states: Mapping[str, WorkflowState]) -> None:
         """Record stored states, which queries return from now on."""
         self._published_states.update(states)
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -19,6 +19,7 @@
     from carawaystep.cluster.messages import AssignedWorker
     from carawaystep.cluster.messages import Message
     from carawaystep.leadership.member_record import MemberRecord
+    from carawaystep.planner.room_forecast import RoomForecast
     from carawaystep.scheduler.leader_context import LeaderContext
     from carawaystep.workflow.workflow_state import WorkflowState
 
@@ -81,6 +82,7 @@
         self._workers: list[AssignedWorker] = []
         self._unpublished_states: dict[str, WorkflowState] = {}
         self._queue_counts: dict[str, int] | None = None
+        self._forecast: RoomForecast | None = None
         # Heartbeats with states that were sent.
         self._published_count = 0
 
@@ -158,6 +160,10 @@
         """Send the queue counts with the next heartbeat."""
         self._queue_counts = counts
 
+    def publish_forecast(self, forecast: RoomForecast) -> None:
+        """Send a forecast with the next heartbeat."""
+        self._forecast = forecast
+
     async def send_states_early(
         self, states: dict[str, WorkflowState]
     ) -> None:
@@ -211,14 +217,7 @@
 
         :returns: False if it certainly does not arrive
         """
-        published = None
-        if self._unpublished_states or self._queue_counts is not None:
-            published = PublishedStates(
-                self._context.term,
-                self._unpublished_states,
-                self._queue_counts,
-                self._published_count + bool(self._unpublished_states),
-            )
+        published = self._to_publish()
         sent = await self._channel.send(
             LeaderHeartbeat(
                 self._context.term,
@@ -234,8 +233,25 @@
             self._published_count = published.number
             self._unpublished_states = {}
             self._queue_counts = None
+            self._forecast = None
         return sent
 
+    def _to_publish(self) -> PublishedStates | None:
+        """Return what the next heartbeat publishes, None if nothing."""
+        if (
+            not self._unpublished_states
+            and self._queue_counts is None
+            and self._forecast is None
+        ):
+            return None
+        return PublishedStates(
+            self._context.term,
+            self._unpublished_states,
+            self._queue_counts,
+            self._published_count + bool(self._unpublished_states),
+            self._forecast,
+        )
+
     def _confirmed_timestamp(self) -> float:
         """Return the last timestamp after which the term was confirmed."""
         verified_at = self._context.verified_at()
--- a/src/carawaystep/scheduler/member_sessions.py
+++ b/src/carawaystep/scheduler/member_sessions.py
@@ -14,6 +14,7 @@
     from collections.abc import Mapping
 
     from carawaystep.cluster.messages import Message
+    from carawaystep.planner.room_forecast import RoomForecast
     from carawaystep.scheduler.leader_context import LeaderContext
     from carawaystep.scheduler.ports import SchedulerPorts
     from carawaystep.store.row import Row
@@ -115,6 +116,11 @@
         for session in self._sessions.values():
             session.publish_queue_counts(counts)
 
+    def publish_forecast(self, forecast: RoomForecast) -> None:
+        """Send a forecast to all members with the next heartbeats."""
+        for session in self._sessions.values():
+            session.publish_forecast(forecast)
+
     async def raise_error(self) -> None:
         """Wait for an error that ends a session, and raise it.
 
--- a/src/carawaystep/scheduler/published_state_cache.py
+++ b/src/carawaystep/scheduler/published_state_cache.py
@@ -29,6 +29,7 @@
         """Create an empty cache."""
         self._states: dict[str, WorkflowState] = {}
         self._message_number = 0
+        self._complete_since: float | None = None
         self._queue_counts: Mapping[str, int] | None = None
         self._queue_counts_at = 0.0
 
@@ -40,6 +41,15 @@
         self._message_number = 0
         self._drop_unfinished()
 
+    @property
+    def complete_since(self) -> float | None:
+        """Return since when all stored states are known, None if unknown.
+
+        :returns: monotonic seconds; states that were stored earlier may be
+            missing
+        """
+        return self._complete_since
+
     def update_states(
         self, states: Mapping[str, WorkflowState], message_number: int
     ) -> None:
@@ -77,6 +87,8 @@
         """
         self._queue_counts = counts
         self._queue_counts_at = now
+        if self._complete_since is None:
+            self._complete_since = now
 
     def get(self, workflow_id: str) -> WorkflowState | None:
         """Return the cached state of a workflow, None if there is none."""
@@ -95,6 +107,7 @@
         return self._queue_counts.get(queue, 0)
 
     def _drop_unfinished(self) -> None:
+        self._complete_since = None
         self._states = {
             workflow_id: state
             for workflow_id, state in self._states.items()
--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -9,6 +9,7 @@
 
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.call_outcome import CallOutcome
+from carawaystep.scheduler.submission_answer import SubmissionAnswer
 from carawaystep.scheduler.workflow_repository import insert_submission
 from carawaystep.store.operation import PutRow
 from carawaystep.store.table_failure import TableRefused
@@ -20,6 +21,7 @@
 
     from carawaystep.entry.clock import Clock
     from carawaystep.leadership.leadership import Leadership
+    from carawaystep.planner.refusal import Refusal
     from carawaystep.scheduler.member import Member
     from carawaystep.scheduler.store_health import StoreHealth
     from carawaystep.store.row import Row
@@ -60,23 +62,68 @@
         self._clock = clock
         self._store_health = store_health
 
-    async def submit(self, spec: WorkflowSpec) -> CallOutcome:
-        """Store a workflow.
+    async def submit(self, spec: WorkflowSpec) -> SubmissionAnswer:
+        """Store a workflow, or refuse it if it cannot be done in time.
 
         Submitting an id again has no further effect, so callers may repeat
         a call with an unknown outcome.
         """
         if self._member.published_states.get(spec.id) is not None:
-            return CallOutcome.ACCEPTED
+            return SubmissionAnswer(CallOutcome.ACCEPTED)
+        admission = self._member.admission
+        spec = admission.restore_first_attempt(spec)
+        refusal = self._find_refusal(spec)
+        if refusal is not None:
+            return admission.turn_away(spec, refusal)
+        open_submissions = admission.open_submissions
+        now = self._clock.now()
+        may_be_stored = open_submissions.may_be_stored(spec.id, now)
+        open_submissions.add(spec.id, now)
+        answer = await self._pass_on(spec, may_be_stored)
+        if answer.outcome is not CallOutcome.UNKNOWN and not may_be_stored:
+            open_submissions.close(spec.id)
+        return answer
+
+    def _find_refusal(self, spec: WorkflowSpec) -> Refusal | None:
+        """Return why a submission is refused before anything is sent."""
+        now = self._clock.now()
+        if not self._leadership.leader_reachable(now):
+            return None
+        return self._member.admission.find_refusal(
+            spec,
+            self._member.published_states.complete_since,
+            now,
+            self._clock.wall_now(),
+        )
+
+    async def _pass_on(
+        self, spec: WorkflowSpec, may_be_stored: bool
+    ) -> SubmissionAnswer:
+        """Have a workflow stored by the leader, or store it directly.
+
+        :param may_be_stored: whether an earlier attempt may take effect
+        """
         # False once a call with an unknown outcome was sent to the leader.
         refusal_is_certain = True
         if self._leadership.leader_reachable(self._clock.now()):
-            reply = await self._member.submit(spec, _WRITE_CALL_TIMEOUT_S)
+            reply = await self._member.submit(
+                spec, _WRITE_CALL_TIMEOUT_S, may_be_stored
+            )
             if reply is not None and reply.stored:
-                return CallOutcome.ACCEPTED
+                return SubmissionAnswer(CallOutcome.ACCEPTED)
+            if reply is not None and reply.refusal is not None:
+                return self._member.admission.turn_away(spec, reply.refusal)
             if reply is not None and reply.refused:
-                return CallOutcome.REFUSED
+                return SubmissionAnswer(CallOutcome.REFUSED)
             refusal_is_certain = False
+        return SubmissionAnswer(
+            await self._store_directly(spec, refusal_is_certain)
+        )
+
+    async def _store_directly(
+        self, spec: WorkflowSpec, refusal_is_certain: bool
+    ) -> CallOutcome:
+        """Store a workflow without the leader, while the store answers."""
         if self._store_health.lost:
             return (
                 CallOutcome.REFUSED
--- a/tests/planner/test_room_forecast.py
+++ b/tests/planner/test_room_forecast.py
@@ -66,7 +66,7 @@
         for wall_now in (_WALL_NOW, _WALL_NOW + 20.0):
             (lane,) = self._lanes(wall_now)
             self.assertEqual(_USEFUL_S, lane.room_from_s)
-        self.assertEqual((), self._lanes(_WALL_NOW + _USEFUL_S))
+        self.assertEqual((), self._lanes(_WALL_NOW + 20.0 + _USEFUL_S))
 
     def test_only_what_is_certain_counts(self) -> None:
         """Guards against a refusal on doubt.
--- a/tests/scheduler/simulation/__main__.py
+++ b/tests/scheduler/simulation/__main__.py
@@ -38,6 +38,7 @@
             "seed": seed,
             "faults": sum(record.faults.values()),
             "stale_states": record.stale_states,
+            "refusals": record.refusals,
             "checks": record.checks,
             "violations": len(record.violations),
         }
--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -18,6 +18,8 @@
 from carawaystep.scheduler.published_state_cache import PublishedStateCache
 from carawaystep.scheduler.waiting_calls import WaitingCalls
 from carawaystep.scheduler.worker_callers import WorkerCallers
+from tests.scheduler.simulation.lack_of_room import lack_of_room
+from tests.scheduler.simulation.lack_of_room import refuse_what_is_admitted
 from tests.scheduler.simulation.simulated_store import SimulatedStore
 
 if TYPE_CHECKING:
@@ -153,6 +155,8 @@
     "ignore-silent-callers": _ignore_silent_callers,
     "forget-extensions": _forget_extensions,
     "grant-without-majority": _grant_without_majority,
+    "lack-of-room": lack_of_room,
+    "refuse-what-is-admitted": refuse_what_is_admitted,
 }
 VARIANT_NAMES = tuple(_VARIANTS)
 
@@ -160,6 +164,8 @@
 def faulty_variant(name: str) -> AbstractContextManager[object]:
     """Return a context in which the scheduler has a fault.
 
+    It has none in the contexts "none" and "lack-of-room".
+
     :param name: one of ``VARIANT_NAMES``
     """
     return _VARIANTS[name]()
--- a/tests/scheduler/simulation/promise_checks.py
+++ b/tests/scheduler/simulation/promise_checks.py
@@ -67,11 +67,16 @@
         """Expect calls for a workflow, whose payload is its id."""
         self.promises[workflow_id] = WorkflowPromise()
 
+    def begin_submission(self, workflow_id: str) -> None:
+        """Record that an attempt to submit a workflow begins."""
+        self.promises[workflow_id].open_attempts += 1
+
     def record_submission(
         self, workflow_id: str, outcome: CallOutcome | None
     ) -> None:
         """Record the outcome of a submission, None without an answer."""
         promise = self.promises[workflow_id]
+        promise.open_attempts -= 1
         if outcome is CallOutcome.ACCEPTED:
             self._record.check(
                 self._holds_submission(workflow_id),
@@ -182,6 +187,10 @@
         if promise is None:
             return
         promise.started = True
+        self._record.check(
+            promise.maybe_stored or promise.open_attempts > 0,
+            f"{ref} starts, of which all attempts were refused",
+        )
         if promise.cancelled_at is not None and not late:
             self._check_start_bound(ref, now - promise.cancelled_at)
 
--- a/tests/scheduler/simulation/simulated_callers.py
+++ b/tests/scheduler/simulation/simulated_callers.py
@@ -153,11 +153,15 @@
             first = None
             if node.process is not None:
                 self.on_call()
+                self._checks.begin_submission(spec.id)
                 attempt = replace(spec, accepted_at_s=self._clock.wall_now())
-                outcome = await node.call(
+                answer = await node.call(
                     lambda service, attempt=attempt: service.submit(attempt),
                     _CALL_TIMEOUT_S,
                 )
+                outcome = None if answer is None else answer.outcome
+                if answer is not None and answer.refusal is not None:
+                    self._record.refusals += 1
                 self._record.add(
                     f"caller {spec.id} submission {outcome} at {node.name}"
                 )
--- a/tests/scheduler/simulation/simulated_node.py
+++ b/tests/scheduler/simulation/simulated_node.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from carawaystep.entry.supervisor import Supervisor
+from carawaystep.scheduler.load_settings import LoadSettings
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.scheduler.scheduler_node import SchedulerNode
 from tests.fakes.fake_counters import FakeCounters
@@ -25,6 +26,7 @@
 
 Value = TypeVar("Value")
 
+LOAD = LoadSettings()
 _DRAIN_S = 1.0
 
 
@@ -73,7 +75,13 @@
         process = SimulatedProcess(self.name, self._process_count)
         ports = SimulatedPorts(process, self._environment)
         settings = NodeSettings(
-            self.name, "zone", 1.0, self._address, MAX_LEASE_S, _DRAIN_S
+            self.name,
+            "zone",
+            1.0,
+            self._address,
+            MAX_LEASE_S,
+            _DRAIN_S,
+            load=LOAD,
         )
         self._process = process
         self._supervisor = Supervisor(self._counters)
--- a/tests/scheduler/simulation/simulation_record.py
+++ b/tests/scheduler/simulation/simulation_record.py
@@ -11,6 +11,7 @@
 
     :ivar stale_states: number of states that were shown near a fault after
         a final one of the same workflow
+    :ivar refusals: number of submissions that were refused for lack of room
     """
 
     def __init__(self) -> None:
@@ -19,6 +20,7 @@
         self.violations: list[str] = []
         self.checks = 0
         self.faults: Counter[str] = Counter()
+        self.refusals = 0
         self.stale_states = 0
 
     def add(self, event: str) -> None:
--- a/tests/scheduler/simulation/workflow_promise.py
+++ b/tests/scheduler/simulation/workflow_promise.py
@@ -15,6 +15,7 @@
 
     :param accepted_at: when a caller was first told that it is accepted
     :param maybe_stored: whether a submission was not definitely refused
+    :param open_attempts: number of submissions without an outcome yet
     :param cancel_sent: whether a cancellation was sent
     :param cancelled_at: when a cancellation was first confirmed
     :param final_state: final state that a caller was shown
@@ -24,6 +25,7 @@
 
     accepted_at: float | None = None
     maybe_stored: bool = False
+    open_attempts: int = 0
     cancel_sent: bool = False
     cancelled_at: float | None = None
     final_state: WorkflowState | None = None
--- a/tests/scheduler/test_member_calls.py
+++ b/tests/scheduler/test_member_calls.py
@@ -13,6 +13,9 @@
 from carawaystep.cluster.messages import Cancel
 from carawaystep.cluster.messages import QueryState
 from carawaystep.cluster.messages import Submit
+from carawaystep.planner.refusal import Refusal
+from carawaystep.planner.room_forecast import LaneForecast
+from carawaystep.planner.room_forecast import RoomForecast
 from carawaystep.scheduler.member_calls import MemberCalls
 from carawaystep.scheduler.member_session import MemberSession
 from carawaystep.workflow.step_spec import StepSpec
@@ -75,6 +78,27 @@
             [CallReply(2, False, refused=False)], self._submit(2, now=0.9)
         )
 
+    def test_leader_refuses_only_ids_that_it_does_not_know(self) -> None:
+        """Guards against refusing what is stored, or may be.
+
+        Neither does a forecast decide that it has not renewed.
+        """
+        lane = LaneForecast("desk", 0, False, 5.0, 1000)
+        self.calls.admission.set_forecast(RoomForecast(0.0, (lane,)))
+        refused = CallReply(1, False, refused=True, refusal=Refusal(4.9, 0.75))
+        self.assertEqual([refused], self._submit(1, now=0.1))
+        self.assertIsNone(self.planner.state(_SPEC.id))
+        self.assertEqual([], self._submit(2, now=0.1, may_be_stored=True))
+        self.assertEqual([], self._submit(3, now=0.1))
+        self._publish(WorkflowState.PENDING)
+        self.assertTrue(self._submit(4, now=0.1)[0].stored)
+
+    def test_old_forecast_refuses_nothing_at_the_leader(self) -> None:
+        """Guards against a leader that could not renew its forecast."""
+        lane = LaneForecast("desk", 0, False, 5.0, 1000)
+        self.calls.admission.set_forecast(RoomForecast(-2.0, (lane,)))
+        self.assertEqual([], self._submit(1, now=0.1))
+
     def test_cancellation_waits_for_a_final_state(self) -> None:
         """Guards against the confirmation of a cancellation not stored."""
         self._submit(1, now=0.1)
@@ -107,8 +131,10 @@
             self._replies(self.calls.query(self.session, query)),
         )
 
-    def _submit(self, number: int, now: float) -> list[CallReply]:
-        message = Submit(number, _SPEC)
+    def _submit(
+        self, number: int, now: float, may_be_stored: bool = False
+    ) -> list[CallReply]:
+        message = Submit(number, _SPEC, may_be_stored)
         return self._replies(self.calls.submit(self.session, message, now))
 
     def _cancel(self, number: int) -> list[CallReply]:
--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -104,6 +104,18 @@
         """
         self._assert_found("grant-without-majority", 201, "and runs on")
 
+    def test_promises_hold_while_room_lacks(self) -> None:
+        """Guards against a refused workflow that runs after all."""
+        results, errors = self._run(1, "lack-of-room")
+        self.assertEqual((0, ""), (results[0]["violations"], errors))
+        self.assertGreater(results[0]["refusals"], 10, results)
+
+    def test_admitted_workflow_that_is_refused_is_detected(self) -> None:
+        """Guards against runs in which no refusal is checked."""
+        self._assert_found(
+            "refuse-what-is-admitted", 1, "all attempts were refused"
+        )
+
     def _assert_found(self, variant: str, seed: int, violation: str) -> None:
         """Check that one run finds the fault of a variant."""
         results, errors = self._run(seed, variant)
--- a/tests/scheduler/test_workflow_service.py
+++ b/tests/scheduler/test_workflow_service.py
@@ -11,7 +11,9 @@
 
 from carawaystep.leadership.leadership import Leadership
 from carawaystep.scheduler import tables
+from carawaystep.scheduler.admission import Admission
 from carawaystep.scheduler.call_outcome import CallOutcome
+from carawaystep.scheduler.load_settings import LoadSettings
 from carawaystep.scheduler.store_health import StoreHealth
 from carawaystep.scheduler.workflow_service import WorkflowService
 from carawaystep.store.row import Row
@@ -94,12 +96,15 @@
                 return Err(TableRejected("status 400"))
 
         log = RecordingLog()
+        member = SimpleNamespace(
+            published_states={}, admission=Admission(LoadSettings())
+        )
         service = WorkflowService(
-            SimpleNamespace(published_states={}),  # type: ignore[arg-type]
+            member,  # type: ignore[arg-type]
             Leadership("edge-1", 1.0, 10.0),
             RejectingStore(),  # type: ignore[arg-type]
             _Clock(),  # type: ignore[arg-type]
             StoreHealth(log, 10.0),
         )
-        outcome = asyncio.run(service.submit(workflow_spec()))
-        self.assertEqual(CallOutcome.INVALID, outcome)
+        answer = asyncio.run(service.submit(workflow_spec()))
+        self.assertEqual(CallOutcome.INVALID, answer.outcome)
