--- a/src/carawaystep/workflow/remaining_work.py
+++ b/src/carawaystep/workflow/remaining_work.py
@@ -9,6 +9,7 @@
 class RemainingWork:
     """The work that is left of an occurrence; times are wall-clock seconds.
 
+    :param target_duration_s: time in which it is to end, in seconds
     :param deadline: time by which it is to end
     :param useful_until: time after which its end is of no use
     :param critical_path_s: declared run time of the longest chain of steps
@@ -19,6 +20,7 @@
     :param all_tasks: number of all tasks
     """
 
+    target_duration_s: float
     deadline: float
     useful_until: float
     critical_path_s: float
@@ -26,12 +28,6 @@
     all_cpu_s: float
     all_tasks: int
 
-    @property
-    def target_duration_s(self) -> float:
-        """Return the time in which it is to end, in seconds."""
-        useful_s = self.useful_until - self.deadline
-        return useful_s / (USEFUL_TARGET_DURATIONS - 1)
-
     def slack_s(self, wall_now: float) -> float:
         """Return how long it can wait and still end by its deadline.
 
@@ -45,7 +41,3 @@
         :param wall_now: current wall-clock time in seconds
         """
         return self.useful_until - wall_now - self.critical_path_s
-
-
-# An end later than this multiple of the target duration is of no use.
-USEFUL_TARGET_DURATIONS = 3.0
