--- a/src/carawaystep/planner/evacuation.py
+++ b/src/carawaystep/planner/leaving_workers.py
@@ -1,4 +1,4 @@
-"""Evacuation of workers that leave."""
+"""Long-running tasks on workers that leave."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     from carawaystep.planner.workflow_registry import WorkflowRegistry
 
 
-class Evacuation:
+class LeavingWorkers:
     """Stops long-running tasks on leaving workers if they fit elsewhere.
 
     The limit ``max_unavailable`` of their step is not enforced.
@@ -26,7 +26,7 @@
         workers: WorkerRegistry,
         immediate_orders: ImmediateOrders,
     ) -> None:
-        """Create the rules of evacuation.
+        """Create the rules of workers that leave.
 
         :param registry: the workflows
         :param workers: the workers
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -12,11 +12,11 @@
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.changes import Changes
 from carawaystep.planner.earlier_leases import EarlierLeases
-from carawaystep.planner.evacuation import Evacuation
 from carawaystep.planner.evacuation_monitor import EvacuationMonitor
 from carawaystep.planner.immediate_orders import ImmediateOrders
 from carawaystep.planner.interference_guard import InterferenceGuard
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
+from carawaystep.planner.leaving_workers import LeavingWorkers
 from carawaystep.planner.lost_runs import LostRuns
 from carawaystep.planner.reported_runs import ReportedRuns
 from carawaystep.planner.run_stopper import RunStopper
@@ -116,7 +116,7 @@
             log,
         )
         self._cancellations = Cancellations(self._registry, self._stopper, log)
-        self._evacuation = Evacuation(
+        self._leaving_workers = LeavingWorkers(
             self._registry, self._workers, self._immediate_orders
         )
         self._changes = Changes()
@@ -347,12 +347,12 @@
         """
         self._lost_runs.lose_expired(now, contact_times)
 
-    def evacuate(self, now: float) -> None:
+    def clear_leaving_workers(self, now: float) -> None:
         """Stop long-running tasks on leaving workers if they fit elsewhere.
 
         :param now: current time, seconds of a monotonic clock
         """
-        self._evacuation.stop_tasks(now)
+        self._leaving_workers.stop_tasks(now)
 
     def plan(self, now: float, wall_now: float) -> bool:
         """Place ready tasks, those of the most urgent workflows first.
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -445,7 +445,7 @@
                 self._record_delay(late_s, now)
             if now >= self._unread_until:
                 self._judge_silence(now)
-            self._planner.evacuate(now)
+            self._planner.clear_leaving_workers(now)
             self._step_timer.log_summary(now)
             if now - self._stops_retried_at > _STOP_RETRY_INTERVAL_S:
                 self._stops_retried_at = now
--- a/tests/planner/test_evacuated_zones.py
+++ b/tests/planner/test_evacuated_zones.py
@@ -137,7 +137,7 @@
         self._submit(1, SERVING)
         order = self._start_one()
         self._read("north")
-        self.planner.evacuate(0.0)
+        self.planner.clear_leaving_workers(0.0)
         self.assertEqual([], self.planner.take_immediate_orders())
         self.planner.handle_order_outcome(order, OrderOutcome.NOT_SENT, 0.0)
         self.assertEqual({"s1": 1}, self._start())
--- a/tests/planner/test_long_running_tasks.py
+++ b/tests/planner/test_long_running_tasks.py
@@ -118,12 +118,12 @@
         planner.admit(workflow_spec(step), False)
         (start,) = plan_and_take_starts(planner)
         planner.update_worker_list([worker_record("w1", draining=True)], 0.0)
-        planner.evacuate(0.1)
+        planner.clear_leaving_workers(0.1)
         self.assertEqual([], planner.take_immediate_orders())
         planner.update_worker_list(
             [worker_record("w1", draining=True), worker_record("w2")], 0.0
         )
         planner.handle_report(report("w2"), 0.2)
-        planner.evacuate(0.2)
+        planner.clear_leaving_workers(0.2)
         (stop,) = planner.take_immediate_orders()
         self.assertEqual(start.ref, stop.ref)
--- a/tests/users_platform/test_system.py
+++ b/tests/users_platform/test_system.py
@@ -125,6 +125,28 @@
         deployment = run_scenario(scenario, run_s=0.5)
         self.assertEqual([], _progress_keys(deployment))
 
+    def test_evacuated_zone_gets_no_task_until_it_is_returned(self) -> None:
+        """Guards against rows of the operator that the adapter misses."""
+
+        async def scenario(deployment: Deployment) -> None:
+            key = "evacuate/zone"
+            await deployment.store.put("op", key, encode_value({}))
+            await wait_for_condition(
+                lambda: all(
+                    ("zone.evacuated", "zone") in node.log.events
+                    for node in deployment.nodes
+                )
+            )
+            await deployment.nodes[0].call(
+                "POST", SUBMISSION_PATH, SUBMISSION_BODY
+            )
+            await asyncio.sleep(1.0)
+            self.assertEqual({}, count_starts_by_task(deployment))
+            await deployment.store.delete("op", key)
+            await wait_for_state(deployment.nodes[1], "completed")
+
+        self._assert_each_ran_once(run_scenario(scenario))
+
     def test_submission_is_completed_through_any_node(self) -> None:
         """Guards against any failure between submission and completion."""
 
