Answer the stand-in's change feed with all rows up to its version

Cause: test_slow_placement_service_holds_no_queue_up failed once in a whole run of the tests. The store's stand-in answered a feed call whose wait had ended with no rows and with the store's present version. When the event loop had stood still and the row was written in between, readers went on after a version that they had never seen.

Change: such an answer lists the rows up to its version, as the other one does.

--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -275,7 +275,9 @@
                     lambda: self._rows_since(query["table"], after)
                 )
         except TimeoutError:
-            return self._json_response(200, rows=[])
+            # A row may have been written since the wait ended.
+            rows = self._rows_since(query["table"], after)
+            return self._json_response(200, rows=rows)
         await asyncio.sleep(self.feed_delays_s.get(query["table"], 0.0))
         return self._json_response(
             200, rows=self._rows_since(query["table"], after)
