--- a/src/carawaystep/adapters/http/client_gate.py
+++ b/src/carawaystep/adapters/http/client_gate.py
@@ -11,6 +11,7 @@
 from carawaystep.intake.client_account import ClientAccount
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from carawaystep.intake.client_connection import ClientConnection
@@ -53,17 +54,23 @@
     """
 
     def __init__(
-        self, limits: ClientLimits, log: DecisionLog, node: str
+        self,
+        limits: ClientLimits,
+        log: DecisionLog,
+        node: str,
+        on_room: Callable[[], None] | None = None,
     ) -> None:
         """Create the gate of a process within a running event loop.
 
         :param limits: limits of all clients
         :param log: log of decisions
         :param node: name of the node, for the log
+        :param on_room: called when there is room again after refusals
         """
         self._account = ClientAccount(limits)
         self._log = log
         self._node = node
+        self._on_room = on_room
         self._loop = asyncio.get_running_loop()
         self._protocols: dict[ClientConnection, EvictableConnection] = {}
         self._turned_away_before = 0
@@ -153,6 +160,8 @@
             self._schedule_calm_check(self._last_turned_away)
             return
         self._calm_check = None
+        if self._on_room is not None:
+            self._on_room()
         self._log.line(
             "clients.unlimited",
             self._node,
--- a/src/carawaystep/adapters/http/uvicorn_server.py
+++ b/src/carawaystep/adapters/http/uvicorn_server.py
@@ -29,7 +29,7 @@
 _LISTEN_BACKLOG = 1024
 # What a client sends or does not read stays in these buffers, which would
 # otherwise grow to megabytes.
-_RECEIVE_BUFFER_BYTES = 32_768
+_RECEIVE_BUFFER_BYTES = 16_384
 _SEND_BUFFER_BYTES = 65_536
 
 
@@ -74,7 +74,7 @@
                 server_header=False,
                 date_header=False,
                 timeout_keep_alive=_KEEP_ALIVE_TIMEOUT_S,
-                backlog=self._backlog,
+                backlog=self._accept_batch,
             )
         )
 
@@ -104,6 +104,8 @@
         config.load()
         self._server.lifespan = config.lifespan_class(config)
         await self._server.startup(sockets=[listener])
+        # asyncio has set the backlog to the number that it accepts at once.
+        listener.listen(self._backlog)
 
     async def stop(self, grace_s: float) -> None:
         """Stop listening and close all connections.
@@ -149,14 +151,18 @@
 
     @property
     def _backlog(self) -> int:
-        """Return the number of connections that wait to be accepted.
-
-        asyncio accepts as many at once before any of them can be refused.
-        """
+        """Return the number of connections that wait to be accepted."""
         if self._limited_listener is None:
             return _LISTEN_BACKLOG
         return self._limited_listener.limits.backlog
 
+    @property
+    def _accept_batch(self) -> int:
+        """Return the number of connections that are accepted at once."""
+        if self._limited_listener is None:
+            return _LISTEN_BACKLOG
+        return self._limited_listener.limits.accept_batch
+
     def _create_listener(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
         # asyncio sets TCP_NODELAY only on sockets with an explicit protocol.
--- a/src/carawaystep/intake/client_limits.py
+++ b/src/carawaystep/intake/client_limits.py
@@ -18,6 +18,7 @@
 
 _MIN_CONNECTIONS = 8
 _MIN_BACKLOG = 8
+_MIN_ACCEPT_BATCH = 4
 _MAX_PEER_SHARE = 0.75
 _OPERATIONS_SHARE = 0.125
 
@@ -28,10 +29,13 @@
 
     :param max_connections: connections of all peers
     :param backlog: connections that wait to be accepted
+    :param accept_batch: connections that are accepted at once, before any
+        of them can be refused
     """
 
     max_connections: int
     backlog: int
+    accept_batch: int
 
     @property
     def max_peer_connections(self) -> int:
@@ -90,11 +94,12 @@
             _MIN_CONNECTIONS,
             min(sockets // 2, int(max_bytes) // 2 // CONNECTION_BYTES),
         )
-        backlog = max(_MIN_BACKLOG, sockets // 8)
+        backlog = max(_MIN_BACKLOG, sockets // 16)
+        accept_batch = max(_MIN_ACCEPT_BATCH, sockets // 64)
         operations = ListenerLimits(
             max(_MIN_CONNECTIONS, int(connections * _OPERATIONS_SHARE)),
             max(_MIN_BACKLOG, int(backlog * _OPERATIONS_SHARE)),
+            _MIN_ACCEPT_BATCH,
         )
-        return cls(
-            int(max_bytes), ListenerLimits(connections, backlog), operations
-        )
+        front = ListenerLimits(connections, backlog, accept_batch)
+        return cls(int(max_bytes), front, operations)
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -29,7 +29,7 @@
     from starlette.requests import Request
 
 _MAX_BODY_BYTES = 100_000
-_FRONT = ListenerLimits(max_connections=40, backlog=50)
+_FRONT = ListenerLimits(max_connections=40, backlog=50, accept_batch=50)
 _LIMITS = ClientLimits(50 * CONNECTION_BYTES, _FRONT, _FRONT)
 _ORDINARY = b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\n\r\n42"
 _UNFINISHED = (
--- a/tests/intake/test_client_account.py
+++ b/tests/intake/test_client_account.py
@@ -15,7 +15,7 @@
 from carawaystep.intake.client_limits import ListenerLimits
 
 _PEERS = ("10.0.0.1", "10.0.0.2")
-_FRONT = ListenerLimits(max_connections=4, backlog=8)
+_FRONT = ListenerLimits(max_connections=4, backlog=8, accept_batch=4)
 _LIMITS = ClientLimits(
     max_bytes=8 * CONNECTION_BYTES, front=_FRONT, operations=_FRONT
 )
@@ -148,5 +148,8 @@
         """Guards against connections beyond the machine's descriptors."""
         limits = ClientLimits.for_machine(4000, 400)
         listeners = (limits.front, limits.operations, limits.operations)
-        most = sum(one.max_connections + one.backlog for one in listeners)
+        # Up to three batches are on their way to the decision.
+        most = sum(
+            one.max_connections + 3 * one.accept_batch for one in listeners
+        )
         self.assertLessEqual(most, 200)
