--- a/src/carawaystep/adapters/zmq/message_socket.py
+++ b/src/carawaystep/adapters/zmq/message_socket.py
@@ -81,6 +81,13 @@
         self._socket.close()
         self._changed.set()
 
+    def _receive_frames(self) -> list[bytes]:
+        """Return the frames of the next message.
+
+        :raises Again: there is none
+        """
+        return self._socket.recv_multipart(NOBLOCK)
+
     def _schedule_read(self) -> None:
         if not self._read_scheduled and not self._closed:
             self._read_scheduled = True
@@ -90,7 +97,7 @@
         self._read_scheduled = False
         while not self._closed and len(self._messages) < _MAX_UNTAKEN_MESSAGES:
             try:
-                self._messages.append(self._socket.recv_multipart(NOBLOCK))
+                self._messages.append(self._receive_frames())
             except Again:
                 break
         if self._messages:
--- a/tests/adapters/zmq/test_cluster_channel.py
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -101,6 +101,38 @@
 
         self._run(check)
 
+    def test_strangers_do_not_cut_off_a_leader(self) -> None:
+        """Guards against strangers that keep or replace a connection."""
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            await asyncio.sleep(_CONNECT_S)
+            self.assertTrue(await channel.send(_HEARTBEAT))
+            leader, _ = await server.receive()
+            # Recognized by this one at the latest.
+            self.assertTrue(await channel.send(_HEARTBEAT))
+            await server.receive()
+            port = int(server.address.rpartition(":")[2])
+            strangers = [
+                await asyncio.open_connection(LOOPBACK_HOST, port)
+                for _ in range(20)
+            ]
+            # Each gets the greeting; all but four are closed at once.
+            replies = [
+                asyncio.create_task(reader.read()) for reader, _ in strangers
+            ]
+            closed = asyncio.as_completed(replies, timeout=1.5)
+            for _, reply in zip(range(16), closed, strict=False):
+                await reply
+            await server.send(leader, _ANSWER)
+            self.assertEqual(_ANSWER, await channel.receive())
+            for _, writer in strangers:
+                writer.close()
+            await asyncio.gather(*replies, return_exceptions=True)
+
+        self._run(check)
+
     def test_messages_wait_while_nobody_takes_them(self) -> None:
         """Guards against losing messages above the limit of a batch."""
 
