Test that a crowd on the leader stops nobody else

Cause: no test had a crowd at one of several processes.

Change: three processes with the limits of the crowd tests; 500 clients with unfinished bodies are at the leader. Meanwhile another process takes a submission, which runs, and no other leader is elected.

--- a/tests/users_platform/test_crowds.py
+++ b/tests/users_platform/test_crowds.py
@@ -79,6 +79,19 @@
     return Script((request + _UNFINISHED,))
 
 
+async def _wait_until_completed(process: SystemProcess) -> None:
+    """Wait until a process shows the submission as completed.
+
+    :raises TimeoutError: it does not within 30 s
+    """
+    async with asyncio.timeout(_END_LIMIT_S):
+        while True:
+            answer = await process.call("GET", SUBMISSION_PATH)
+            if json.loads(answer.body) == {"state": "completed"}:
+                return
+            await asyncio.sleep(_SAMPLE_INTERVAL_S)
+
+
 class CrowdsTest(TestCase):
     """One process, a store and a worker, with one crowd."""
 
@@ -127,12 +140,7 @@
         """Hand in an ordinary submission and wait until it has run."""
         answer = await process.call("POST", SUBMISSION_PATH, SUBMISSION_BODY)
         self.assertEqual(200, answer.status)
-        async with asyncio.timeout(_END_LIMIT_S):
-            while True:
-                answer = await process.call("GET", SUBMISSION_PATH)
-                if json.loads(answer.body) == {"state": "completed"}:
-                    return
-                await asyncio.sleep(_SAMPLE_INTERVAL_S)
+        await _wait_until_completed(process)
 
     def test_bodies_in_one_piece(self) -> None:
         """Guards against submissions of legal size that never end."""
@@ -258,3 +266,52 @@
         """Guards against long messages of strangers that never end."""
         begin = _ZMQ_GREETING + _ZMQ_READY + _ZMQ_MESSAGE
         self._assert_withstands(Script((begin + _UNFINISHED * 4,)), _cluster)
+
+
+class CrowdOnLeaderTest(TestCase):
+    """Three processes, of which the leader has a crowd."""
+
+    def test_others_serve_and_the_leader_stays(self) -> None:
+        """Guards against a crowd that stops the whole system."""
+        with TemporaryDirectory() as directory:
+            asyncio.run(self._run(Path(directory)))
+
+    async def _run(self, directory: Path) -> None:
+        limits = {"memory_mb": _MACHINE_MB, "max_fds": _MACHINE_DESCRIPTORS}
+        deployment = ProcessDeployment(directory, 3, limits)
+        try:
+            await deployment.start(_MAX_BODY_BYTES)
+            leaders = await self._leaders(deployment)
+            other = next(
+                process
+                for process in deployment.processes
+                if process not in leaders
+            )
+            script = _whole("POST", _CROWD_PATH)
+            crowd = Crowd(script, leaders[0].front_port, _CROWD_SIZE)
+            async with crowd.attack():
+                await asyncio.sleep(_ATTACK_S / 2)
+                answer = await other.call(
+                    "POST", SUBMISSION_PATH, SUBMISSION_BODY
+                )
+                self.assertEqual(200, answer.status)
+                await _wait_until_completed(other)
+            self.assertEqual(leaders, await self._leaders(deployment))
+        finally:
+            await deployment.stop()
+
+    async def _leaders(
+        self, deployment: ProcessDeployment
+    ) -> list[SystemProcess]:
+        """Return the process of each election, once there was one."""
+        async with asyncio.timeout(_END_LIMIT_S):
+            while True:
+                leaders = [
+                    process
+                    for process in deployment.processes
+                    for event in process.log_events()
+                    if event == "leader.elected"
+                ]
+                if leaders:
+                    return leaders
+                await asyncio.sleep(_SAMPLE_INTERVAL_S)
