--- a/tests/users_platform/process_deployment.py
+++ b/tests/users_platform/process_deployment.py
@@ -118,6 +118,11 @@
         """
         return self._observed.memory_info().rss + self._buffered_bytes()
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
     def log_events(self) -> list[str]:
         """Return the names of the events that it has logged."""
         lines = self._log_path.read_text().splitlines()
