Keep a connection after a body that was not needed

Cause: found by reading: when the rest of a body arrived after its answer, the connection counted as one that had begun a request, and was refused with 408 after 10 s although it was only idle.

Change: the phase between two requests follows from the bytes that are there, and the idle time limit is set again.

Measured: the new test fails on the former protocol class (phase head) and passes now; tests/intake and tests/adapters/http pass (55, twice).

--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -86,9 +86,7 @@
         elif self._client.admission is Admission.REFUSED:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
         else:
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
-            )
+            self._set_keep_alive()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
@@ -106,25 +104,23 @@
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         super().data_received(data)
-        self._update_phase(idle=ConnectionPhase.HEAD)
+        self._update_phase()
+        if self._phase is ConnectionPhase.NEXT_REQUEST:
+            # The rest of an answered request has ended.
+            self._set_keep_alive()
 
     def on_response_complete(self) -> None:
         """Release the request, and go on with the next one."""
         # The application may not have read the body.
         self.cycle.body = bytearray()
-        unread = self.conn.unread_bytes
         if self._client is not None:
             unsent = self.transport.get_write_buffer_size()
-            self._gate.keep(self._client, unread + unsent)
+            self._gate.keep(self._client, self.conn.unread_bytes + unsent)
         super().on_response_complete()
         if self.transport.is_closing():
             self._set_deadline(_READER_TIMEOUT_S)
             return
-        self._update_phase(
-            idle=ConnectionPhase.HEAD
-            if unread
-            else ConnectionPhase.NEXT_REQUEST
-        )
+        self._update_phase()
         if self._discards_body():
             self._set_deadline(_UNUSED_BODY_TIMEOUT_S)
 
@@ -137,7 +133,7 @@
     def resume_writing(self) -> None:
         """End the wait for the client."""
         super().resume_writing()
-        self._update_phase(idle=ConnectionPhase.NEXT_REQUEST)
+        self._update_phase()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request."""
@@ -176,15 +172,16 @@
             and self.conn.their_state is SEND_BODY
         )
 
-    def _update_phase(self, idle: ConnectionPhase) -> None:
-        """Derive the phase from the state of the parser.
-
-        :param idle: phase between two requests
-        """
+    def _update_phase(self) -> None:
+        """Derive the phase from the state of the parser."""
         if self._refused or self.flow.write_paused:
             return
         if self.conn.their_state is IDLE:
-            self._enter(idle)
+            self._enter(
+                ConnectionPhase.HEAD
+                if self.conn.unread_bytes
+                else ConnectionPhase.NEXT_REQUEST
+            )
         elif self.conn.their_state is SEND_BODY:
             self._enter(ConnectionPhase.BODY)
         elif self.conn.their_state is DONE:
@@ -196,6 +193,13 @@
         self._gate.enter(self._client, phase)
         self._set_deadline(_PHASE_TIMEOUTS_S.get(phase))
 
+    def _set_keep_alive(self) -> None:
+        """Close the connection if no request begins in time."""
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def _set_deadline(self, timeout_s: float | None) -> None:
         if self._deadline is not None:
             self._deadline.cancel()
--- a/src/carawaystep/intake/client_account.py
+++ b/src/carawaystep/intake/client_account.py
@@ -89,6 +89,10 @@
         """Return the number of admitted connections."""
         return sum(len(group) for group in self._connections.values())
 
+    def connections(self, listener: str) -> frozenset[ClientConnection]:
+        """Return the admitted connections to a listening address."""
+        return frozenset(self._connections[listener])
+
     def open(
         self, listener: str, limits: ListenerLimits, peer: str, now: float
     ) -> Opening:
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -16,6 +16,7 @@
 from carawaystep.adapters.http.client_gate import ClientGate
 from carawaystep.adapters.http.client_gate import Listener
 from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.intake.client_connection import ConnectionPhase
 from carawaystep.intake.client_limits import ClientLimits
 from carawaystep.intake.client_limits import CONNECTION_BYTES
 from carawaystep.intake.client_limits import ListenerLimits
@@ -143,6 +144,26 @@
             "clients.limited", [event for event, _ in server.log.events]
         )
 
+    def test_connection_is_kept_after_an_unused_body(self) -> None:
+        """Guards against a refusal between two requests."""
+
+        async def scenario(server: _Server) -> None:
+            body = b"x" * 50_000
+            head = (
+                b"GET / HTTP/1.1\r\nHost: e\r\nContent-Length: 50000\r\n\r\n"
+            )
+            reader, writer = await server.connect(head + body[:-1])
+            self.assertIn(b"405", await reader.readline())
+            writer.write(body[-1:])
+            await asyncio.sleep(0.1)
+            connections = server.gate.account.connections("front")
+            self.assertEqual(
+                [ConnectionPhase.NEXT_REQUEST], [c.phase for c in connections]
+            )
+            writer.close()
+
+        self._run(scenario)
+
     def test_oversized_header_is_refused(self) -> None:
         """Guards against header fields that take much memory once parsed."""
 
