Tests of the order of waiting work by the cost of its delay

Cause: nothing showed what the order does for callers under overload.

Change: the overload simulation takes an order and counts who ends on time; its new settings are those of small urgent tasks in the fragments that long-running tasks leave.

--- a/tests/planner/arriving_workflows.py
+++ b/tests/planner/arriving_workflows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 import math
 from typing import TYPE_CHECKING
 
@@ -69,6 +70,15 @@
     target_s=0.25,
     stretch=1.5,
 )
+SCANS = replace(
+    BOOKINGS,
+    width_spread=0.8,
+    run_s=0.54,
+    target_s=0.3,
+    run_spread=0.5,
+    max_run_s=5.8,
+    estimate_spread=0.5,
+)
 ROUTE_PLANS = WorkflowKind(
     mean_steps=2.0,
     steps_deviation=0.8,
--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -34,9 +34,9 @@
     from tests.planner.arriving_workflows import WorkflowKind
 
 _TICK_S = 0.1
-_BURST_BEGIN_S = 8.0
-_BURST_END_S = 20.0
-_ARRIVALS_END_S = 30.0
+BURST_BEGIN_S = 8.0
+BURST_END_S = 20.0
+ARRIVALS_END_S = 30.0
 # Wall-clock time at which the simulation begins.
 _EPOCH_S = 1000.0
 
@@ -141,7 +141,7 @@
 
     def run(self) -> ServedShares:
         """Simulate all arrivals and return who was served."""
-        end_s = _ARRIVALS_END_S + self._settings.after_arrivals_s
+        end_s = ARRIVALS_END_S + self._settings.after_arrivals_s
         for tick in range(round(end_s / _TICK_S)):
             now = tick * _TICK_S
             self._admit_arrivals(now)
@@ -161,7 +161,7 @@
         )
 
     def _admit_arrivals(self, now: float) -> None:
-        while self._next_arrival <= min(now, _ARRIVALS_END_S):
+        while self._next_arrival <= min(now, ARRIVALS_END_S):
             workflow = self._draw_workflow(now)
             self._arrived[workflow.spec.id] = workflow
             self._planner.admit(workflow.spec, stored=True)
@@ -171,7 +171,7 @@
 
     def _arrivals_per_s(self, now: float) -> float:
         settings = self._settings
-        in_burst = _BURST_BEGIN_S < now < _BURST_END_S
+        in_burst = BURST_BEGIN_S < now < BURST_END_S
         load = settings.burst_load if in_burst else settings.load
         run_s = settings.kind.mean_tasks * settings.kind.run_s
         work = run_s * settings.mean_task_cpu_millis
--- a/tests/planner/test_overload.py
+++ b/tests/planner/test_overload.py
@@ -5,16 +5,27 @@
 from dataclasses import replace
 from random import Random
 from statistics import fmean
+from typing import TYPE_CHECKING
 
 from testtools import TestCase
 
+from carawaystep.planner.least_cost_order import LeastCostOrder
 from tests.planner.arriving_workflows import ROUTE_PLANS
+from tests.planner.arriving_workflows import SCANS
+from tests.planner.overload_simulation import ARRIVALS_END_S
+from tests.planner.overload_simulation import BURST_BEGIN_S
+from tests.planner.overload_simulation import BURST_END_S
 from tests.planner.overload_simulation import OverloadSettings
 from tests.planner.overload_simulation import OverloadSimulation
 from tests.planner.overload_simulation import ServedShares
 
+if TYPE_CHECKING:
+    from carawaystep.planner.waiting_order import WaitingOrder
+
 _SEEDS = (1, 2, 3)
 
+# Share of what the room allows that is to end on time.
+_MIN_ON_TIME_SHARE_OF_ROOM = 0.5
 # A size is starved when it is served less than this share as often as all.
 _MIN_SHARE_OF_ALL = 0.5
 
@@ -56,6 +67,26 @@
     )
 
 
+def _mean_load(settings: OverloadSettings) -> float:
+    """Return the work that arrives as a share of what the workers can do."""
+    burst_share = (BURST_END_S - BURST_BEGIN_S) / ARRIVALS_END_S
+    calm_load = (1.0 - burst_share) * settings.load
+    return burst_share * settings.burst_load + calm_load
+
+
+def _fragments() -> OverloadSettings:
+    """Return workers on which long-running tasks leave room for few tasks."""
+    random = Random(5)
+    return OverloadSettings(
+        cpu_millis=tuple(random.randrange(400, 6200, 50) for _ in range(40)),
+        mean_task_cpu_millis=2000,
+        task_cpu_spread=0.45,
+        burst_load=1.5,
+        load=0.8,
+        kind=SCANS,
+    )
+
+
 class OverloadTest(TestCase):
     """Order of work under overload."""
 
@@ -75,6 +106,25 @@
         """
         self._check_mean(_small_gaps(1.6, 0.95))
 
+    def test_least_cost_order_serves_callers_on_time(self) -> None:
+        """Guards against an order in which most work ends just too late.
+
+        The room allows for nearly all of the work at its mean load, so that
+        at least half of it should end on time.
+        """
+        shares = self._mean_shares(_fragments(), LeastCostOrder())
+        self._check_sizes(shares, str(shares))
+        allowed = 1.0 / _mean_load(_fragments())
+        self.assertGreaterEqual(
+            shares.on_time, _MIN_ON_TIME_SHARE_OF_ROOM * allowed, str(shares)
+        )
+
+    def test_least_cost_order_starves_no_size(self) -> None:
+        """Guards against large workflows that cost more and never start."""
+        for settings in (_equal_tasks(1.6, 0.95), _route_plans(2.0)):
+            shares = self._mean_shares(settings, LeastCostOrder())
+            self._check_sizes(shares, str(shares))
+
     def test_best_effort_overload_starves_no_size(self) -> None:
         """Guards against large best-effort workflows that never get a turn.
 
@@ -115,14 +165,22 @@
             self.assertGreaterEqual(shares.all, min_served, message)
 
     def _check_mean(self, settings: OverloadSettings) -> None:
-        runs = [OverloadSimulation(settings, seed).run() for seed in _SEEDS]
-        mean = ServedShares(
+        mean = self._mean_shares(settings)
+        self._check_sizes(mean, str(mean))
+
+    @staticmethod
+    def _mean_shares(
+        settings: OverloadSettings, order: WaitingOrder | None = None
+    ) -> ServedShares:
+        runs = [
+            OverloadSimulation(settings, seed, order).run() for seed in _SEEDS
+        ]
+        return ServedShares(
             fmean(shares.on_time for shares in runs),
             fmean(shares.all for shares in runs),
             fmean(shares.largest_tenth for shares in runs),
             fmean(shares.fifth_below for shares in runs),
         )
-        self._check_sizes(mean, str(runs))
 
     def _check_sizes(self, shares: ServedShares, message: str) -> None:
         required = _MIN_SHARE_OF_ALL * shares.all
