--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,14 @@
 CORES ?= 6
 SEEDS ?= 1
 VARIANT ?= none
+EVACUATE ?=
 BIN = $(VENV)/bin
 export PYTHONPATH = src:platform:.
 # Random runs repeat exactly only when sets iterate in the same order.
 export PYTHONHASHSEED = 0
 
 .PHONY: install demo test lint format unit prove prove-processes
-.PHONY: check-model measure-capacity simulate
+.PHONY: check-model measure-capacity simulate check-manifest
 
 # SKIP_INSTALL=1 uses the environment as it is.
 ifeq ($(SKIP_INSTALL),)
@@ -60,7 +61,16 @@
 # Random faults of the scheduler's nodes, for SEEDS seeds from SEED on.
 simulate: install
 	$(BIN)/python -m tests.scheduler.simulation $(SEED) $(SECONDS) \
-		--seeds $(SEEDS) --variant $(VARIANT)
+		--seeds $(SEEDS) --variant $(VARIANT) \
+		$(if $(EVACUATE),--evacuate)
 
 check-model: install
 	$(BIN)/python -m tools.check_model
+
+# MANIFEST=file [IN_FORCE=file] [FLEET=file] [SAMPLES=file] [FORMAT=json]
+# [STRICT=1]; docs/operators/check.md.
+check-manifest: install
+	@$(BIN)/python platform/check_manifest.py "$(MANIFEST)" \
+		$(if $(IN_FORCE),--in-force "$(IN_FORCE)") \
+		$(if $(FLEET),--fleet "$(FLEET)") $(if $(SAMPLES),--samples "$(SAMPLES)") \
+		$(if $(FORMAT),--format $(FORMAT)) $(if $(STRICT),--strict)
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -38,17 +38,18 @@
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.step_timer import StepTimer
+from carawaystep.scheduler.term_ended import TermEnded
 from carawaystep.scheduler.term_verification import TermVerification
 from carawaystep.scheduler.voter_repository import VoterRepository
 from carawaystep.scheduler.waiting_orders import create_waiting_order
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
-from carawaystep.scheduler.workflow_repository import TermEnded
 from carawaystep.scheduler.workflow_repository import WorkflowRepository
 from carawaystep.workflow.workflow_state import WorkflowState
 
 if TYPE_CHECKING:
+    from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
     from carawaystep.cluster.messages import Message
     from carawaystep.entry.clock import Clock
     from carawaystep.leadership.election import Election
@@ -89,6 +90,7 @@
         leadership: Leadership,
         election: Election,
         routes: CurrentRoutes,
+        evacuated_zones: EvacuatedZones,
     ) -> None:
         """Create a term; nothing is read yet.
 
@@ -98,6 +100,7 @@
         :param leadership: what this process knows about the leader
         :param election: number and predecessors of the term
         :param routes: the routes, with the terms of tickets
+        :param evacuated_zones: zones whose workers get no new work
         """
         self._settings = settings
         self._ports = ports
@@ -127,6 +130,7 @@
             ports.log,
             self.now,
             create_waiting_order(settings.load),
+            evacuated_zones=evacuated_zones,
         )
         self._plan_requested = asyncio.Event()
         self._sessions = MemberSessions(ports, self)
--- a/src/carawaystep/scheduler/order_dispatcher.py
+++ b/src/carawaystep/scheduler/order_dispatcher.py
@@ -125,11 +125,11 @@
         """Withdraw the starts that must not be sent; return the others."""
         remaining: list[Order] = []
         for order in orders:
-            if isinstance(order, StartOrder) and not self._planner.should_send(
-                order, now
-            ):
-                self._planner.withdraw_start(order)
-                self._plan_requested.set()
-            else:
-                remaining.append(order)
+            if isinstance(order, StartOrder):
+                if not self._planner.should_send(order, now):
+                    self._planner.withdraw_start(order)
+                    self._plan_requested.set()
+                    continue
+                self._planner.record_sent(order, now)
+            remaining.append(order)
         return remaining
