Examine a waiting step again once a pass is not full

Cause: a step that a full pass had left counted as waiting for the pass for up to 0.25 s more, whatever refused it then.

Change: its limit is looked for in the next pass.

--- a/src/carawaystep/planner/workflow_times.py
+++ b/src/carawaystep/planner/workflow_times.py
@@ -10,13 +10,13 @@
 
 from carawaystep.planner.step_times import StepParts
 from carawaystep.planner.step_times import StepTimes
+from carawaystep.planner.wait_limit import WaitLimit
 from carawaystep.workflow.run_end import RunEnd
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from carawaystep.planner.decision_log import DecisionLog
-    from carawaystep.planner.wait_limit import WaitLimit
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
     from carawaystep.workflow.workflow_spec import WorkflowSpec
@@ -67,9 +67,10 @@
 class WorkflowTimes:
     """Writes one line for each settled workflow that says where time went.
 
-    Long-running workflows, which have no end of their own, and scheduled
-    ones are left out. A new term knows nothing of the time before it, and
-    counts that as admission.
+    Long-running workflows, which have no end of their own, scheduled ones
+    and those that ended before a placement pass reached them are left out.
+    A new term knows nothing of the time before it, and counts that as
+    admission.
     """
 
     def __init__(self, log: DecisionLog) -> None:
@@ -114,7 +115,9 @@
         if timeline is None:
             return False
         refusal = timeline.refused.get(step)
-        return refusal is None or now - refusal.found_at > _EXAMINE_INTERVAL_S
+        if refusal is None or refusal.limit is WaitLimit.PASS_FULL:
+            return True
+        return now - refusal.found_at > _EXAMINE_INTERVAL_S
 
     def record_refused(
         self,
