--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -394,8 +394,7 @@
                 )
             if limited:
                 self._plan_requested.set()
-            planned_at = self.now
-            pause_s = max(_BATCH_WINDOW_S, planned_at - began_at)
+            pause_s = max(_BATCH_WINDOW_S, self.now - began_at)
             await self._dispatch_immediate_orders()
             unsent = await self._advice_dispatcher.dispatch(
                 self._planner.take_advice_requests(),
@@ -404,9 +403,7 @@
             )
             self._planner.withdraw_advice_requests(unsent, self.now)
             await self._store_and_publish(self._planner.take_changes())
-            # The wait for the store counts as a pause.
-            waited_s = self.now - planned_at
-            await asyncio.sleep(max(0.0, pause_s - waited_s))
+            await asyncio.sleep(pause_s)
 
     async def _store_and_publish(self, changes: Changes) -> None:
         if changes.is_empty:
--- a/src/carawaystep/scheduler/workflow_repository.py
+++ b/src/carawaystep/scheduler/workflow_repository.py
@@ -47,8 +47,6 @@
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
 _RETRY_INTERVAL_S = 0.1
-# A batch in several transactions must not delay reports on a narrow link.
-_MAX_CONCURRENT_TRANSACTIONS = 4
 # A single wrong answer of the store fails no workflow.
 _REJECTIONS_BEFORE_FAILURE = 3
 
@@ -215,26 +213,10 @@
         )
         for change in found:
             self._log_dropped_checkpoints(change)
-        await self._commit_groups(list(transactions(found)), outcome)
+        for group in transactions(found):
+            await self._commit_group(group, outcome)
         return outcome
 
-    async def _commit_groups(
-        self, groups: list[list[WorkflowChange]], outcome: CommitOutcome
-    ) -> None:
-        """Store some groups at the same time; no two share a workflow."""
-        limit = asyncio.Semaphore(_MAX_CONCURRENT_TRANSACTIONS)
-
-        async def commit_group(group: list[WorkflowChange]) -> None:
-            async with limit:
-                await self._commit_group(group, outcome)
-
-        tasks = [asyncio.create_task(commit_group(group)) for group in groups]
-        try:
-            await asyncio.gather(*tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-
     async def _commit_group(
         self, group: list[WorkflowChange], outcome: CommitOutcome
     ) -> None:
