Count only work that surely goes before a new submission

Cause: the forecast counted accepted work of the same priority that a new submission displaces: the order of waiting work places what can still be in time before what is late.

Change: only work of a higher priority and what is left of started workflows counts, which every order in force places before new work. The bound is the earliest time at which the last of these tasks can start. A lane holds for all lower priorities up to the next one.

--- a/src/carawaystep/planner/refusal.py
+++ b/src/carawaystep/planner/refusal.py
@@ -15,7 +15,6 @@
     """Why a submission surely cannot be finished while it is of use.
 
     :param room_from_s: seconds before which none of its tasks can start
-        without displacing accepted work
     :param latest_start_s: seconds after which a start is too late for an end
         that is of use, below :attr:`room_from_s`
     """
--- a/src/carawaystep/planner/room_forecast.py
+++ b/src/carawaystep/planner/room_forecast.py
@@ -9,10 +9,11 @@
     """Room for the submissions of one service, priority and kind of step.
 
     :param service: service whose workers run the tasks
-    :param priority: priority of the submissions, 0 is the highest
+    :param priority: highest priority of the submissions, 0 is the highest of
+        all; the lane holds for lower ones too, up to the next lane
     :param best_effort: whether it is for steps that use only idle CPU
-    :param room_from_s: seconds after the forecast for which all of the CPU
-        is needed by accepted work that is not to be displaced
+    :param room_from_s: seconds after the forecast for which accepted work
+        that goes before any new submission takes all of the CPU
     :param smallest_cpu_millis: CPU of the smallest task that waits; a
         smaller one may find a gap, thousandths of a core
     """
@@ -41,8 +42,10 @@
         self, service: str, priority: int, best_effort: bool
     ) -> LaneForecast | None:
         """Return the lane of a submission, None if it may find room."""
-        wanted = (service, priority, best_effort)
-        for lane in self.lanes:
-            if (lane.service, lane.priority, lane.best_effort) == wanted:
-                return lane
-        return None
+        lanes = [
+            lane
+            for lane in self.lanes
+            if (lane.service, lane.best_effort) == (service, best_effort)
+            and lane.priority <= priority
+        ]
+        return max(lanes, key=lambda lane: lane.priority, default=None)
--- a/src/carawaystep/planner/room_forecaster.py
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
-from itertools import groupby
 from typing import TYPE_CHECKING
 
 from carawaystep.planner.room_forecast import LaneForecast
 from carawaystep.planner.room_forecast import RoomForecast
+from carawaystep.workflow.urgency import UrgencyStage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,16 +32,25 @@
 
     :param priority: priority of its workflow
     :param best_effort: whether it uses only idle CPU
-    :param work: CPU time in thousandths of core-seconds
+    :param count: number of tasks
     :param cpu_millis: CPU of one task, thousandths of a core
+    :param run_s: run time of one task in seconds
     :param useful_for_s: seconds for which its result can still be of use
+    :param before_equals: whether it goes before new work of its priority
     """
 
     priority: int
     best_effort: bool
-    work: float
+    count: int
     cpu_millis: int
+    run_s: float
     useful_for_s: float
+    before_equals: bool
+
+    @property
+    def work(self) -> float:
+        """Return the CPU time in thousandths of core-seconds."""
+        return self.count * self.cpu_millis * self.run_s
 
 
 @dataclass(slots=True)
@@ -66,14 +75,14 @@
 
 
 class RoomForecaster:
-    """Finds until when accepted work surely needs the whole CPU.
-
-    It counts only tasks that could run now, wherever there is room, and a
-    run time that they surely exceed on average. What will become ready
-    later, is bound to certain workers or can be of no more use counts
-    nothing, and neither do limits other than that of the CPU. A further
-    submission that takes CPU before that time displaces accepted work of
-    its own or a higher priority that is of use only earlier.
+    """Finds before when no further submission can surely start.
+
+    It counts only work that goes before any new submission of a priority:
+    that of higher ones, and what is left of started workflows. Of this it
+    counts the tasks that could run now, wherever there is room, and a run
+    time that they surely exceed on average. What will become ready later,
+    is bound to certain workers or can be of no more use counts nothing, and
+    neither do limits other than that of the CPU.
     """
 
     def __init__(
@@ -149,11 +158,10 @@
         if workflow is None or workflow.ended or tracked.stopping:
             return 0.0
         left = 1.0 - min(tracked.progress_percent, 100.0) / 100
-        return left * self._task_work(workflow, tracked.step)
-
-    def _task_work(self, workflow: Workflow, step: StepSpec) -> float:
         ratio = self._run_times.typical(workflow.spec.queue)
-        return step.cpu_millis * step.estimated_s * ratio
+        return (
+            left * ratio * tracked.step.cpu_millis * tracked.step.estimated_s
+        )
 
     def _waiting_demands(
         self, workflow: Workflow, wall_now: float
@@ -165,6 +173,8 @@
         useful_until_s = spec.accepted_at_s + spec.useful_duration_s
         if useful_until_s <= wall_now:
             return
+        stage = workflow.urgency(wall_now).stage
+        ratio = self._run_times.typical(spec.queue)
         for number, count in workflow.ready_counts(wall_now):
             step = spec.steps[number]
             if not count or _is_constrained(step):
@@ -172,12 +182,21 @@
             yield _Demand(
                 spec.priority,
                 step.fills,
-                count * self._task_work(workflow, step),
+                count,
                 step.cpu_millis,
+                step.estimated_s * ratio,
                 min(useful_until_s - wall_now, spec.useful_duration_s),
+                stage is UrgencyStage.STARTED,
             )
 
 
+def _goes_before(demand: _Demand, priority: int) -> bool:
+    """Tell whether work goes before any new work of a priority."""
+    if demand.priority == priority:
+        return demand.before_equals
+    return demand.priority < priority
+
+
 def _is_constrained(step: StepSpec) -> bool:
     """Tell whether a task may have to wait while workers have CPU left."""
     return bool(
@@ -186,18 +205,18 @@
 
 
 def _lanes(service: str, load: _ServiceLoad) -> Iterator[LaneForecast]:
-    """Return the lanes of a service that have no room."""
-    priorities = sorted({demand.priority for demand in load.waiting})
-    running = {priority for priority, _ in load.running}
-    for priority in sorted({*priorities, *running}):
-        ahead = [d for d in load.waiting if d.priority <= priority]
+    """Return the lanes of a service that have no room, by priority."""
+    waiting = {demand.priority for demand in load.waiting}
+    # What waits at a priority goes before all new work of the next one.
+    for priority in sorted(waiting | {number + 1 for number in waiting}):
+        ahead = [d for d in load.waiting if _goes_before(d, priority)]
         for best_effort in (False, True):
             same_kind = [d for d in ahead if d.best_effort == best_effort]
             if not same_kind:
                 continue
             # Best-effort tasks take what the others leave.
             counted = ahead if best_effort else same_kind
-            room_from_s = _saturated_until_s(
+            room_from_s = _last_start_s(
                 counted,
                 _running_work(load, priority, best_effort),
                 _cpu_millis(load, priority, best_effort),
@@ -232,25 +251,30 @@
     )
 
 
-def _saturated_until_s(
+def _last_start_s(
     waiting: list[_Demand], running_work: float, cpu_millis: float
 ) -> float:
-    """Return for how long accepted work needs all of the CPU.
+    """Return when the last of the waiting tasks starts at the earliest.
 
-    That is the last time by which the work that is of use only before it
-    takes all of the CPU from now on. Work that cannot be done while it is
-    of use gives way to the rest.
+    Work that can be of no more use by then gives way to the rest. At the
+    last start, the longest tasks may be running on all of the CPU.
 
     :returns: seconds, 0 if there may be CPU left
     """
     if cpu_millis <= 0:
         return 0.0
     busy_s = running_work / cpu_millis
-    saturated_s = 0.0
-    by_use = sorted(waiting, key=lambda demand: demand.useful_for_s)
-    for useful_for_s, demands in groupby(by_use, lambda d: d.useful_for_s):
-        busy_s += sum(demand.work for demand in demands) / cpu_millis
-        if busy_s >= useful_for_s:
-            saturated_s = useful_for_s
-            busy_s = useful_for_s
-    return saturated_s
+    for demand in sorted(waiting, key=lambda demand: demand.useful_for_s):
+        done_s = busy_s + demand.work / cpu_millis
+        busy_s = max(busy_s, min(done_s, demand.useful_for_s))
+    return max(0.0, busy_s - _longest_work(waiting, cpu_millis) / cpu_millis)
+
+
+def _longest_work(waiting: list[_Demand], cpu_millis: float) -> float:
+    """Return the work of the longest tasks that fit on the CPU together."""
+    work = 0.0
+    for demand in sorted(waiting, key=lambda demand: -demand.run_s):
+        taken_millis = min(demand.count * demand.cpu_millis, cpu_millis)
+        work += taken_millis * demand.run_s
+        cpu_millis -= taken_millis
+    return work
