Do not refuse an accepted id before its state is published

Cause: a node forgot an id once the leader had confirmed it, and learns its state with a later heartbeat. A repeat in between was refused.

--- a/src/carawaystep/scheduler/open_submissions.py
+++ b/src/carawaystep/scheduler/open_submissions.py
@@ -1,4 +1,4 @@
-"""Submissions of a node that may be stored although nobody confirmed it."""
+"""Submissions of a node that may be stored without a published state."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 class OpenSubmissions:
-    """Ids that were passed on and whose outcome is open or was unknown.
+    """Ids that were passed on and have not certainly been refused.
 
     A further attempt under such an id must not be refused for lack of room,
-    because the earlier one may take effect.
+    because the earlier one may take effect or has done so.
     """
 
     def __init__(self) -> None:
@@ -30,7 +30,7 @@
             del self._passed_on_at[next(iter(self._passed_on_at))]
 
     def close(self, workflow_id: str) -> None:
-        """Record that the outcome of a submission is certain."""
+        """Record that a submission certainly takes no effect."""
         self._passed_on_at.pop(workflow_id, None)
 
     def may_be_stored(self, workflow_id: str, now: float) -> bool:
--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -80,7 +80,12 @@
         may_be_stored = open_submissions.may_be_stored(spec.id, now)
         open_submissions.add(spec.id, now)
         answer = await self._pass_on(spec, may_be_stored)
-        if answer.outcome is not CallOutcome.UNKNOWN and not may_be_stored:
+        # The state of an accepted one is published some time later.
+        certainly_absent = answer.outcome in (
+            CallOutcome.REFUSED,
+            CallOutcome.INVALID,
+        )
+        if certainly_absent and not may_be_stored:
             open_submissions.close(spec.id)
         return answer
 
--- a/tests/scheduler/test_admission.py
+++ b/tests/scheduler/test_admission.py
@@ -217,6 +217,16 @@
         self.assertEqual(CallOutcome.ACCEPTED, answer.outcome)
         self.assertEqual([False, True], [sent for _, sent in self.member.sent])
 
+    def test_accepted_id_is_not_refused_before_its_state_is_published(
+        self,
+    ) -> None:
+        """Guards against a refusal right after the acceptance."""
+        self.member.admission.forecast.start_term()
+        self._submit(CallReply(1, True))
+        self.member.admission.forecast.replace(_FORECAST, 90.0, self.now)
+        answer = self._submit(CallReply(2, True))
+        self.assertEqual(CallOutcome.ACCEPTED, answer.outcome)
+
     def test_forecast_is_not_used_without_its_leader(self) -> None:
         """Guards against a decision between two leaders."""
         self.leadership.record_resignation(5)
