Tests of the forecast on its way from the leader to a member

Cause: only the simulation showed that a member gets the forecast.

Change: the tests of the member and of its session cover it; the replay keeps the two figures that its tests use.

--- a/tests/planner/admission_replay.py
+++ b/tests/planner/admission_replay.py
@@ -58,14 +58,10 @@
 class Served:
     """What became of the callers of one kind or size.
 
-    :param count: number of callers
-    :param in_time: share that ended within the target duration
     :param of_use: share that ended while it was of use
     :param refused: share that was refused until it gave up
     """
 
-    count: int
-    in_time: float
     of_use: float
     refused: float
 
@@ -156,14 +152,11 @@
 
     def _summarize(self, workflows: Sequence[ArrivingWorkflow]) -> Served:
         count = len(workflows)
-        in_time = of_use = refused = 0
+        of_use = refused = 0
         for workflow in workflows:
-            spec = workflow.spec
-            end_s = self._end_s(workflow)
-            in_time += end_s <= spec.target_duration_s
-            of_use += end_s <= spec.useful_duration_s
-            refused += spec.id in self._refused_at
-        return Served(count, in_time / count, of_use / count, refused / count)
+            of_use += self._end_s(workflow) <= workflow.spec.useful_duration_s
+            refused += workflow.spec.id in self._refused_at
+        return Served(of_use / count, refused / count)
 
     def _end_s(self, workflow: ArrivingWorkflow) -> float:
         """Return the seconds from the first attempt to the end."""
--- a/tests/scheduler/test_member.py
+++ b/tests/scheduler/test_member.py
@@ -19,6 +19,7 @@
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.leadership.leadership import Leadership
+from carawaystep.planner.room_forecast import RoomForecast
 from carawaystep.scheduler.member import Member
 from carawaystep.scheduler.node_settings import NodeSettings
 from carawaystep.workflow.workflow_state import WorkflowState
@@ -166,6 +167,11 @@
         self, messages: list[FromLeader]
     ) -> dict[str, WorkflowState | None]:
         """Return the states that the member knows after the messages."""
+        states = self._member_after(messages).published_states
+        return {key: states.get(key) for key in (_RUNNING, _DONE, _OTHER)}
+
+    @staticmethod
+    def _member_after(messages: list[FromLeader]) -> Member:
 
         async def run() -> Member:
             port = _LeaderPort(messages)
@@ -177,8 +183,21 @@
             await asyncio.gather(task, return_exceptions=True)
             return member
 
-        states = asyncio.run(run()).published_states
-        return {key: states.get(key) for key in (_RUNNING, _DONE, _OTHER)}
+        return asyncio.run(run())
+
+    def test_forecast_of_the_current_leader_is_known(self) -> None:
+        """Guards against a forecast that no node uses, or of another term."""
+        forecast = RoomForecast(90.0)
+        published = PublishedStates(5, {}, forecast=forecast)
+        first = LeaderHeartbeat(
+            5, "edge-2", 9.5, 0.1, published=published, timestamp=90.5
+        )
+        for later, expected in (
+            ([], (forecast, 1.0)),
+            ([LeaderHeartbeat(6, "edge-3", 9.9, 0.1)], None),
+        ):
+            member = self._member_after([first, *later])
+            self.assertEqual(expected, member.admission.forecast.current(10.0))
 
     def test_new_leader_ends_the_use_of_states_that_are_not_final(
         self,
--- a/tests/scheduler/test_member_session.py
+++ b/tests/scheduler/test_member_session.py
@@ -14,6 +14,7 @@
 from carawaystep.cluster.messages import PublishedStates
 from carawaystep.entry.loop_clock import LoopClock
 from carawaystep.leadership.member_record import MemberRecord
+from carawaystep.planner.room_forecast import RoomForecast
 from carawaystep.scheduler import member_session
 from carawaystep.scheduler.member_session import MemberSession
 from carawaystep.scheduler.published_state_cache import PublishedStateCache
@@ -173,6 +174,7 @@
                 task = asyncio.create_task(session.run())
                 await asyncio.sleep(0.05)
                 session.publish_queue_counts({"desk": 3})
+                session.publish_forecast(RoomForecast(99.0))
                 channel.connected = True
                 await asyncio.sleep(0.1)
                 session.publish_states({"a": WorkflowState.DONE})
@@ -188,7 +190,11 @@
                 if isinstance(message, LeaderHeartbeat) and message.published
             ]
             first = PublishedStates(
-                _TERM, {"a": WorkflowState.RUNNING}, {"desk": 3}, 1
+                _TERM,
+                {"a": WorkflowState.RUNNING},
+                {"desk": 3},
+                1,
+                RoomForecast(99.0),
             )
             second = PublishedStates(
                 _TERM, {"a": WorkflowState.DONE}, number=2
