--- a/tests/planner/overload_simulation.py
+++ b/tests/planner/overload_simulation.py
@@ -250,7 +250,7 @@
 
     def _share_on_time(self, workflows: Sequence[ArrivingWorkflow]) -> float:
         on_time = [
-            _EPOCH_S + self._settled_at.get(workflow.spec.id, math.inf)
+            EPOCH_S + self._settled_at.get(workflow.spec.id, math.inf)
             <= workflow.deadline
             for workflow in workflows
         ]
