Log no return of a service whose workers end

Cause: EvacuationMonitor took a service that has no listed worker any more for returned, so that the end of the VMs of an evacuated zone was logged as service.returned, and their next listing as service.evacuated again.

Change: such a service stays evacuated until it has a worker in a zone that accepts work.

Measured: the new test fails without the change with the events evacuated, returned, evacuated, and passes with it; so do the other tests of the file.

--- a/src/carawaystep/planner/evacuation_monitor.py
+++ b/src/carawaystep/planner/evacuation_monitor.py
@@ -58,6 +58,8 @@
             for service, zones in zones_by_service.items()
             if zones <= self._evacuated_zones.names
         }
+        # The end of a service's workers returns no zone.
+        evacuated |= self._evacuated_services - zones_by_service.keys()
         self._log_changes(evacuated, zones_by_service, now)
         self._evacuated_services = evacuated
 
--- a/tests/planner/test_evacuated_zones.py
+++ b/tests/planner/test_evacuated_zones.py
@@ -154,6 +154,17 @@
         names = [n for n, _ in self.log.events if n.startswith("service.")]
         self.assertEqual(["service.evacuated", "service.returned"], names)
 
+    def test_service_whose_workers_end_is_not_logged_as_returned(self) -> None:
+        """Guards against a return that is only the end of the workers."""
+        self._read("north", "south")
+        self._start(0.0)
+        self.planner.update_worker_list([], 0.5)
+        self._start(0.6)
+        self._report(1.1)
+        self._start(1.2)
+        names = [n for n, _ in self.log.events if n.startswith("service.")]
+        self.assertEqual(["service.evacuated"], names)
+
     def test_returned_zone_fills_gradually_and_cold_workers_last(self) -> None:
         """Guards against a flood of waiting work on cold workers."""
         self._read("north", "south")
