Move lasting tasks only to workers that are open

Cause: the workers of a zone that is taken back open one after another, and LeavingWorkers counted those that are closed. It stopped a task whose only place elsewhere was on one, and the task then waited up to 2 s for it.

Change: the planner passes the open workers to LeavingWorkers, too.

Measured: the new test fails without the change, as the task is stopped 0.2 s after the return, and passes with it; so do the other tests of this file and of test_long_running_tasks.py.

--- a/src/carawaystep/planner/leaving_workers.py
+++ b/src/carawaystep/planner/leaving_workers.py
@@ -36,12 +36,12 @@
         self._workers = workers
         self._immediate_orders = immediate_orders
 
-    def stop_tasks(self, now: float) -> None:
+    def stop_tasks(self, usable: list[TrackedWorker], now: float) -> None:
         """Stop the tasks that can move now.
 
+        :param usable: workers that may get new work
         :param now: current time, seconds of a monotonic clock
         """
-        usable = self._workers.usable(now)
         for worker in self._workers:
             if worker.leaving:
                 self._stop_tasks_on(worker, usable, now)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -373,7 +373,7 @@
 
         :param now: current time, seconds of a monotonic clock
         """
-        self._leaving_workers.stop_tasks(now)
+        self._leaving_workers.stop_tasks(self._open_workers(now), now)
 
     def plan(self, now: float, wall_now: float) -> bool:
         """Place ready tasks, those of the most urgent workflows first.
@@ -384,7 +384,7 @@
             be left that fit
         """
         self._evacuation_monitor.check(self._workers, now)
-        usable = self._zone_ramp.open_workers(self._workers.usable(now), now)
+        usable = self._open_workers(now)
         limited = self._task_placer.place_ready_tasks(usable, now, wall_now)
         self._waiting_tasks.check(usable, now, wall_now)
         return limited
@@ -491,6 +491,10 @@
             self._ticket_cache.forget_workflow(workflow_id)
         return changes
 
+    def _open_workers(self, now: float) -> list[TrackedWorker]:
+        """Return the workers that may get new work."""
+        return self._zone_ramp.open_workers(self._workers.usable(now), now)
+
     def _zone_accepts_work(self, key: WorkerKey) -> bool:
         worker = self._workers.get(key)
         return worker is None or self._workers.accepts_work(worker)
--- a/tests/planner/test_evacuated_zones.py
+++ b/tests/planner/test_evacuated_zones.py
@@ -55,10 +55,12 @@
         )
         self._report(0.0)
 
-    def _report(self, now: float, cold_s: float = 0.0) -> None:
+    def _report(
+        self, now: float, cold_s: float = 0.0, draining: str = ""
+    ) -> None:
         records = [
             replace(
-                worker_record(name),
+                worker_record(name, draining=name == draining),
                 availability_zone=zone,
                 cold_s=cold_s if name == "n1" else 0.0,
             )
@@ -176,6 +178,22 @@
         self._report(10.0 + RAMP_S, cold_s=4.0)
         self.assertEqual({"n1": 4}, self._start(10.0 + RAMP_S))
 
+    def test_lasting_task_moves_only_to_an_open_worker(self) -> None:
+        """Guards against a task that is stopped before it may start again."""
+        self._read("north")
+        self._submit(1, replace(_TASK, long_running=True))
+        self.assertEqual({"s1": 1}, self._start())
+        self._read(now=10.0)
+        self._report(10.1, cold_s=5.0)
+        self._submit(2, replace(_TASK, count=7))
+        self.assertEqual({"n2": 4, "s1": 3}, self._start(10.1))
+        self._report(10.2, cold_s=5.0, draining="s1")
+        self.planner.clear_leaving_workers(10.2)
+        self.assertEqual([], self.planner.take_immediate_orders())
+        self._report(10.0 + RAMP_S, cold_s=5.0, draining="s1")
+        self.planner.clear_leaving_workers(10.0 + RAMP_S)
+        self.assertEqual(1, len(self.planner.take_immediate_orders()))
+
     def _start_one(self) -> StartOrder:
         (order,) = plan_and_take_starts(self.planner)
         self.assertFalse(isinstance(order, StopOrder))
