--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -104,7 +104,7 @@
         ]
 
     def accepts_work(self, worker: TrackedWorker) -> bool:
-        """Tell whether a worker's availability zone is not evacuated."""
+        """Tell whether a worker's availability zone accepts work."""
         zone = worker.record.availability_zone
         return self._evacuated_zones.accepts_work(zone)
 
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -251,7 +251,7 @@
         zones = self._context.evacuated_zones
         if zones.accepts_work(self._worker.availability_zone):
             return None
-        # The leader may be an earlier one, or the order may have waited.
+        # The leader may not have read the request, or the order has waited.
         self._log.line(
             "start.refused",
             str(order.ref),
--- a/tests/planner/test_long_running_tasks.py
+++ b/tests/planner/test_long_running_tasks.py
@@ -108,7 +108,7 @@
         self.assertEqual("b" * 16, start.ref.workflow)
 
 
-class EvacuationTest(TestCase):
+class LeavingWorkersTest(TestCase):
     """Long-running tasks on leaving workers."""
 
     def test_long_running_task_moves_before_its_worker_leaves(self) -> None:
