Forget returns of zones in time

Cause: EvacuatedZones kept the time of the last return of each zone that was ever named, and names are free, so that the record grew with them and each pass of the planner went over all of them.

Change: each read forgets returns after a minute.

Measured: the new test fails without the rule and passes with it.

--- a/src/carawaystep/availability_zone/evacuated_zones.py
+++ b/src/carawaystep/availability_zone/evacuated_zones.py
@@ -14,6 +14,10 @@
         EvacuationRequest,
     )
 
+# Returns are kept for this long. Longer than the time within which the workers
+# of a returned zone are opened.
+RETURN_KEPT_S = 60.0
+
 
 @dataclass(frozen=True, slots=True)
 class _Evacuation:
@@ -132,6 +136,7 @@
             as the read shows them
         """
         former, self._evacuations = self._evacuations, standing
+        self._returned_at = self.returned_since(now - RETURN_KEPT_S)
         changes = []
         for name in sorted(former.keys() - standing.keys()):
             self._returned_at[name] = now
--- a/tests/availability_zone/test_evacuated_zones.py
+++ b/tests/availability_zone/test_evacuated_zones.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
+from carawaystep.availability_zone.evacuated_zones import RETURN_KEPT_S
 from carawaystep.availability_zone.evacuation_change import EvacuationChange
 from carawaystep.availability_zone.evacuation_request import EvacuationRequest
 
@@ -49,6 +50,14 @@
         self.assertEqual({"north": 4.0}, self.zones.returned_since(3.0))
         self.assertEqual({}, self.zones.returned_since(4.0))
 
+    def test_return_is_forgotten_in_time(self) -> None:
+        """Guards against a record that grows with each zone ever named."""
+        self._read(12, now=4.0)
+        self._read(13, is_complete=False, now=3.9 + RETURN_KEPT_S)
+        self.assertEqual({"north": 4.0}, self.zones.returned_since(3.0))
+        self._read(14, is_complete=False, now=4.0 + RETURN_KEPT_S)
+        self.assertEqual({}, self.zones.returned_since(3.0))
+
     def test_older_read_changes_nothing(self) -> None:
         """Guards against an answer that overtook a later one."""
         self.assertEqual([], self._read(9))
