Name the pair of field and detail that checks yield

Change: FieldDetail; no behaviour.

Measured: tests of the configuration check, of the manifest check and of the document commands pass, lint is clean.

--- a/src/carawaystep/configuration_check/checks/attempts_reduced.py
+++ b/src/carawaystep/configuration_check/checks/attempts_reduced.py
@@ -8,6 +8,7 @@
     RouteChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -24,12 +25,10 @@
     severity = Severity.WARNING
     advice = "keep the number unless early failures are wanted"
 
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
         before, after = kept.before.max_attempts, kept.after.max_attempts
         if after < before:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.MAX_ATTEMPTS,
                 f"{before} -> {after}: new work fails earlier and stays"
                 " failed; accepted work keeps its attempts",
--- a/src/carawaystep/configuration_check/checks/document_change.py
+++ b/src/carawaystep/configuration_check/checks/document_change.py
@@ -13,9 +13,7 @@
     from collections.abc import Iterator
 
     from carawaystep.configuration_check.configuration import CheckSubject
-    from carawaystep.configuration_check.configured_field import (
-        ConfiguredField,
-    )
+    from carawaystep.configuration_check.field_detail import FieldDetail
     from carawaystep.configuration_check.finding import Finding
     from carawaystep.document.service_spec import ServiceSpec
 
@@ -32,12 +30,12 @@
             before = in_force.get(after.service)
             if before is None:
                 continue
-            for field, detail in self._changes(before, after):
-                place = Location(Section.WORK, position, field)
-                yield self._finding(subject, place, detail)
+            for change in self._changes(before, after):
+                place = Location(Section.WORK, position, change.field)
+                yield self._finding(subject, place, change.detail)
 
     @abstractmethod
     def _changes(
         self, before: ServiceSpec, after: ServiceSpec
-    ) -> Iterator[tuple[ConfiguredField, str]]:
-        """Yield the changed fields, and what changes."""
+    ) -> Iterator[FieldDetail]:
+        """Yield the changes of fields."""
--- a/src/carawaystep/configuration_check/checks/document_changed.py
+++ b/src/carawaystep/configuration_check/checks/document_changed.py
@@ -8,6 +8,7 @@
     DocumentChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -70,27 +71,27 @@
 
     def _changes(
         self, before: ServiceSpec, after: ServiceSpec
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    ) -> Iterator[FieldDetail]:
         for field, value_of, affects in _FIELDS:
             old, new = value_of(before), value_of(after)
             if old != new:
-                yield (
+                yield FieldDetail(
                     field,
                     f"{_shown(old)} -> {_shown(new)}: affects {affects}",
                 )
         if before.max_attempts < after.max_attempts:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.MAX_ATTEMPTS,
                 f"{before.max_attempts} -> {after.max_attempts}: affects"
                 f" {_WAITING_JOBS}",
             )
         if before.kind is after.kind and before.replicas < after.replicas:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.REPLICAS,
                 f"{before.replicas} -> {after.replicas}: more replicas start",
             )
         if before.idempotent and not after.idempotent:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.IDEMPOTENT,
                 "new requests need a key and run at most once",
             )
--- a/src/carawaystep/configuration_check/checks/job_attempts_reduced.py
+++ b/src/carawaystep/configuration_check/checks/job_attempts_reduced.py
@@ -8,6 +8,7 @@
     DocumentChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -26,9 +27,9 @@
 
     def _changes(
         self, before: ServiceSpec, after: ServiceSpec
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    ) -> Iterator[FieldDetail]:
         if after.max_attempts < before.max_attempts:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.MAX_ATTEMPTS,
                 f"{before.max_attempts} -> {after.max_attempts}: jobs, also"
                 " waiting ones, are parked earlier and stay parked",
--- a/src/carawaystep/configuration_check/checks/kind_changed.py
+++ b/src/carawaystep/configuration_check/checks/kind_changed.py
@@ -8,6 +8,7 @@
     DocumentChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -26,9 +27,9 @@
 
     def _changes(
         self, before: ServiceSpec, after: ServiceSpec
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    ) -> Iterator[FieldDetail]:
         if before.kind is not after.kind:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.KIND,
                 f"{before.kind} -> {after.kind}: calls of the former kind are"
                 " refused, and replicas of a standing service end",
--- a/src/carawaystep/configuration_check/checks/label_without_workers.py
+++ b/src/carawaystep/configuration_check/checks/label_without_workers.py
@@ -8,6 +8,7 @@
     WorkerRequirementCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -28,11 +29,11 @@
 
     def _find_problem(
         self, task: DeclaredTask, pool: WorkerPool
-    ) -> tuple[ConfiguredField, str] | None:
+    ) -> FieldDetail | None:
         if pool.largest_sizes(task.label):
             return None
         labels = pool.labels
         shown = ", ".join(labels[:_MAX_SHOWN_LABELS]) or "none"
         detail = f'no worker has the label "{task.label}" (they have: {shown}'
         detail += ", ...)" if len(labels) > _MAX_SHOWN_LABELS else ")"
-        return ConfiguredField.LABEL, detail
+        return FieldDetail(ConfiguredField.LABEL, detail)
--- a/src/carawaystep/configuration_check/checks/repeats_allowed.py
+++ b/src/carawaystep/configuration_check/checks/repeats_allowed.py
@@ -8,6 +8,7 @@
     DocumentChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -26,9 +27,9 @@
 
     def _changes(
         self, before: ServiceSpec, after: ServiceSpec
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    ) -> Iterator[FieldDetail]:
         if after.idempotent and not before.idempotent:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.IDEMPOTENT,
                 "new requests may run twice, and a second run cannot be taken"
                 " back",
--- a/src/carawaystep/configuration_check/checks/route_change.py
+++ b/src/carawaystep/configuration_check/checks/route_change.py
@@ -14,9 +14,7 @@
     from collections.abc import Iterator
 
     from carawaystep.configuration_check.configuration import CheckSubject
-    from carawaystep.configuration_check.configured_field import (
-        ConfiguredField,
-    )
+    from carawaystep.configuration_check.field_detail import FieldDetail
     from carawaystep.configuration_check.finding import Finding
     from carawaystep.routing.queue_route import QueueRoute
     from carawaystep.routing.route_table import RouteTable
@@ -67,15 +65,13 @@
                 continue
             before, timeout_before_s = in_force[route.name]
             kept = KeptRoute(before, route, timeout_before_s, timeout_s, table)
-            for field, detail in self._changes(kept):
-                place = Location(Section.ROUTES, position, field)
-                yield self._finding(subject, place, detail)
+            for change in self._changes(kept):
+                place = Location(Section.ROUTES, position, change.field)
+                yield self._finding(subject, place, change.detail)
 
     @abstractmethod
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
-        """Yield the changed fields, and what changes."""
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
+        """Yield the changes of fields."""
 
 
 def describe_new_destination(table: RouteTable, route: QueueRoute) -> str:
--- a/src/carawaystep/configuration_check/checks/route_changed.py
+++ b/src/carawaystep/configuration_check/checks/route_changed.py
@@ -8,6 +8,7 @@
     RouteChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -30,9 +31,7 @@
     severity = Severity.NOTICE
     advice = "a later version can take it back"
 
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
         before, after = kept.before, kept.after
         if before.priority != after.priority:
             yield _change(
@@ -80,21 +79,21 @@
     after: float,
     affects: str,
     unit: str = "",
-) -> tuple[ConfiguredField, str]:
+) -> FieldDetail:
     detail = f"{before:.10g}{unit} -> {after:.10g}{unit}: affects {affects}"
-    return field, detail
+    return FieldDetail(field, detail)
 
 
 def _ticket_changes(
     before: TicketTerms | None, after: TicketTerms | None
-) -> Iterator[tuple[ConfiguredField, str]]:
+) -> Iterator[FieldDetail]:
     if before is None or after is None or before == after:
         return
     old = (
         f"{before.validity_s:g}/{before.decision_s:g}/{before.per_worker_s:g}"
     )
     new = f"{after.validity_s:g}/{after.decision_s:g}/{after.per_worker_s:g}"
-    yield (
+    yield FieldDetail(
         ConfiguredField.TICKET_TERMS,
         f"{old} s -> {new} s (validity, decision, for each worker): affects"
         f" {_WAITING_WORK}",
--- a/src/carawaystep/configuration_check/checks/route_moved.py
+++ b/src/carawaystep/configuration_check/checks/route_moved.py
@@ -11,6 +11,7 @@
     RouteChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -27,9 +28,7 @@
     severity = Severity.WARNING
     advice = "add a second route with the new address and keep this one"
 
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
         before, after = kept.before, kept.after
         old = f"{before.host}{before.path_prefix}"
         new = f"{after.host}{after.path_prefix}"
@@ -40,7 +39,7 @@
         else:
             return
         destination = describe_new_destination(kept.table, before)
-        yield (
+        yield FieldDetail(
             field,
             f'"{old}" -> "{new}": calls to the former address, also for'
             f" accepted work, {destination}",
--- a/src/carawaystep/configuration_check/checks/service_changed.py
+++ b/src/carawaystep/configuration_check/checks/service_changed.py
@@ -8,6 +8,7 @@
     RouteChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -24,11 +25,9 @@
     severity = Severity.WARNING
     advice = "keep the former workers until the accepted work has ended"
 
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
         if kept.before.service != kept.after.service:
-            yield (
+            yield FieldDetail(
                 ConfiguredField.SERVICE,
                 f'"{kept.before.service}" -> "{kept.after.service}":'
                 " accepted work stays with the former service",
--- a/src/carawaystep/configuration_check/checks/size_without_workers.py
+++ b/src/carawaystep/configuration_check/checks/size_without_workers.py
@@ -8,6 +8,7 @@
     WorkerRequirementCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 from carawaystep.configuration_check.worker_pool import fits
@@ -29,7 +30,7 @@
 
     def _find_problem(
         self, task: DeclaredTask, pool: WorkerPool
-    ) -> tuple[ConfiguredField, str] | None:
+    ) -> FieldDetail | None:
         sizes = pool.largest_sizes(task.label)
         if not sizes or any(fits(size, task.needs) for size in sizes):
             return None
@@ -59,10 +60,10 @@
                     f"a task needs {need:.10g} {unit}, the largest worker has"
                     f" {largest:.10g}"
                 )
-                return field, detail
+                return FieldDetail(field, detail)
         detail = (
             f"a task needs {needs.cpu_millis / _MILLIS_PER_CORE:g} cores,"
             f" {needs.memory_mb} MB and {needs.accelerators} accelerators,"
             " and no worker has all of them"
         )
-        return ConfiguredField.CPU, detail
+        return FieldDetail(ConfiguredField.CPU, detail)
--- a/src/carawaystep/configuration_check/checks/tickets_changed.py
+++ b/src/carawaystep/configuration_check/checks/tickets_changed.py
@@ -8,6 +8,7 @@
     RouteChangeCheck,
 )
 from carawaystep.configuration_check.configured_field import ConfiguredField
+from carawaystep.configuration_check.field_detail import FieldDetail
 from carawaystep.configuration_check.finding_code import FindingCode
 from carawaystep.configuration_check.severity import Severity
 
@@ -24,9 +25,7 @@
     severity = Severity.WARNING
     advice = "make sure that the placement service and the workers agree"
 
-    def _changes(
-        self, kept: KeptRoute
-    ) -> Iterator[tuple[ConfiguredField, str]]:
+    def _changes(self, kept: KeptRoute) -> Iterator[FieldDetail]:
         before, after = kept.before.ticket_terms, kept.after.ticket_terms
         if before is None and after is not None:
             detail = "starts need tickets from now on, also of waiting work"
@@ -37,4 +36,4 @@
             )
         else:
             return
-        yield ConfiguredField.TICKET_TERMS, detail
+        yield FieldDetail(ConfiguredField.TICKET_TERMS, detail)
--- a/src/carawaystep/configuration_check/checks/worker_requirement.py
+++ b/src/carawaystep/configuration_check/checks/worker_requirement.py
@@ -13,10 +13,8 @@
     from collections.abc import Iterator
 
     from carawaystep.configuration_check.configuration import CheckSubject
-    from carawaystep.configuration_check.configured_field import (
-        ConfiguredField,
-    )
     from carawaystep.configuration_check.declared_work import DeclaredTask
+    from carawaystep.configuration_check.field_detail import FieldDetail
     from carawaystep.configuration_check.finding import Finding
     from carawaystep.configuration_check.worker_pool import WorkerPool
 
@@ -38,12 +36,13 @@
             for step, task in enumerate(work.tasks):
                 problem = self._find_problem(task, pool)
                 if problem is not None:
-                    field, detail = problem
-                    place = Location(Section.WORK, position, field, step)
-                    yield self._finding(subject, place, detail)
+                    place = Location(
+                        Section.WORK, position, problem.field, step
+                    )
+                    yield self._finding(subject, place, problem.detail)
 
     @abstractmethod
     def _find_problem(
         self, task: DeclaredTask, pool: WorkerPool
-    ) -> tuple[ConfiguredField, str] | None:
-        """Return the field that no worker satisfies and why, or None."""
+    ) -> FieldDetail | None:
+        """Return the field that no worker satisfies, None without one."""
