Require a case for each code of documents

Cause: test_each_code_has_a_case leaves out the codes in DOCUMENT_CODES, and nothing required a case for those, so that a new code could be listed there without a test.

Change: a test of these codes.

Measured: it passes, and fails when the case of kind-changed is altered.

--- a/tests/configuration_check/test_service_documents.py
+++ b/tests/configuration_check/test_service_documents.py
@@ -102,3 +102,11 @@
             ]
             self.assertEqual(1 if expected else 0, len(findings), after)
             self.assertTrue("".join(findings).startswith(expected), findings)
+
+    def test_each_code_has_a_case(self) -> None:
+        """Guards against a kind of finding that no test produces.
+
+        The test of the manifests' codes leaves these out.
+        """
+        found = {expected.partition(" ")[0] for _, _, expected in _CHANGES}
+        self.assertEqual([], sorted(DOCUMENT_CODES - found))
