--- a/src/carawaystep/planner/workflow_times.py
+++ b/src/carawaystep/planner/workflow_times.py
@@ -21,6 +21,9 @@
     from carawaystep.workflow.workflow import Workflow
     from carawaystep.workflow.workflow_spec import WorkflowSpec
 
+# A waiting step is examined no more often: a search looks at each worker.
+_EXAMINE_INTERVAL_S = 0.25
+
 
 @dataclass(slots=True)
 class _Timeline:
@@ -60,10 +63,6 @@
     found_at: float
 
 
-# A waiting step is examined no more often: a search looks at each worker.
-_EXAMINE_INTERVAL_S = 0.25
-
-
 class WorkflowTimes:
     """Writes one line for each settled workflow that says where time went.
 
--- a/src/carawaystep/workflow/remaining_work.py
+++ b/src/carawaystep/workflow/remaining_work.py
@@ -4,13 +4,16 @@
 
 from dataclasses import dataclass
 
+# An end later than this multiple of the target duration is of no use.
+USEFUL_TARGET_DURATIONS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class RemainingWork:
     """The work that is left of an occurrence; times are wall-clock seconds.
 
     :param deadline: time by which it is to end
-    :param useful_until: time after which its end is of no use
+    :param target_duration_s: time in which it is to end, in seconds
     :param critical_path_s: declared run time of the longest chain of steps
         that are not done, in seconds
     :param cpu_s: declared CPU time of the tasks that are not done, seconds
@@ -20,17 +23,17 @@
     """
 
     deadline: float
-    useful_until: float
+    target_duration_s: float
     critical_path_s: float
     cpu_s: float
     all_cpu_s: float
     all_tasks: int
 
     @property
-    def target_duration_s(self) -> float:
-        """Return the time in which it is to end, in seconds."""
-        useful_s = self.useful_until - self.deadline
-        return useful_s / (USEFUL_TARGET_DURATIONS - 1)
+    def useful_until(self) -> float:
+        """Return the time after which its end is of no use."""
+        late_s = (USEFUL_TARGET_DURATIONS - 1) * self.target_duration_s
+        return self.deadline + late_s
 
     def slack_s(self, wall_now: float) -> float:
         """Return how long it can wait and still end by its deadline.
@@ -45,7 +48,3 @@
         :param wall_now: current wall-clock time in seconds
         """
         return self.useful_until - wall_now - self.critical_path_s
-
-
-# An end later than this multiple of the target duration is of no use.
-USEFUL_TARGET_DURATIONS = 3.0
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -157,7 +157,7 @@
         target_s = spec.target_duration_s
         return RemainingWork(
             deadline=begin + target_s,
-            useful_until=begin + USEFUL_TARGET_DURATIONS * target_s,
+            target_duration_s=target_s,
             critical_path_s=spec.critical_path_s(self._done_steps(occurrence)),
             cpu_s=sum(
                 step.task_cpu_s * self._unfinished[occurrence, number]
