--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -12,14 +12,16 @@
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.changes import Changes
 from carawaystep.planner.earlier_leases import EarlierLeases
-from carawaystep.planner.evacuation import Evacuation
 from carawaystep.planner.evacuation_monitor import EvacuationMonitor
 from carawaystep.planner.immediate_orders import ImmediateOrders
 from carawaystep.planner.interference_guard import InterferenceGuard
 from carawaystep.planner.interference_guard import REDUCED_PACE_PERCENT
+from carawaystep.planner.leaving_workers import LeavingWorkers
 from carawaystep.planner.lost_runs import LostRuns
 from carawaystep.planner.reported_runs import ReportedRuns
+from carawaystep.planner.room_forecaster import RoomForecaster
 from carawaystep.planner.run_stopper import RunStopper
+from carawaystep.planner.run_time_ratios import RunTimeRatios
 from carawaystep.planner.task_placer import TaskPlacer
 from carawaystep.planner.ticket_cache import TicketCache
 from carawaystep.planner.waiting_task_monitor import WaitingTaskMonitor
@@ -43,6 +45,7 @@
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
+    from carawaystep.planner.room_forecast import RoomForecast
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.routing.ticket_terms import TicketTerms
@@ -110,6 +113,7 @@
         self._lost_runs = LostRuns(
             self._registry, self._workers, self._stopper, log
         )
+        run_times = RunTimeRatios()
         self._reported_runs = ReportedRuns(
             self._registry,
             self._workers,
@@ -118,9 +122,11 @@
             self._immediate_orders,
             self._times,
             log,
+            run_times,
         )
+        self._room_forecaster = RoomForecaster(self._registry, run_times)
         self._cancellations = Cancellations(self._registry, self._stopper, log)
-        self._evacuation = Evacuation(
+        self._leaving_workers = LeavingWorkers(
             self._registry, self._workers, self._immediate_orders
         )
         self._changes = Changes()
@@ -179,6 +185,14 @@
         """Return the number of workflows that have not started, by queue."""
         return self._registry.count_queued()
 
+    def forecast_room(self, now: float, wall_now: float) -> RoomForecast:
+        """Return for how long there is no room for further submissions.
+
+        :param now: current time, seconds of a monotonic clock
+        :param wall_now: current wall-clock time in seconds
+        """
+        return self._room_forecaster.forecast(self._workers, now, wall_now)
+
     def admit(self, spec: WorkflowSpec, stored: bool) -> bool:
         """Accept a submitted workflow.
 
@@ -354,12 +368,12 @@
         """
         self._lost_runs.lose_expired(now, contact_times)
 
-    def evacuate(self, now: float) -> None:
+    def clear_leaving_workers(self, now: float) -> None:
         """Stop long-running tasks on leaving workers if they fit elsewhere.
 
         :param now: current time, seconds of a monotonic clock
         """
-        self._evacuation.stop_tasks(now)
+        self._leaving_workers.stop_tasks(now)
 
     def plan(self, now: float, wall_now: float) -> bool:
         """Place ready tasks, those of the most urgent workflows first.
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -18,6 +18,7 @@
     from carawaystep.planner.immediate_orders import ImmediateOrders
     from carawaystep.planner.lost_runs import LostRuns
     from carawaystep.planner.run_stopper import RunStopper
+    from carawaystep.planner.run_time_ratios import RunTimeRatios
     from carawaystep.planner.worker_registry import WorkerRegistry
     from carawaystep.planner.workflow_registry import WorkflowRegistry
     from carawaystep.planner.workflow_times import WorkflowTimes
@@ -42,6 +43,7 @@
         immediate_orders: ImmediateOrders,
         times: WorkflowTimes,
         log: DecisionLog,
+        run_times: RunTimeRatios,
     ) -> None:
         """Create the rules of reported runs.
 
@@ -52,6 +54,7 @@
         :param immediate_orders: receives the stops of unexpected runs
         :param times: receives the starts and ends of runs
         :param log: receives a line for each end
+        :param run_times: receives the run times of tasks that are done
         """
         self._registry = registry
         self._workers = workers
@@ -60,6 +63,7 @@
         self._immediate_orders = immediate_orders
         self._times = times
         self._log = log
+        self._run_times = run_times
 
     def apply_end(
         self, worker: TrackedWorker, ended: EndedRun, now: float
@@ -85,6 +89,10 @@
         self._times.record_end(ref, end, now)
         if end is RunEnd.DONE:
             worker.health.record_success()
+            if tracked is not None and not tracked.inherited:
+                self._run_times.record(
+                    workflow.spec.queue, tracked.step.estimated_s, seconds
+                )
         elif end is RunEnd.FAILED and worker.health.record_failure(
             ref.workflow, now
         ):
--- a/src/carawaystep/workflow/workflow.py
+++ b/src/carawaystep/workflow/workflow.py
@@ -8,7 +8,6 @@
 from carawaystep.errors.broken_invariant import BrokenInvariant
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.workflow.remaining_work import RemainingWork
-from carawaystep.workflow.remaining_work import USEFUL_TARGET_DURATIONS
 from carawaystep.workflow.run_end import RunEnd
 from carawaystep.workflow.task import Task
 from carawaystep.workflow.task_ref import TaskRef
@@ -154,10 +153,10 @@
         spec = self._spec
         occurrence = self._last_due_occurrence(wall_now)
         begin = spec.begin_at_s(occurrence)
-        target_s = spec.target_duration_s
         return RemainingWork(
-            deadline=begin + target_s,
-            target_duration_s=target_s,
+            target_duration_s=spec.target_duration_s,
+            deadline=begin + spec.target_duration_s,
+            useful_until=begin + spec.useful_duration_s,
             critical_path_s=spec.critical_path_s(self._done_steps(occurrence)),
             cpu_s=sum(
                 step.task_cpu_s * self._unfinished[occurrence, number]
@@ -172,10 +171,9 @@
 
         :param took_s: seconds from the acceptance or due time to the end
         """
-        target_s = self._spec.target_duration_s
-        if took_s <= target_s:
+        if took_s <= self._spec.target_duration_s:
             return UrgencyStage.ON_TIME
-        if took_s <= USEFUL_TARGET_DURATIONS * target_s:
+        if took_s <= self._spec.useful_duration_s:
             return UrgencyStage.LATE
         return UrgencyStage.EXPIRED
 
@@ -210,24 +208,20 @@
 
         :param wall_now: current wall-clock time in seconds
         """
-        if self.ended:
-            return
-        for (occurrence, step_number), tasks in self._tasks.items():
-            step = self._spec.steps[step_number]
-            if not self._unfinished[occurrence, step_number]:
-                continue
-            if self._spec.due_at_s(occurrence) > wall_now:
-                continue
-            if any(
-                self._unfinished[occurrence, earlier] for earlier in step.after
-            ):
-                continue
-            if step.gang and any(t.state is TaskState.PLACED for t in tasks):
-                continue
+        for (occurrence, step_number), tasks in self._ready_steps(wall_now):
             for index, task in enumerate(tasks):
                 if task.state is TaskState.WAITING:
                     yield TaskRef(self.id, occurrence, step_number, index)
 
+    def ready_counts(self, wall_now: float) -> Iterator[tuple[int, int]]:
+        """Iterate over the steps that may start now.
+
+        :returns: number of the step and of its waiting tasks, by occurrence
+        """
+        for (_, step_number), tasks in self._ready_steps(wall_now):
+            waiting = [t for t in tasks if t.state is TaskState.WAITING]
+            yield step_number, len(waiting)
+
     def placed_tasks(self) -> Iterator[tuple[TaskRef, Task]]:
         """Iterate over the tasks of which a run may exist."""
         if not self._placed_count:
@@ -451,6 +445,26 @@
         self._cancelled = record.cancelled
         self._failed = record.failed
 
+    def _ready_steps(
+        self, wall_now: float
+    ) -> Iterator[tuple[_StepKey, list[Task]]]:
+        """Iterate over the steps of which tasks may start now."""
+        if self.ended:
+            return
+        for (occurrence, step_number), tasks in self._tasks.items():
+            step = self._spec.steps[step_number]
+            if not self._unfinished[occurrence, step_number]:
+                continue
+            if self._spec.due_at_s(occurrence) > wall_now:
+                continue
+            if any(
+                self._unfinished[occurrence, earlier] for earlier in step.after
+            ):
+                continue
+            if step.gang and any(t.state is TaskState.PLACED for t in tasks):
+                continue
+            yield (occurrence, step_number), tasks
+
     def _urgency_stage(
         self, begin: float, remaining_s: float, wall_now: float
     ) -> UrgencyStage:
@@ -464,7 +478,7 @@
         if self._spec.long_running:
             if any(self.interrupted_tasks(wall_now)):
                 return UrgencyStage.INTERRUPTED
-        elif ends_at > begin + USEFUL_TARGET_DURATIONS * target_s:
+        elif ends_at > begin + self._spec.useful_duration_s:
             return UrgencyStage.EXPIRED
         elif self._started_in_turn:
             return UrgencyStage.STARTED
