Fill the log's queue whatever the writer has taken before

Cause: test_lines_dropped_by_a_full_queue_are_counted failed once. Its 6,000 lines fill the queue of 4,000 only if the writer's first batch, which it takes after 0.05 s, has less than 2,000 lines; a probe of it dropped none in one of 15 tries. The test asked for a drop that need not come.

Change: 10,000 lines. A batch and the queue hold 8,000 at most, so that lines are dropped in each run; the checks are as they were.

--- a/tests/adapters/logs/test_json_decision_log.py
+++ b/tests/adapters/logs/test_json_decision_log.py
@@ -11,6 +11,10 @@
 
 from carawaystep.adapters.logs.json_decision_log import JsonDecisionLog
 
+# The writer may have taken a full queue of 4,000 lines when its output blocks;
+# the next 4,000 fill the queue again.
+_LINES_BEYOND_QUEUE = 10_000
+
 
 class _BlockedOutput(StringIO):
     """Blocks the writing thread, like a pipe that nobody reads."""
@@ -57,7 +61,7 @@
         output = _BlockedOutput()
         with redirect_stdout(output):
             log = JsonDecisionLog("edge-1")
-            for number in range(6000):
+            for number in range(_LINES_BEYOND_QUEUE):
                 log.line(f"event.{number // 150}", "t")
             output.unblocked.set()
             log.close()
@@ -65,7 +69,9 @@
         reports = [line for line in lines if line["event"] == "log.dropped"]
         dropped_count = sum(line["count"] for line in reports)
         self.assertGreater(dropped_count, 0)
-        self.assertEqual(6000, len(lines) - len(reports) + dropped_count)
+        self.assertEqual(
+            _LINES_BEYOND_QUEUE, len(lines) - len(reports) + dropped_count
+        )
 
     def test_observer_receives_every_line(self) -> None:
         """Guards against metrics that do not count omitted lines."""
