Count no run in the forecast that may not exist

Cause: runs of an earlier leader that no report has confirmed, and runs whose start was not answered, counted as work ahead of a new submission.

Change: they count nothing until they are confirmed.

Measured: the new test of test_room_forecast.py fails if either counts.

--- a/src/carawaystep/planner/room_forecaster.py
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -154,9 +154,14 @@
     def _remaining_work(
         self, tracked: TrackedRun, workflow: Workflow | None
     ) -> float:
-        """Return the CPU time that a run still takes at least."""
+        """Return the CPU time that a run still takes at least.
+
+        One that may not exist takes none.
+        """
         if workflow is None or workflow.ended or tracked.stopping:
             return 0.0
+        if tracked.inherited or tracked.in_doubt:
+            return 0.0
         left = 1.0 - min(tracked.progress_percent, 100.0) / 100
         ratio = self._run_times.typical(workflow.spec.queue)
         return (
--- a/tests/planner/test_room_forecast.py
+++ b/tests/planner/test_room_forecast.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from unittest.mock import patch
 
 from testtools import TestCase
 
@@ -118,6 +119,19 @@
             (lane,) = self._lanes()
             self.assertEqual(expected, lane.room_from_s, priority)
 
+    def test_only_runs_that_exist_take_room(self) -> None:
+        """Guards against refusals for runs that may have been lost."""
+        self._admit(4)
+        workflow = next(iter(self.registry))
+        step = replace(_STEP, cpu_millis=4000)
+        run = TrackedRun(1, step, 0, 0.0, progress_percent=50.0)
+        self.worker.add(TaskRef(workflow.id, 0, 0, 9), run)
+        self.assertEqual([3.5], [lane.room_from_s for lane in self._lanes()])
+        for field in ("inherited", "in_doubt", "stopping"):
+            with patch.object(run, field, True):
+                (lane,) = self._lanes()
+            self.assertEqual(3.0, lane.room_from_s, field)
+
     def test_shorter_runs_shorten_the_forecast(self) -> None:
         """Guards against trust in declared run times."""
         self._admit(5)
