Wait for answers to requests that end their connection

A request with Connection: close or with HTTP/1.0, or one that offers another protocol (Upgrade: h2c, as java.net.http does by default), leaves the parser in MUST_CLOSE or MIGHT_SWITCH_PROTOCOL instead of DONE. Its connection stayed in the phase of its request after it was passed on, so that it could be evicted after 1 s with a 503, or got 408 after the time limit of the phase, while the request took effect.

The three states now count as a complete request. The new test fails without the change (phase first-request) and passes with it; the other tests of the file pass.

--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -8,6 +8,8 @@
 
 from h11 import DONE
 from h11 import IDLE
+from h11 import MIGHT_SWITCH_PROTOCOL
+from h11 import MUST_CLOSE
 from h11 import SEND_BODY
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -40,6 +42,10 @@
 
 _RETRY_AFTER_S = 1
 
+# The last two are those of requests that end the connection, or offer another
+# protocol.
+_COMPLETE_REQUEST_STATES = (DONE, MUST_CLOSE, MIGHT_SWITCH_PROTOCOL)
+
 
 class ClientProtocol(H11Protocol, EvictableConnection):
     """Connection that keeps within the account of clients.
@@ -184,7 +190,7 @@
             )
         elif self.conn.their_state is SEND_BODY:
             self._enter(ConnectionPhase.BODY)
-        elif self.conn.their_state is DONE:
+        elif self.conn.their_state in _COMPLETE_REQUEST_STATES:
             self._enter(ConnectionPhase.ANSWER)
 
     def _enter(self, phase: ConnectionPhase) -> None:
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -59,7 +59,13 @@
         self.log = RecordingLog()
         self.gate = ClientGate(_LIMITS, self.log, "edge-0")
         self.bodies: list[bytes] = []
-        app = Starlette(routes=[Route("/", self._handle, methods=["POST"])])
+        self.release = asyncio.Event()
+        app = Starlette(
+            routes=[
+                Route("/", self._handle, methods=["POST"]),
+                Route("/slow", self._handle_slowly),
+            ]
+        )
         listener = Listener("front", _FRONT, self.gate)
         self.server = UvicornServer(app, LOOPBACK_HOST, 0, listener)
         self.server.bind()
@@ -71,6 +77,10 @@
         self.bodies.append(body.ok_value)
         return PlainTextResponse("ok")
 
+    async def _handle_slowly(self, _request: Request) -> PlainTextResponse:
+        await self.release.wait()
+        return PlainTextResponse("ok")
+
     async def connect(
         self, data: bytes
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -164,6 +174,34 @@
 
         self._run(scenario)
 
+    def test_request_that_was_passed_on_waits_for_its_answer(self) -> None:
+        """Guards against refusals of requests that take effect all the same.
+
+        A request that ends its connection or offers another protocol leaves
+        the parser in states of their own.
+        """
+
+        async def scenario(server: _Server) -> None:
+            for fields in (
+                b"",
+                b"Connection: close\r\n",
+                b"Connection: Upgrade\r\nUpgrade: h2c\r\n",
+            ):
+                server.release.clear()
+                head = b"GET /slow HTTP/1.1\r\nHost: e\r\n" + fields
+                reader, writer = await server.connect(head + b"\r\n")
+                await asyncio.sleep(0.1)
+                connections = server.gate.account.connections("front")
+                self.assertEqual(
+                    [ConnectionPhase.ANSWER], [c.phase for c in connections]
+                )
+                server.release.set()
+                self.assertIn(b"200", await reader.readline())
+                writer.close()
+                await asyncio.sleep(0.1)
+
+        self._run(scenario)
+
     def test_oversized_header_is_refused(self) -> None:
         """Guards against header fields that take much memory once parsed."""
 
