Ignore what follows the last request of a connection

The parser rejects any bytes after a request with Connection: close, such as the line end that some clients add. The client got 400 for a request that had been passed on, and its answer was dropped. RFC 9112 (9.6) has the server ignore such data.

The new test got 400 without the change and gets the answer with it; both test files of connections pass.

--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -104,7 +104,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Charge and parse received bytes, or discard them."""
-        if self._refused:
+        if self._refused or self.conn.their_state is MUST_CLOSE:
             return
         if not self._discards_body() and not self._receive(len(data)):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -202,6 +202,22 @@
 
         self._run(scenario)
 
+    def test_data_after_the_last_request_is_ignored(self) -> None:
+        """Guards against a refusal of a request that was passed on."""
+
+        async def scenario(server: _Server) -> None:
+            reader, writer = await server.connect(
+                b"GET /slow HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n"
+            )
+            await asyncio.sleep(0.1)
+            writer.write(b"\r\n")
+            await asyncio.sleep(0.1)
+            server.release.set()
+            self.assertIn(b"200", await reader.readline())
+            writer.close()
+
+        self._run(scenario)
+
     def test_oversized_header_is_refused(self) -> None:
         """Guards against header fields that take much memory once parsed."""
 
