Abort idle connections with unread responses

A closed transport waits until the client has read what is unsent, without a time limit. A client that left less than 16 KiB of its responses unsent (more pauses the server, which has a limit) kept its socket after the time limit of idle connections, and after an eviction, when the account counted its place as free: descriptors could grow past their limit.

Both cases abort the connection now. The new test fails without the change (the connection stays) and passes with it, as do the other tests of the file.

--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -160,9 +160,18 @@
             return
         if self._phase is not ConnectionPhase.NEXT_REQUEST:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif self._has_unsent_data():
+            self.transport.abort()
         # It has sent nothing lately, so that its socket has no unread data.
         self.transport.close()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close a connection on which no request has begun in time."""
+        if self._has_unsent_data():
+            self.transport.abort()
+        else:
+            super().timeout_keep_alive_handler()
+
     @property
     def _phase(self) -> ConnectionPhase | None:
         return None if self._client is None else self._client.phase
@@ -170,6 +179,13 @@
     def _receive(self, count: int) -> bool:
         return self._client is None or self._gate.receive(self._client, count)
 
+    def _has_unsent_data(self) -> bool:
+        """Tell whether the client has left a part of its responses unread.
+
+        Only aborting ends such a connection: closing waits for the client.
+        """
+        return self.transport.get_write_buffer_size() > 0
+
     def _discards_body(self) -> bool:
         """Tell whether the rest of an answered request is arriving."""
         return (
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -14,8 +14,11 @@
 
 from carawaystep.adapters.http.body_reader import read_body
 from carawaystep.adapters.http.client_gate import ClientGate
+from carawaystep.adapters.http.client_gate import EvictableConnection
 from carawaystep.adapters.http.client_gate import Listener
+from carawaystep.adapters.http.client_protocol import ClientProtocol
 from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.intake.client_connection import ClientConnection
 from carawaystep.intake.client_connection import ConnectionPhase
 from carawaystep.intake.client_limits import ClientLimits
 from carawaystep.intake.client_limits import CONNECTION_BYTES
@@ -37,6 +40,9 @@
     b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 100000\r\n\r\n"
     + b"x" * 99_999
 )
+_LARGE = b"GET /large HTTP/1.1\r\nHost: e\r\n\r\n"
+# Below the size of unsent responses at which the server stops to read.
+_LARGE_RESPONSE_BYTES = 10_000
 _FRAGMENTS = (
     _ORDINARY,
     _UNFINISHED[:9000],
@@ -52,18 +58,35 @@
 _ANSWER_LIMIT_S = 10.0
 
 
+class _RecordingGate(ClientGate):
+    """Gate that shows the connections of the server."""
+
+    def __init__(self, log: RecordingLog) -> None:
+        super().__init__(_LIMITS, log, "edge-0")
+        self.protocols: list[ClientProtocol] = []
+
+    def open(
+        self, protocol: EvictableConnection, listener: Listener, peer: str
+    ) -> ClientConnection:
+        """Record the connection."""
+        assert isinstance(protocol, ClientProtocol)
+        self.protocols.append(protocol)
+        return super().open(protocol, listener, peer)
+
+
 class _Server:
     """Server with a gate, and the bodies that its application received."""
 
     def __init__(self) -> None:
         self.log = RecordingLog()
-        self.gate = ClientGate(_LIMITS, self.log, "edge-0")
+        self.gate = _RecordingGate(self.log)
         self.bodies: list[bytes] = []
         self.release = asyncio.Event()
         app = Starlette(
             routes=[
                 Route("/", self._handle, methods=["POST"]),
                 Route("/slow", self._handle_slowly),
+                Route("/large", self._handle_largely),
             ]
         )
         listener = Listener("front", _FRONT, self.gate)
@@ -81,6 +104,9 @@
         await self.release.wait()
         return PlainTextResponse("ok")
 
+    async def _handle_largely(self, _request: Request) -> PlainTextResponse:
+        return PlainTextResponse("x" * _LARGE_RESPONSE_BYTES)
+
     async def connect(
         self, data: bytes
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -218,6 +244,38 @@
 
         self._run(scenario)
 
+    def test_idle_client_with_unread_responses_is_closed(self) -> None:
+        """Guards against sockets that stay open once they are closed.
+
+        A closed transport waits until the client has read what is unsent.
+        """
+        closes = (
+            ClientProtocol.timeout_keep_alive_handler,
+            ClientProtocol.evict,
+        )
+
+        async def scenario(server: _Server) -> None:
+            for close in closes:
+                _, writer = await server.connect(b"")
+                writer.transport.pause_reading()
+                await asyncio.sleep(0.05)
+                protocol = server.gate.protocols[-1]
+                async with asyncio.timeout(_ANSWER_LIMIT_S):
+                    while not protocol.transport.get_write_buffer_size():
+                        writer.write(_LARGE)
+                        await asyncio.sleep(0.01)
+                connections = server.gate.account.connections("front")
+                self.assertEqual(
+                    [ConnectionPhase.NEXT_REQUEST],
+                    [c.phase for c in connections],
+                )
+                close(protocol)
+                await asyncio.sleep(0.1)
+                self.assertNotIn(protocol, protocol.connections)
+                writer.close()
+
+        self._run(scenario)
+
     def test_oversized_header_is_refused(self) -> None:
         """Guards against header fields that take much memory once parsed."""
 
