Make the forecast of room a lower bound for long runs and any order

Two cases forecast a later start than the real one, so that submissions could be refused for which there was time: - What was left of a run counted as if the whole CPU could work on it. With one of four cores busy for 100 s and ten tasks of 1 s waiting, the forecast was 24 s, where the last waiting task starts at 3 s. - Work was counted in the order of the ends of its use. If work of longer use goes first, that of shorter use is of no more use before it can start: the forecast was 12.25 s, where a start is possible at 8 s.

Runs now count among the tasks that may be running at the last start, and of the waiting work only what is still of use then.

--- a/src/carawaystep/planner/room_forecaster.py
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from typing import TYPE_CHECKING
 
 from carawaystep.planner.room_forecast import LaneForecast
@@ -28,13 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class _Demand:
-    """Work of accepted tasks that could run now.
+    """Work of accepted tasks that run or could run now.
 
     :param priority: priority of its workflow
     :param best_effort: whether it uses only idle CPU
     :param count: number of tasks
     :param cpu_millis: CPU of one task, thousandths of a core
-    :param run_s: run time of one task in seconds
+    :param run_s: run time that one task still takes, seconds
     :param useful_for_s: seconds for which its result can still be of use
     :param before_equals: whether it goes before new work of its priority
     """
@@ -62,15 +63,14 @@
         beside the long-running ones
     :param lasting_cpu_millis: CPU that long-running tasks reserve, by
         priority
-    :param running: work of runs that is left in thousandths of
-        core-seconds, by priority and whether they are best-effort
+    :param running: what is left of runs
     :param waiting: tasks without a run
     """
 
     cpu_millis: int = 0
     idle_cpu_millis: float = 0.0
     lasting_cpu_millis: Counter[int] = field(default_factory=Counter)
-    running: dict[tuple[int, bool], float] = field(default_factory=dict)
+    running: list[_Demand] = field(default_factory=list)
     waiting: list[_Demand] = field(default_factory=list)
 
 
@@ -146,21 +146,25 @@
                 idle_cpu_millis += step.cpu_millis
             if not step.long_running:
                 workflow = self._registry.get(ref.workflow)
-                work = self._remaining_work(tracked, workflow)
-                kind = (tracked.priority, step.fills)
-                load.running[kind] = load.running.get(kind, 0.0) + work
+                load.running.append(self._running_demand(tracked, workflow))
         load.idle_cpu_millis += max(idle_cpu_millis, 0.0)
 
-    def _remaining_work(
+    def _running_demand(
         self, tracked: TrackedRun, workflow: Workflow | None
-    ) -> float:
-        """Return the CPU time that a run still takes at least."""
-        if workflow is None or workflow.ended or tracked.stopping:
-            return 0.0
-        left = 1.0 - min(tracked.progress_percent, 100.0) / 100
-        ratio = self._run_times.typical(workflow.spec.queue)
-        return (
-            left * ratio * tracked.step.cpu_millis * tracked.step.estimated_s
+    ) -> _Demand:
+        """Return what a run still takes at least."""
+        step = tracked.step
+        run_s = 0.0
+        if (
+            workflow is not None
+            and not workflow.ended
+            and not tracked.stopping
+        ):
+            left = 1.0 - min(tracked.progress_percent, 100.0) / 100
+            ratio = self._run_times.typical(workflow.spec.queue)
+            run_s = left * ratio * step.estimated_s
+        return _Demand(
+            tracked.priority, step.fills, 1, step.cpu_millis, run_s, inf, True
         )
 
     def _waiting_demands(
@@ -218,7 +222,7 @@
             counted = ahead if best_effort else same_kind
             room_from_s = _last_start_s(
                 counted,
-                _running_work(load, priority, best_effort),
+                _runs_kept(load, priority, best_effort),
                 _cpu_millis(load, priority, best_effort),
             )
             if room_from_s > 0:
@@ -240,41 +244,50 @@
     return load.cpu_millis - lasting_millis
 
 
-def _running_work(
+def _runs_kept(
     load: _ServiceLoad, priority: int, best_effort: bool
-) -> float:
-    """Return what is left of the runs that a priority does not displace."""
-    return sum(
-        work
-        for (run_priority, fills), work in load.running.items()
-        if run_priority <= priority and (best_effort or not fills)
-    )
+) -> list[_Demand]:
+    """Return the runs that a priority does not displace."""
+    return [
+        run
+        for run in load.running
+        if run.priority <= priority and (best_effort or not run.best_effort)
+    ]
 
 
 def _last_start_s(
-    waiting: list[_Demand], running_work: float, cpu_millis: float
+    waiting: list[_Demand], running: list[_Demand], cpu_millis: float
 ) -> float:
     """Return when the last of the waiting tasks starts at the earliest.
 
-    Work that can be of no more use by then gives way to the rest. At the
-    last start, the longest tasks may be running on all of the CPU.
+    Whatever their order is, only those must have started that are still of
+    use by then. At the last start, the longest tasks may be running on all
+    of the CPU.
 
     :returns: seconds, 0 if there may be CPU left
     """
     if cpu_millis <= 0:
         return 0.0
-    busy_s = running_work / cpu_millis
-    for demand in sorted(waiting, key=lambda demand: demand.useful_for_s):
-        done_s = busy_s + demand.work / cpu_millis
-        busy_s = max(busy_s, min(done_s, demand.useful_for_s))
-    return max(0.0, busy_s - _longest_work(waiting, cpu_millis) / cpu_millis)
-
-
-def _longest_work(waiting: list[_Demand], cpu_millis: float) -> float:
+    longest_work = _longest_work(waiting, cpu_millis)
+    # Runs that are longer than what waits may go on after the last start.
+    going_on_work = _longest_work(waiting + running, cpu_millis) - longest_work
+    run_work = sum(run.work for run in running) - going_on_work
+    done_s = run_work / cpu_millis
+    busy_s = inf
+    for demand in sorted(waiting, key=lambda demand: -demand.useful_for_s):
+        busy_s = min(busy_s, max(done_s, demand.useful_for_s))
+        done_s += demand.work / cpu_millis
+    busy_s = min(busy_s, done_s)
+    return max(0.0, busy_s - longest_work / cpu_millis)
+
+
+def _longest_work(demands: list[_Demand], cpu_millis: float) -> float:
     """Return the work of the longest tasks that fit on the CPU together."""
     work = 0.0
-    for demand in sorted(waiting, key=lambda demand: -demand.run_s):
+    for demand in sorted(demands, key=lambda demand: -demand.run_s):
         taken_millis = min(demand.count * demand.cpu_millis, cpu_millis)
         work += taken_millis * demand.run_s
         cpu_millis -= taken_millis
+        if cpu_millis <= 0:
+            break
     return work
--- a/tests/planner/test_room_forecast.py
+++ b/tests/planner/test_room_forecast.py
@@ -108,6 +108,40 @@
         self._admit(50, priority=2)
         self.assertEqual([3], [lane.priority for lane in self._lanes()])
 
+    def test_long_run_does_not_keep_the_rest_of_the_cpu(self) -> None:
+        """Guards against a refusal while one core is busy for long.
+
+        Three cores are left, on which the last waiting task starts at 3 s.
+        """
+        step = replace(_STEP, estimated_s=100.0, count=1)
+        self._admit(1, step)
+        (workflow,) = self.registry
+        ref = TaskRef(workflow.id, 0, 0, 0)
+        workflow.place(ref, self.worker.key)
+        self.worker.add(ref, TrackedRun(1, step, 1, 0.0))
+        self._admit(10, replace(_STEP, count=1), priority=0)
+        (lane,) = self._lanes()
+        self.assertGreater(lane.room_from_s, 0.0)
+        self.assertLessEqual(lane.room_from_s, 3.0)
+
+    def test_work_of_short_use_may_give_way_from_the_start(self) -> None:
+        """Guards against a refusal that holds for one order of work only.
+
+        The work of longer use takes 8 s. If it goes first, the rest is of no
+        more use before it can start.
+        """
+        self._admit(50)
+        registry = self.registry
+        for _ in range(8):
+            spec = workflow_spec(
+                _STEP,
+                replace(_STEP, estimated_s=10.0, after=(0,)),
+                id=f"{len(registry.workflows):016x}",
+            )
+            registry.add(spec)
+        (lane,) = self._lanes()
+        self.assertLessEqual(lane.room_from_s, 8.0)
+
     def test_long_running_tasks_take_room_that_is_not_preempted(self) -> None:
         """Guards against room that lasting tasks of a lower rank hold."""
         self._admit(2)
