Keep a later attempt open when an earlier one is refused

While two attempts under one id were on their way from one node, the refusal of the first one removed the entry of the second one too, which the leader was told not to refuse. A third attempt could then be refused at the node although the second one was stored.

An entry is now removed only by the attempt that made it. The new test fails without the change and passes with it, as do the other tests of the file.

--- a/src/carawaystep/scheduler/open_submissions.py
+++ b/src/carawaystep/scheduler/open_submissions.py
@@ -29,9 +29,15 @@
         while len(self._passed_on_at) > _MAX_IDS:
             del self._passed_on_at[next(iter(self._passed_on_at))]
 
-    def close(self, workflow_id: str) -> None:
-        """Record that a submission certainly takes no effect."""
-        self._passed_on_at.pop(workflow_id, None)
+    def close(self, workflow_id: str, passed_on_at: float) -> None:
+        """Record that an attempt certainly takes no effect.
+
+        A later attempt that was passed on meanwhile stays open.
+
+        :param passed_on_at: when it was added, seconds, monotonic
+        """
+        if self._passed_on_at.get(workflow_id) == passed_on_at:
+            del self._passed_on_at[workflow_id]
 
     def may_be_stored(self, workflow_id: str, now: float) -> bool:
         """Tell whether an earlier attempt may take effect.
--- a/src/carawaystep/scheduler/workflow_service.py
+++ b/src/carawaystep/scheduler/workflow_service.py
@@ -86,7 +86,7 @@
             CallOutcome.INVALID,
         )
         if certainly_absent and not may_be_stored:
-            open_submissions.close(spec.id)
+            open_submissions.close(spec.id, now)
         return answer
 
     def _find_refusal(self, spec: WorkflowSpec) -> Refusal | None:
--- a/tests/scheduler/test_admission.py
+++ b/tests/scheduler/test_admission.py
@@ -244,3 +244,34 @@
             spec = replace(_SPEC, accepted_at_s=accepted_at_s)
             restored = self.member.admission.restore_first_attempt(spec)
             self.assertEqual(expected, restored.accepted_at_s)
+
+    def test_refused_attempt_does_not_settle_a_later_one(self) -> None:
+        """Guards against refusing an id while an attempt may be stored.
+
+        The leader is told not to refuse the second attempt, because the
+        first one is still open.
+        """
+        refused = CallReply(1, False, refused=True, refusal=Refusal(6.0, 3.0))
+
+        async def scenario() -> None:
+            replies = [asyncio.Future[CallReply]() for _ in range(2)]
+            waiting = iter(replies)
+
+            async def submit(*_: object) -> CallReply:
+                return await next(waiting)
+
+            self.member.submit = submit  # type: ignore[assignment]
+            first = asyncio.create_task(self.service.submit(_SPEC))
+            await asyncio.sleep(0)
+            self.now += 0.1
+            second = asyncio.create_task(self.service.submit(_SPEC))
+            await asyncio.sleep(0)
+            replies[0].set_result(refused)
+            self.assertEqual(CallOutcome.REFUSED, (await first).outcome)
+            submissions = self.member.admission.open_submissions
+            self.assertTrue(submissions.may_be_stored(_SPEC.id, self.now))
+            replies[1].set_result(CallReply(2, True))
+            self.assertEqual(CallOutcome.ACCEPTED, (await second).outcome)
+
+        self.member.admission.forecast.start_term()
+        asyncio.run(scenario())
