Forget the connection of an invalid message between processes

While connections of strangers are there, the connection of each message is kept until its valid message is recognized.

An invalid message removes its entry.

--- a/src/carawaystep/adapters/zmq/cluster_server.py
+++ b/src/carawaystep/adapters/zmq/cluster_server.py
@@ -62,6 +62,10 @@
         if self._descriptors:
             self._guard.recognize(self._descriptors.pop(peer, -1))
 
+    def forget(self, peer: bytes) -> None:
+        """Record that an invalid message of a peer has arrived."""
+        self._descriptors.pop(peer, None)
+
     def close(self) -> None:
         """Close the guard and the socket."""
         self._guard.close()
@@ -122,6 +126,7 @@
             if message is not None and len(frames) == 2:
                 self._socket.recognize(frames[0])
                 return frames[0], cast("FromLeader", message)
+            self._socket.forget(frames[0])
 
     async def send(self, leader: bytes, message: FromMember) -> bool:
         """Queue a message; False when it cannot be queued at once.
--- a/tests/adapters/zmq/test_cluster_channel.py
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 
 from testtools import TestCase
+from zmq import Context
+from zmq import DEALER
+from zmq import LINGER
 
 from carawaystep.adapters.zmq.cluster_channel import ClusterChannel
 from carawaystep.adapters.zmq.cluster_server import ClusterServer
@@ -133,6 +136,29 @@
 
         self._run(check)
 
+    def test_invalid_messages_leave_nothing_behind(self) -> None:
+        """Guards against memory that grows with each stranger.
+
+        Each one has an identity of its own.
+        """
+
+        async def check(server: ClusterServer, _: ClusterChannel) -> None:
+            received = asyncio.create_task(server.receive())
+            port = int(server.address.rpartition(":")[2])
+            _, silent = await asyncio.open_connection(LOOPBACK_HOST, port)
+            await asyncio.sleep(_CONNECT_S)
+            for _ in range(3):
+                with Context.instance().socket(DEALER) as stranger:
+                    stranger.setsockopt(LINGER, 0)
+                    stranger.connect(server.address)
+                    stranger.send(b"invalid")
+                    await asyncio.sleep(0.1)
+            self.assertEqual({}, server._socket._descriptors)
+            silent.close()
+            received.cancel()
+
+        self._run(check)
+
     def test_messages_wait_while_nobody_takes_them(self) -> None:
         """Guards against losing messages above the limit of a batch."""
 
