--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -8,7 +8,7 @@
 
 from h11 import DONE
 from h11 import IDLE
-from h11 import MIGHT_SWITCH_PROTOCOL
+from h11 import MIGHT_SWITCH_PROTOCOL  # type: ignore[attr-defined]
 from h11 import MUST_CLOSE
 from h11 import SEND_BODY
 from uvicorn.protocols.http.h11_impl import H11Protocol
@@ -42,8 +42,8 @@
 
 _RETRY_AFTER_S = 1
 
-# The last two are those of requests that end the connection, or offer another
-# protocol.
+# The last one is the state after a request that offers another protocol, which
+# the server declines.
 _COMPLETE_REQUEST_STATES = (DONE, MUST_CLOSE, MIGHT_SWITCH_PROTOCOL)
 
 
