Survive a reset of a connection that is being refused

Shutting down a socket fails with ENOTCONN if the client has reset it after the refusal was written. The error ended the opening of the connection for which room was made: it stayed in the account for good and its bytes were not counted.

The error is ignored; the end of the connection is reported as before. The new test fails without the change and passes with it, as do the other tests of the file.

--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
@@ -253,7 +254,9 @@
             self.transport.abort()
             return
         self.transport.write(_refusal(status))
-        self.transport.write_eof()
+        # A connection that the client has reset meanwhile cannot be shut down.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
         self.flow.resume_reading()
         self._set_deadline(_LINGER_TIMEOUT_S)
 
--- a/tests/adapters/http/test_client_protocol.py
+++ b/tests/adapters/http/test_client_protocol.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from errno import ENOTCONN
 from random import Random
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from result import Err
 from starlette.applications import Starlette
@@ -86,7 +88,7 @@
             routes=[
                 Route("/", self._handle, methods=["POST"]),
                 Route("/slow", self._handle_slowly),
-                Route("/large", self._handle_largely),
+                Route("/large", self._handle_large),
             ]
         )
         listener = Listener("front", _FRONT, self.gate)
@@ -104,7 +106,7 @@
         await self.release.wait()
         return PlainTextResponse("ok")
 
-    async def _handle_largely(self, _request: Request) -> PlainTextResponse:
+    async def _handle_large(self, _request: Request) -> PlainTextResponse:
         return PlainTextResponse("x" * _LARGE_RESPONSE_BYTES)
 
     async def connect(
@@ -276,6 +278,24 @@
 
         self._run(scenario)
 
+    def test_reset_during_a_refusal_ends_only_that_connection(self) -> None:
+        """Guards against an error in the connection that takes the place."""
+
+        async def scenario(server: _Server) -> None:
+            _, writer = await server.connect(_UNFINISHED)
+            await asyncio.sleep(0.1)
+            (protocol,) = server.gate.protocols
+            reset = OSError(ENOTCONN, "reset by the client")
+            with patch.object(
+                protocol.transport, "write_eof", side_effect=reset
+            ):
+                protocol.evict()
+            await asyncio.sleep(0.1)
+            self.assertNotIn(protocol, protocol.connections)
+            writer.close()
+
+        self._run(scenario)
+
     def test_oversized_header_is_refused(self) -> None:
         """Guards against header fields that take much memory once parsed."""
 
