Close strangers also while no descriptor is free

Shutting down a connection duplicates its descriptor. Without a free one this failed, and the connection was no longer counted: strangers who had taken all descriptors could stay.

The process now tries again each quarter of a second.

--- a/src/carawaystep/adapters/zmq/connection_guard.py
+++ b/src/carawaystep/adapters/zmq/connection_guard.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from errno import EMFILE
 import os
 from socket import SHUT_RDWR
 from socket import socket as TcpSocket
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from zmq import Socket
 
+# A process without a free descriptor tries again to end a connection.
+_RETRY_S = 0.25
 _EVENTS = Event.ACCEPTED | Event.DISCONNECTED | Event.CLOSED
 
 
@@ -87,8 +90,15 @@
         libzmq may have closed the descriptor meanwhile, and it may belong to
         something else: only connections to the port are shut down.
         """
-        with contextlib.suppress(OSError):
+        try:
             duplicate = os.dup(descriptor)
-            with TcpSocket(fileno=duplicate) as connection:
-                if connection.getsockname()[1] == self._port:
-                    connection.shutdown(SHUT_RDWR)
+        except OSError as error:
+            if error.errno == EMFILE:
+                self._loop.call_later(_RETRY_S, self._shut_down, descriptor)
+            return
+        with (
+            contextlib.suppress(OSError),
+            TcpSocket(fileno=duplicate) as connection,
+        ):
+            if connection.getsockname()[1] == self._port:
+                connection.shutdown(SHUT_RDWR)
--- a/tests/adapters/zmq/test_cluster_channel.py
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from errno import EMFILE
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from testtools import TestCase
 from zmq import Context
@@ -136,6 +138,23 @@
 
         self._run(check)
 
+    def test_strangers_are_closed_without_free_descriptors(self) -> None:
+        """Guards against strangers that stay once they have taken all."""
+
+        async def check(server: ClusterServer, _: ClusterChannel) -> None:
+            port = int(server.address.rpartition(":")[2])
+            lack = OSError(EMFILE, "too many open files")
+            with patch("os.dup", side_effect=lack):
+                reader, writer = await asyncio.open_connection(
+                    LOOPBACK_HOST, port
+                )
+                # Longer than a stranger may stay.
+                await asyncio.sleep(2.2)
+            await reader.read()
+            writer.close()
+
+        self._run(check)
+
     def test_invalid_messages_leave_nothing_behind(self) -> None:
         """Guards against memory that grows with each stranger.
 
