Refuse no submission that may fit in a gap beside larger waiting tasks

A submission could be refused if its tasks were as large as the smallest one that waits. With one of four cores busy, a task of one core and fifty of four cores waiting, the forecast of 4.25 s was applied to a new task of one core, for which three cores were idle.

The lane now names the largest task that waits, and smaller submissions are not refused. The log field of room.exhausted is largest_cpu.

--- a/src/carawaystep/planner/refusal.py
+++ b/src/carawaystep/planner/refusal.py
@@ -44,7 +44,7 @@
     lane = forecast.lane(spec.service, spec.priority, spec.best_effort)
     if lane is None:
         return None
-    if any(s.cpu_millis < lane.smallest_cpu_millis for s in spec.steps):
+    if any(s.cpu_millis < lane.largest_cpu_millis for s in spec.steps):
         return None
     ratio = forecast.shortest_run_ratios.get(spec.queue, 0.0)
     shortest_run_s = ratio * spec.critical_path_s()
--- a/src/carawaystep/planner/room_forecast.py
+++ b/src/carawaystep/planner/room_forecast.py
@@ -14,15 +14,15 @@
     :param best_effort: whether it is for steps that use only idle CPU
     :param room_from_s: seconds after the forecast for which accepted work
         that goes before any new submission takes all of the CPU
-    :param smallest_cpu_millis: CPU of the smallest task that waits; a
-        smaller one may find a gap, thousandths of a core
+    :param largest_cpu_millis: CPU of the largest task that waits; a smaller
+        one may find a gap, thousandths of a core
     """
 
     service: str
     priority: int
     best_effort: bool
     room_from_s: float
-    smallest_cpu_millis: int
+    largest_cpu_millis: int
 
 
 class RoomForecast(msgspec.Struct, array_like=True, frozen=True):
--- a/src/carawaystep/planner/room_forecaster.py
+++ b/src/carawaystep/planner/room_forecaster.py
@@ -226,9 +226,9 @@
                 _cpu_millis(load, priority, best_effort),
             )
             if room_from_s > 0:
-                smallest = min(demand.cpu_millis for demand in same_kind)
+                largest = max(demand.cpu_millis for demand in counted)
                 yield LaneForecast(
-                    service, priority, best_effort, room_from_s, smallest
+                    service, priority, best_effort, room_from_s, largest
                 )
 
 
--- a/src/carawaystep/scheduler/room_publisher.py
+++ b/src/carawaystep/scheduler/room_publisher.py
@@ -67,5 +67,5 @@
             priority=lane.priority,
             best_effort=lane.best_effort,
             room_from_s=lane.room_from_s,
-            smallest_cpu=lane.smallest_cpu_millis,
+            largest_cpu=lane.largest_cpu_millis,
         )
--- a/tests/planner/test_room_forecast.py
+++ b/tests/planner/test_room_forecast.py
@@ -8,6 +8,7 @@
 
 from carawaystep.fleet.tracked_run import TrackedRun
 from carawaystep.fleet.tracked_worker import TrackedWorker
+from carawaystep.planner.refusal import find_refusal
 from carawaystep.planner.room_forecast import LaneForecast
 from carawaystep.planner.room_forecaster import RoomForecaster
 from carawaystep.planner.run_time_ratios import RunTimeRatios
@@ -124,6 +125,27 @@
         self.assertGreater(lane.room_from_s, 0.0)
         self.assertLessEqual(lane.room_from_s, 3.0)
 
+    def test_small_task_is_not_refused_behind_larger_ones(self) -> None:
+        """Guards against a refusal while a gap is left.
+
+        Three cores are idle, which the tasks of four cores cannot use.
+        """
+        step = replace(_STEP, estimated_s=100.0, count=1)
+        self._admit(1, step)
+        (workflow,) = self.registry
+        ref = TaskRef(workflow.id, 0, 0, 0)
+        workflow.place(ref, self.worker.key)
+        self.worker.add(ref, TrackedRun(1, step, 1, 0.0))
+        self._admit(1, replace(_STEP, count=1))
+        self._admit(50, replace(_STEP, count=1, cpu_millis=4000))
+        forecaster = RoomForecaster(self.registry, self.run_times)
+        forecast = forecaster.forecast([self.worker], 0.0, _WALL_NOW)
+        for cpu_millis, refused in ((1000, False), (4000, True)):
+            step = replace(_STEP, cpu_millis=cpu_millis)
+            spec = workflow_spec(step, priority=1)
+            refusal = find_refusal(spec, forecast, 0.0, waited_s=4.0)
+            self.assertEqual(refused, refusal is not None)
+
     def test_work_of_short_use_may_give_way_from_the_start(self) -> None:
         """Guards against a refusal that holds for one order of work only.
 
