--- a/src/carawaystep/adapters/http/client_protocol.py
+++ b/src/carawaystep/adapters/http/client_protocol.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
 
 from h11 import DONE
 from h11 import IDLE
+from h11 import MIGHT_SWITCH_PROTOCOL  # type: ignore[attr-defined]
+from h11 import MUST_CLOSE
 from h11 import SEND_BODY
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -40,6 +43,10 @@
 
 _RETRY_AFTER_S = 1
 
+# The last one is the state after a request that offers another protocol, which
+# the server declines.
+_COMPLETE_REQUEST_STATES = (DONE, MUST_CLOSE, MIGHT_SWITCH_PROTOCOL)
+
 
 class ClientProtocol(H11Protocol, EvictableConnection):
     """Connection that keeps within the account of clients.
@@ -98,7 +105,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Charge and parse received bytes, or discard them."""
-        if self._refused:
+        if self._refused or self.conn.their_state is MUST_CLOSE:
             return
         if not self._discards_body() and not self._receive(len(data)):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -154,9 +161,18 @@
             return
         if self._phase is not ConnectionPhase.NEXT_REQUEST:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif self._has_unsent_data():
+            self.transport.abort()
         # It has sent nothing lately, so that its socket has no unread data.
         self.transport.close()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close a connection on which no request has begun in time."""
+        if self._has_unsent_data():
+            self.transport.abort()
+        else:
+            super().timeout_keep_alive_handler()
+
     @property
     def _phase(self) -> ConnectionPhase | None:
         return None if self._client is None else self._client.phase
@@ -164,6 +180,13 @@
     def _receive(self, count: int) -> bool:
         return self._client is None or self._gate.receive(self._client, count)
 
+    def _has_unsent_data(self) -> bool:
+        """Tell whether the client has left a part of its responses unread.
+
+        Only aborting ends such a connection: closing waits for the client.
+        """
+        return self.transport.get_write_buffer_size() > 0
+
     def _discards_body(self) -> bool:
         """Tell whether the rest of an answered request is arriving."""
         return (
@@ -184,7 +207,7 @@
             )
         elif self.conn.their_state is SEND_BODY:
             self._enter(ConnectionPhase.BODY)
-        elif self.conn.their_state is DONE:
+        elif self.conn.their_state in _COMPLETE_REQUEST_STATES:
             self._enter(ConnectionPhase.ANSWER)
 
     def _enter(self, phase: ConnectionPhase) -> None:
@@ -231,7 +254,9 @@
             self.transport.abort()
             return
         self.transport.write(_refusal(status))
-        self.transport.write_eof()
+        # A connection that the client has reset meanwhile cannot be shut down.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
         self.flow.resume_reading()
         self._set_deadline(_LINGER_TIMEOUT_S)
 
