Suspend no sound worker for failures of long-running tasks

A worker was suspended once tasks of two workflows had failed on it without a success in between. Long-running tasks never end as done, so that on a worker with such tasks only, each failure suspended it, for twice as long each time.

A run that was at work for 3 s before it failed counts for the worker, and failures that lie 30 s apart do not add up. A suspension lasts 6 s at most, so that a task that only one worker can take is back within the 9 s that callers accept.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -42,6 +42,8 @@
     :param confirmed: whether an answer or a report has shown that it started
     :param over_target_since: when the tail of a serving task was first
         reported over its target, None while it is within the target
+    :param at_work_since: when a long-running task was first reported as at
+        work, None before that
     """
 
     run: int
@@ -61,6 +63,7 @@
     pace_unanswered_at: float | None = None
     confirmed: bool = False
     over_target_since: float | None = None
+    at_work_since: float | None = None
 
     @property
     def start_ruled_out(self) -> bool:
@@ -80,6 +83,24 @@
         """Tell whether it is being stopped or is not long-running."""
         return self.stopping or not self.step.long_running
 
+    def record_progress(self, now: float) -> None:
+        """Record since when a long-running task has been at work.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        if not self.step.long_running or self.progress_percent < 100:
+            self.at_work_since = None
+        elif self.at_work_since is None:
+            self.at_work_since = now
+
+    def worked_s(self, now: float) -> float:
+        """Return for how long a long-running task has been at work.
+
+        :param now: current time, seconds of a monotonic clock
+        :returns: seconds, 0 for any other task
+        """
+        return 0.0 if self.at_work_since is None else now - self.at_work_since
+
     def confirm_stop(self) -> None:
         """Count reports without a run in doubt once its stop is confirmed.
 
--- a/src/carawaystep/fleet/worker_health.py
+++ b/src/carawaystep/fleet/worker_health.py
@@ -7,7 +7,10 @@
 # the tasks of a faulty workflow fail on every worker.
 _SUSPEND_AFTER_FAILED_WORKFLOWS = 2
 _FIRST_SUSPENSION_S = 3.0
-_MAX_SUSPENSION_S = 12.0
+# A long-running task that only this worker can take is away for longer.
+_MAX_SUSPENSION_S = 6.0
+# Failures that lie further apart have different causes.
+_FAILURE_MEMORY_S = 30.0
 _REFUSED_OR_UNANSWERED_SUSPENSION_S = 1.0
 _UNSENT_ORDER_SUSPENSION_S = 0.2
 
@@ -15,13 +18,14 @@
 class WorkerHealth:
     """Suspends a worker after repeated failures and refused orders.
 
-    Suspensions after failed runs double in length until a run succeeds.
-    Those after refused, unanswered and unsent orders have fixed lengths.
+    Suspensions after failed runs double in length until a run succeeds or
+    none has failed for some time. Those after refused, unanswered and unsent
+    orders have fixed lengths.
     """
 
     def __init__(self) -> None:
         """Create the health of a worker without results."""
-        self._failed_workflows: set[str] = set()
+        self._failed_workflows: dict[str, float] = {}
         self._suspended_until = 0.0
         self._suspension_s = _FIRST_SUSPENSION_S
 
@@ -41,7 +45,8 @@
         :param now: current time, seconds of a monotonic clock
         :returns: True when this failure suspends the worker
         """
-        self._failed_workflows.add(workflow)
+        self._forget_failures(now - _FAILURE_MEMORY_S)
+        self._failed_workflows[workflow] = now
         if len(
             self._failed_workflows
         ) < _SUSPEND_AFTER_FAILED_WORKFLOWS or self.is_suspended(now):
@@ -60,3 +65,11 @@
         """Suspend the worker briefly after an order that was not sent."""
         until = now + _UNSENT_ORDER_SUSPENSION_S
         self._suspended_until = max(self._suspended_until, until)
+
+    def _forget_failures(self, before: float) -> None:
+        """Forget workflows without a failure since a time."""
+        for workflow, failed_at in list(self._failed_workflows.items()):
+            if failed_at < before:
+                del self._failed_workflows[workflow]
+        if not self._failed_workflows:
+            self._suspension_s = _FIRST_SUSPENSION_S
--- a/src/carawaystep/planner/reported_runs.py
+++ b/src/carawaystep/planner/reported_runs.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_report import EndedRun
     from carawaystep.fleet.worker_report import ReportedRun
@@ -26,6 +27,11 @@
     from carawaystep.workflow.task_ref import TaskRef
 
 
+# A worker on which a long-running task was at work for this time is sound: the
+# task has failed by itself.
+_SOUND_AFTER_S = 3.0
+
+
 class ReportedRuns:
     """Applies ended, running and missing runs to workflows and workers.
 
@@ -93,10 +99,8 @@
                 self._run_times.record(
                     workflow.spec.queue, tracked.step.estimated_s, seconds
                 )
-        elif end is RunEnd.FAILED and worker.health.record_failure(
-            ref.workflow, now
-        ):
-            self._log.line("worker.suspended", worker.key.id, task=str(ref))
+        elif end is RunEnd.FAILED:
+            self._record_failure(worker, ref, tracked, now)
         for gang_task in gang_tasks:
             if workflow.task(gang_task).state is TaskState.DONE:
                 self._remove_from_all_workers(gang_task, run)
@@ -113,6 +117,19 @@
         if workflow.ended:
             self._stopper.stop_workflow(workflow, "workflow-ended")
 
+    def _record_failure(
+        self,
+        worker: TrackedWorker,
+        ref: TaskRef,
+        tracked: TrackedRun | None,
+        now: float,
+    ) -> None:
+        """Count a failed run against the worker, unless that was sound."""
+        if tracked is not None and tracked.worked_s(now) >= _SOUND_AFTER_S:
+            worker.health.record_success()
+        elif worker.health.record_failure(ref.workflow, now):
+            self._log.line("worker.suspended", worker.key.id, task=str(ref))
+
     def apply_running(
         self, worker: TrackedWorker, report: WorkerReport, now: float
     ) -> None:
@@ -156,6 +173,7 @@
             return False
         tracked.progress_percent = item.progress_percent
         tracked.tail_ms_or_cpu_millis = item.tail_ms_or_cpu_millis
+        tracked.record_progress(now)
         if not tracked.confirmed:
             tracked.confirmed = True
             self._times.record_started(item.ref, now)
--- a/tests/planner/test_long_running_tasks.py
+++ b/tests/planner/test_long_running_tasks.py
@@ -12,6 +12,7 @@
 from tests.planner.planners import plan_and_take_starts
 from tests.planner.planners import planner_with_workers
 from tests.planner.planners import report
+from tests.planner.planners import running
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
@@ -83,6 +84,27 @@
         (again,) = plan_and_take_starts(planner, 0.5)
         self.assertNotEqual(start.worker, again.worker)
 
+    def test_failures_of_tasks_that_were_at_work_suspend_no_worker(
+        self,
+    ) -> None:
+        """Guards against standing tasks that are kept from a sound worker."""
+        planner = planner_with_workers("w1")
+        standing = StepSpec(
+            1, cpu_millis=1000, memory_mb=10, long_running=True
+        )
+        for workflow_id in ("a" * 16, "b" * 16):
+            planner.admit(workflow_spec(standing, id=workflow_id), False)
+        starts = plan_and_take_starts(planner)
+        for now in (1.0, 4.5):
+            runs = [running(start, 100.0) for start in starts]
+            planner.handle_report(report("w1", runs), now)
+        ends = [
+            EndedRun(number, start.ref, start.run, RunEnd.FAILED, "")
+            for number, start in enumerate(starts, 1)
+        ]
+        planner.handle_report(report("w1", [], ends), 5.0)
+        self.assertEqual(2, len(plan_and_take_starts(planner, 5.0)))
+
     def test_new_long_running_task_waits_behind_work_that_can_be_on_time(
         self,
     ) -> None:
