Count only what others add to the tail of a serving task as harm

A tail over the target that no best-effort task can have raised is the task's own. Such a task counts as harmed only if its tail rises by a further quarter, and its worker comes after others. The line interference.harm says for how long serving tasks were over their targets beside what.

--- a/src/carawaystep/fleet/tracked_run.py
+++ b/src/carawaystep/fleet/tracked_run.py
@@ -41,7 +41,9 @@
         None if all orders had one; the worker may carry it out late
     :param confirmed: whether an answer or a report has shown that it started
     :param over_target_since: when the tail of a serving task was first
-        reported over its target, None while it is within the target
+        reported as harmed by other tasks, None while it is not
+    :param own_tail_ms: tail of a serving task that is over its target by its
+        own load, as last reported without other causes; 0 if it is not
     :param at_work_since: when a long-running task was first reported as at
         work, None before that
     """
@@ -63,6 +65,7 @@
     pace_unanswered_at: float | None = None
     confirmed: bool = False
     over_target_since: float | None = None
+    own_tail_ms: float = 0.0
     at_work_since: float | None = None
 
     @property
--- a/src/carawaystep/fleet/tracked_worker.py
+++ b/src/carawaystep/fleet/tracked_worker.py
@@ -53,6 +53,8 @@
         self._last_report_at: float | None = None
         self._leaving = False
         self._best_effort_blocked_until = 0.0
+        # Serving tasks that are over their target by their own load.
+        self.strained_task_count = 0
         self.health = WorkerHealth()
 
     @property
--- a/src/carawaystep/planner/interference_aware_placement.py
+++ b/src/carawaystep/planner/interference_aware_placement.py
@@ -64,6 +64,8 @@
         return (
             not has_spare_cpu,
             not self._leaves_memory(step, worker),
+            # Beside tasks over their target, harm shows late.
+            worker.strained_task_count,
             self._interference.expected_harm(step.image, worker),
             -worker.estimated_spare_cpu_millis,
         )
@@ -82,6 +84,7 @@
             return None
         return (
             _off_preferred_rack(step, worker),
+            worker.strained_task_count,
             self._interference.expected_harm(step.image, worker),
             -worker.estimated_spare_cpu_millis,
         )
--- a/src/carawaystep/planner/interference_guard.py
+++ b/src/carawaystep/planner/interference_guard.py
@@ -5,9 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from carawaystep.fleet.tracked_worker import REPORT_STALE_AFTER_S
+from carawaystep.planner.harm_statistics import HarmStatistics
+
 if TYPE_CHECKING:
     from carawaystep.fleet.tracked_run import TrackedRun
     from carawaystep.fleet.tracked_worker import TrackedWorker
+    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.workflow.task_ref import TaskRef
 
@@ -57,6 +61,19 @@
         :param interference: learns which images harm which
         """
         self._interference = interference
+        self._statistics = HarmStatistics()
+        # Time of the last report, by worker.
+        self._reported_at: dict[WorkerKey, float] = {}
+
+    def take_statistics(self) -> HarmStatistics:
+        """Return the statistics since the last call."""
+        statistics, self._statistics = self._statistics, HarmStatistics()
+        return statistics
+
+    def forget_worker(self, worker: WorkerKey) -> None:
+        """Drop what is known of a removed worker."""
+        self._reported_at.pop(worker, None)
+        self._interference.forget_worker(worker)
 
     def process_report(
         self, worker: TrackedWorker, now: float
@@ -66,22 +83,37 @@
         :param worker: worker whose runs hold the values just reported
         :param now: current time, seconds of a monotonic clock
         """
+        self._interference.observe(worker, now)
+        since_report_s = min(
+            now - self._reported_at.get(worker.key, now), REPORT_STALE_AFTER_S
+        )
+        self._reported_at[worker.key] = now
         for tracked in worker.runs.values():
             self._track_harm(worker, tracked, now)
-        self._interference.observe(worker, now)
+            self._record_over_target(worker, tracked, since_report_s)
         actions = [*self._protect(worker, now), *self._resume(worker, now)]
         return [*actions, *self._repeat_paces(worker, actions, now)]
 
     def _track_harm(
         self, worker: TrackedWorker, tracked: TrackedRun, now: float
     ) -> None:
-        if not self._interference.is_harmed(tracked):
+        if not self._interference.is_harmed(worker, tracked):
             tracked.over_target_since = None
             return
         worker.block_best_effort(now + _BLOCK_AFTER_HARM_S)
         if tracked.over_target_since is None:
             tracked.over_target_since = now
 
+    def _record_over_target(
+        self, worker: TrackedWorker, tracked: TrackedRun, seconds: float
+    ) -> None:
+        if self._interference.reports_tail(tracked) and (
+            tracked.tail_ms_or_cpu_millis > tracked.step.tail_target_ms
+        ):
+            self._statistics.record_over_target(
+                self._interference.cause_beside(worker, tracked), seconds
+            )
+
     def _protect(self, worker: TrackedWorker, now: float) -> list[GuardAction]:
         """Halt, move or slow best-effort tasks while a task is harmed.
 
@@ -120,6 +152,13 @@
             if self._is_active_best_effort(tracked, {antagonist})
         ]
 
+    def record_moved(self, tracked: TrackedRun, now: float) -> None:
+        """Record that a run was stopped to be placed elsewhere.
+
+        :param now: current time, seconds of a monotonic clock
+        """
+        self._statistics.record_moved(now - tracked.placed_at)
+
     def _resume(self, worker: TrackedWorker, now: float) -> list[GuardAction]:
         """Raise the pace of slowed tasks on a worker without recent harm."""
         if not worker.accepts_best_effort(now):
--- a/src/carawaystep/planner/interference_model.py
+++ b/src/carawaystep/planner/interference_model.py
@@ -12,6 +12,8 @@
 from math import prod
 from typing import TYPE_CHECKING
 
+from carawaystep.planner.harm_statistics import HarmCause
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,13 +21,16 @@
     from carawaystep.fleet.tracked_worker import TrackedWorker
     from carawaystep.fleet.worker_key import WorkerKey
 
-# Ratios of a tail latency to its target. A task is harmed above the first; its
-# tail is evidence of no harm below the second.
+# Ratios of a tail latency to the highest one without harm. A task is harmed
+# above the first; its tail is evidence of no harm below the second.
 _HARMED_RATIO = 1.0
 _UNHARMED_RATIO = 0.9
 # A harmful image raises tails to a multiple of the target. Smaller excesses
 # come from the load of the serving task itself and are no evidence.
 _EVIDENT_HARM_RATIO = 2.5
+# The own load of a serving task changes: a tail up to this multiple of the one
+# without best-effort tasks is no harm.
+_OWN_LOAD_MARGIN = 1.25
 
 # Probability that a pair is harmful before the first evidence.
 _PRIOR_PROBABILITY = 0.2
@@ -182,6 +187,7 @@
             for image, since in observations.full_pace_since.items()
             if now - since > _TAIL_WINDOW_S
         }
+        self._update_own_tails(observations, worker)
         for serving, ratio in self._worst_ratios(worker).items():
             if ratio > _EVIDENT_HARM_RATIO:
                 # Later reports of the same harm are no new evidence.
@@ -227,7 +233,7 @@
         harmed = {
             tracked.step.image
             for tracked in worker.runs.values()
-            if self.is_harmed(tracked)
+            if self.is_harmed(worker, tracked)
         }
         best_effort = {
             tracked.step.image
@@ -281,13 +287,40 @@
         """Drop the observations on a removed worker."""
         self._observations.pop(worker, None)
 
-    def is_harmed(self, tracked: TrackedRun) -> bool:
-        """Tell whether a serving task exceeds its tail latency target."""
+    def is_harmed(self, worker: TrackedWorker, tracked: TrackedRun) -> bool:
+        """Tell whether other tasks may raise a tail above its target.
+
+        A serving task that is over its target by its own load is harmed only
+        if its tail rises further.
+
+        :param worker: worker of the run
+        """
         return (
             self.reports_tail(tracked)
-            and tracked.tail_ms_or_cpu_millis
-            > _HARMED_RATIO * tracked.step.tail_target_ms
+            and self._ratio(worker, tracked) > _HARMED_RATIO
+        )
+
+    def cause_beside(
+        self, worker: TrackedWorker, tracked: TrackedRun
+    ) -> HarmCause:
+        """Return what may have taken a serving task over its target."""
+        observations = self._observations.get(worker.key)
+        probability = max(
+            (
+                self.probability(image, tracked.step.image)
+                for image in (
+                    observations.present_since if observations else ()
+                )
+            ),
+            default=None,
         )
+        if probability is None:
+            return HarmCause.NONE
+        if probability >= _HARMFUL_PROBABILITY:
+            return HarmCause.KNOWN
+        if probability > _HARMLESS_PROBABILITY:
+            return HarmCause.UNCERTAIN
+        return HarmCause.HARMLESS
 
     @staticmethod
     def reports_tail(tracked: TrackedRun) -> bool:
@@ -350,14 +383,55 @@
         }
         return started_recently or set(observations.present_since)
 
+    def _update_own_tails(
+        self, observations: _WorkerObservations, worker: TrackedWorker
+    ) -> None:
+        """Record which serving tasks are over their target by their own load.
+
+        Only a tail that no best-effort task can have raised shows it.
+        """
+        disturbed = bool(observations.present_since) or any(
+            tracked.step.fills and tracked.pace_percent
+            for tracked in worker.runs.values()
+        )
+        for tracked in worker.runs.values():
+            tail_ms = tracked.tail_ms_or_cpu_millis
+            if not self.reports_tail(tracked):
+                continue
+            if tail_ms <= tracked.step.tail_target_ms:
+                tracked.own_tail_ms = 0.0
+            elif not disturbed:
+                tracked.own_tail_ms = tail_ms
+        worker.strained_task_count = sum(
+            1 for tracked in worker.runs.values() if tracked.own_tail_ms
+        )
+
+    def _ratio(self, worker: TrackedWorker, tracked: TrackedRun) -> float:
+        """Return the ratio of a tail to the highest one without harm.
+
+        That is the target, or more if the task is over it by its own load.
+        Beside an image that likely harms the task it is the target: its own
+        load may have fallen meanwhile.
+        """
+        unharmed_ms = tracked.step.tail_target_ms
+        if tracked.own_tail_ms and not any(
+            other.step.fills
+            and other.pace_percent
+            and self.probability(other.step.image, tracked.step.image)
+            >= _HARMFUL_PROBABILITY
+            for other in worker.runs.values()
+        ):
+            unharmed_ms = max(
+                unharmed_ms, _OWN_LOAD_MARGIN * tracked.own_tail_ms
+            )
+        return tracked.tail_ms_or_cpu_millis / unharmed_ms
+
     def _worst_ratios(self, worker: TrackedWorker) -> dict[str, float]:
-        """Return the highest ratio of tail to target by serving image."""
+        """Return the highest ratio by serving image, see :meth:`_ratio`."""
         worst: dict[str, float] = {}
         for tracked in worker.runs.values():
             if self.reports_tail(tracked):
-                ratio = (
-                    tracked.tail_ms_or_cpu_millis / tracked.step.tail_target_ms
-                )
+                ratio = self._ratio(worker, tracked)
                 image = tracked.step.image
                 worst[image] = max(ratio, worst.get(image, 0.0))
         return worst
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -43,6 +43,7 @@
     from carawaystep.planner.advice_request import AdviceRequest
     from carawaystep.planner.contact_times import ContactTimes
     from carawaystep.planner.decision_log import DecisionLog
+    from carawaystep.planner.harm_statistics import HarmStatistics
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.room_forecast import RoomForecast
@@ -87,7 +88,6 @@
             there never are any
         """
         zones = evacuated_zones or EvacuatedZones(in_force=False)
-        self._interference = interference
         self._guard = InterferenceGuard(interference)
         self._log = log
         self._registry = WorkflowRegistry(order)
@@ -255,7 +255,7 @@
         :param now: current time, seconds of a monotonic clock
         """
         for key in self._workers.update_list(records, now):
-            self._interference.forget_worker(key)
+            self._guard.forget_worker(key)
 
     def handle_report(
         self, report: WorkerReport, now: float, fenced: bool = True
@@ -427,6 +427,10 @@
             reason = "zone-evacuated"
         self._lost_runs.lose(worker, order.ref, order.run, reason)
 
+    def take_harm_statistics(self) -> HarmStatistics:
+        """Return the statistics of harm since the last call."""
+        return self._guard.take_statistics()
+
     def retry_stops(self) -> None:
         """Repeat the stops of runs that have not ended yet."""
         self._stopper.repeat_stops()
@@ -520,6 +524,7 @@
         for action in self._guard.process_report(worker, now):
             tracked = worker.runs[action.ref]
             if action.pace_percent is None:
+                self._guard.record_moved(tracked, now)
                 self._immediate_orders.stop(
                     worker, action.ref, tracked.run, "harms-a-serving-task"
                 )
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import Acknowledge
@@ -362,6 +363,7 @@
         saved: list[tuple[str, str, float]] = []
         while True:
             await asyncio.sleep(_INTERFERENCE_SAVE_INTERVAL_S)
+            self._log_harm()
             pairs = self._interference.probabilities()
             if pairs == saved:
                 continue
@@ -377,6 +379,13 @@
                     ),
                 )
 
+    def _log_harm(self) -> None:
+        statistics = self._planner.take_harm_statistics()
+        if not statistics.is_empty:
+            self._ports.log.line(
+                "interference.harm", self.name, **asdict(statistics)
+            )
+
     async def _end_when_resigned(self) -> None:
         await self._resigned.wait()
         raise TermEnded
--- a/tests/planner/test_interference_model.py
+++ b/tests/planner/test_interference_model.py
@@ -95,3 +95,24 @@
         model.observe(worker, 1.0)
         self.assertIsNotNone(model.pick_antagonist(worker, 1.0))
         self.assertIsNone(model.pick_antagonist(worker, 1.3))
+
+    def test_excess_without_best_effort_tasks_is_no_harm(self) -> None:
+        """Guards against blaming a task for what was there before it."""
+        model = InterferenceModel()
+        worker = _worker(120.0)
+        (serving,) = worker.runs.values()
+        self.assertTrue(model.is_harmed(worker, serving))
+        model.observe(worker, 1.0)
+        self.assertFalse(model.is_harmed(worker, serving))
+        serving.tail_ms_or_cpu_millis = 300.0
+        self.assertTrue(model.is_harmed(worker, serving))
+
+    def test_known_harm_counts_whatever_the_own_load_was(self) -> None:
+        """Guards against harm that hides behind an earlier excess."""
+        model = InterferenceModel()
+        _observe_repeatedly(model, _worker(300.0, "harmful"), 1.0)
+        worker = _worker(120.0)
+        model.observe(worker, 20.0)
+        (serving,) = worker.runs.values()
+        worker.add(TaskRef("best-effort", 0, 0, 0), _run("harmful", True))
+        self.assertTrue(model.is_harmed(worker, serving))
