Keep room for short work beside long-running work

Nothing decided which of the two should wait, although a delay costs the short work its deadline and the long-running one only the time until it starts.

CARAWAYSTEP_SHORT_WORK_RESERVE=on turns it on; the default is off.

--- a/src/carawaystep/fleet/tracked_worker.py
+++ b/src/carawaystep/fleet/tracked_worker.py
@@ -44,6 +44,7 @@
         self._best_effort_cpu_millis = 0
         self._best_effort_count = 0
         self._serving_cpu_millis = 0
+        self._long_running_cpu_millis = 0
         self._serving_images: dict[str, int] = {}
         self._reserved_memory_mb = 0
         self._reserved_accelerators = 0
@@ -93,6 +94,14 @@
         used = self._reserved_cpu_millis + self._unexpected_cpu_millis
         return self._record.capacity.cpu_millis - used
 
+    @property
+    def long_running_cpu_millis(self) -> int:
+        """Return the CPU that long-running tasks reserve.
+
+        :returns: thousandths of a core
+        """
+        return self._long_running_cpu_millis
+
     @property
     def estimated_spare_cpu_millis(self) -> float:
         """Return the CPU that is likely idle, in thousandths of a core.
@@ -286,6 +295,8 @@
             self._best_effort_count += sign
         else:
             self._reserved_cpu_millis += sign * step.cpu_millis
+        if step.long_running and not step.fills:
+            self._long_running_cpu_millis += sign * step.cpu_millis
         if step.tail_target_ms:
             self._serving_cpu_millis += sign * step.cpu_millis
             count = self._serving_images.get(step.image, 0) + sign
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -22,6 +22,7 @@
 from carawaystep.planner.room_forecaster import RoomForecaster
 from carawaystep.planner.run_stopper import RunStopper
 from carawaystep.planner.run_time_ratios import RunTimeRatios
+from carawaystep.planner.short_work_reserve import NoReserve
 from carawaystep.planner.task_placer import TaskPlacer
 from carawaystep.planner.ticket_cache import TicketCache
 from carawaystep.planner.waiting_task_monitor import WaitingTaskMonitor
@@ -47,6 +48,7 @@
     from carawaystep.planner.interference_model import InterferenceModel
     from carawaystep.planner.planner_limits import PlannerLimits
     from carawaystep.planner.room_forecast import RoomForecast
+    from carawaystep.planner.short_work_reserve import WorkerReserve
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.waiting_order import WaitingOrder
     from carawaystep.routing.ticket_terms import TicketTerms
@@ -74,6 +76,7 @@
         now: float,
         order: WaitingOrder | None = None,
         evacuated_zones: EvacuatedZones | None = None,
+        reserve: WorkerReserve | None = None,
     ) -> None:
         """Create a planner without workflows and workers.
 
@@ -86,6 +89,8 @@
             the one by urgency
         :param evacuated_zones: zones whose workers get no new work, None when
             there never are any
+        :param reserve: keeps new long-running tasks off some workers, None
+            to keep them off none
         """
         zones = evacuated_zones or EvacuatedZones(in_force=False)
         self._guard = InterferenceGuard(interference)
@@ -106,6 +111,7 @@
             self._ticket_cache,
             self._immediate_orders,
             self._times,
+            reserve or NoReserve(),
             log,
         )
         self._waiting_tasks = WaitingTaskMonitor(self._registry, log)
--- a/src/carawaystep/planner/task_placer.py
+++ b/src/carawaystep/planner/task_placer.py
@@ -21,6 +21,7 @@
     from carawaystep.planner.candidate_ranking import CandidateRanking
     from carawaystep.planner.decision_log import DecisionLog
     from carawaystep.planner.immediate_orders import ImmediateOrders
+    from carawaystep.planner.short_work_reserve import WorkerReserve
     from carawaystep.planner.task_placement_policy import TaskPlacementPolicy
     from carawaystep.planner.ticket_cache import TicketCache
     from carawaystep.planner.workflow_registry import WorkflowRegistry
@@ -53,6 +54,7 @@
         ticket_cache: TicketCache,
         immediate_orders: ImmediateOrders,
         times: WorkflowTimes,
+        reserve: WorkerReserve,
         log: DecisionLog,
     ) -> None:
         """Create a placer without start orders.
@@ -62,6 +64,7 @@
         :param ticket_cache: keeps the tickets of the placement service
         :param immediate_orders: receives the stops of preempted runs
         :param times: receives the placements, and the limits of waiting steps
+        :param reserve: keeps new long-running tasks off some workers
         :param log: receives a line for each placement
         """
         self._registry = registry
@@ -69,6 +72,7 @@
         self._ticket_cache = ticket_cache
         self._immediate_orders = immediate_orders
         self._times = times
+        self._reserve = reserve
         self._log = log
         self._step_waits = StepWaits(log)
         self._unplaced_since: dict[str, float] = {}
@@ -96,12 +100,19 @@
         """
         self._pass_limit = len(self._starts) + MAX_STARTS_PER_PASS
         held = HeldWorkers(usable)
-        search = CandidateSearch(self._placement, self._ticket_cache, now)
+        kept = self._reserve.begin_pass(usable, wall_now)
+        # What a search in vain shows holds for its set of workers only.
+        searches = {
+            applies: CandidateSearch(self._placement, self._ticket_cache, now)
+            for applies in (False, True)
+        }
         for workflow in self._registry.awaiting_placement(wall_now):
             if self._is_pass_full:
                 break
             self._times.record_pass(workflow, now, wall_now)
-            workers = held.open_to(workflow)
+            self._reserve.record(workflow, wall_now)
+            workers = kept.open_to(workflow, held.open_to(workflow))
+            search = searches[kept.applies_to(workflow)]
             unplaced = self._place_workflow(
                 workflow, workers, search, now, wall_now
             )
--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -44,6 +44,7 @@
 from carawaystep.scheduler.term_verification import TermVerification
 from carawaystep.scheduler.voter_repository import VoterRepository
 from carawaystep.scheduler.waiting_orders import create_waiting_order
+from carawaystep.scheduler.waiting_orders import create_worker_reserve
 from carawaystep.scheduler.worker_assignments import WorkerAssignments
 from carawaystep.scheduler.worker_callers import WorkerCallers
 from carawaystep.scheduler.worker_list_follower import WorkerListFollower
@@ -133,6 +134,7 @@
             self.now,
             create_waiting_order(settings.load),
             evacuated_zones=evacuated_zones,
+            reserve=create_worker_reserve(settings.load),
         )
         self._plan_requested = asyncio.Event()
         self._sessions = MemberSessions(ports, self)
--- a/src/carawaystep/scheduler/load_settings.py
+++ b/src/carawaystep/scheduler/load_settings.py
@@ -20,7 +20,10 @@
     :param waiting_order: order in which waiting workflows are placed
     :param admission: whether a submission that cannot be finished while it
         is of use is refused
+    :param short_work_reserve: whether new long-running tasks leave room for
+        the short work that is expected
     """
 
     waiting_order: WaitingOrderName = WaitingOrderName.URGENCY
     admission: bool = False
+    short_work_reserve: bool = False
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -22,6 +22,7 @@
 from carawaystep.workflow.step_spec import StepSpec
 
 if TYPE_CHECKING:
+    from carawaystep.planner.short_work_reserve import WorkerReserve
     from carawaystep.planner.waiting_order import WaitingOrder
 
 # The daemon counts events by name; a metric has no other characters.
@@ -80,11 +81,14 @@
     now: float = 0.0,
     log: DecisionLog | None = None,
     order: WaitingOrder | None = None,
+    reserve: WorkerReserve | None = None,
 ) -> Planner:
     """Return a planner without workflows and workers.
 
     :param log: receives its lines, by default none that is kept
     :param order: order of waiting workflows, None for the default
+    :param reserve: workers that long-running tasks leave, None for the
+        default
     """
     interference = InterferenceModel()
     return Planner(
@@ -94,6 +98,7 @@
         log or RecordingLog(),
         now,
         order,
+        reserve=reserve,
     )
 
 
--- a/tests/users_platform/test_load_environment.py
+++ b/tests/users_platform/test_load_environment.py
@@ -24,6 +24,10 @@
             ({}, LoadSettings()),
             ({"CARAWAYSTEP_ADMISSION": ""}, LoadSettings()),
             ({"CARAWAYSTEP_ADMISSION": "on"}, LoadSettings(admission=True)),
+            (
+                {"CARAWAYSTEP_SHORT_WORK_RESERVE": "on"},
+                LoadSettings(short_work_reserve=True),
+            ),
             (
                 {"CARAWAYSTEP_WAITING_ORDER": "least-cost"},
                 LoadSettings(WaitingOrderName.LEAST_COST),
