Send long messages between processes in fragments

Strangers that begin messages of 8 MB at the port between processes could take a process out of its memory: libzmq reads up to the longest legal message of each, and the guard closes them only when the process has processor time (84 to 491 MB with 500 clients at a load of 18, 96 MB allowed).

A frame has at most 64 KiB now, longer messages are sent in fragments. A longer frame ends its connection as soon as its length has arrived.

--- a/src/carawaystep/adapters/zmq/cluster_channel.py
+++ b/src/carawaystep/adapters/zmq/cluster_channel.py
@@ -13,7 +13,7 @@
 from zmq import SNDHWM
 
 from carawaystep.adapters.zmq.cluster_codec import ClusterCodec
-from carawaystep.adapters.zmq.cluster_codec import MAX_MESSAGE_BYTES
+from carawaystep.adapters.zmq.message_fragments import MAX_FRAME_BYTES
 from carawaystep.adapters.zmq.message_socket import MessageSocket
 from carawaystep.cluster.member_channel import MemberChannel
 
@@ -43,7 +43,9 @@
 
         That is the case without a connection or with a full queue.
         """
-        return self._socket.send([self._codec.encode(message)])
+        return all(
+            self._socket.send([frame]) for frame in self._codec.encode(message)
+        )
 
     async def receive(self) -> Message:
         """Wait for the next message; malformed ones are dropped.
@@ -74,7 +76,7 @@
         socket.setsockopt(LINGER, 0)
         socket.setsockopt(SNDHWM, _MAX_QUEUED_MESSAGES)
         socket.setsockopt(IMMEDIATE, 1)
-        socket.setsockopt(MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(MAXMSGSIZE, MAX_FRAME_BYTES)
         socket.setsockopt(RECONNECT_IVL, _RECONNECT_INTERVAL_MS)
         socket.connect(self._address)
         return MessageSocket(socket)
--- a/src/carawaystep/adapters/zmq/cluster_server.py
+++ b/src/carawaystep/adapters/zmq/cluster_server.py
@@ -20,8 +20,8 @@
 from zmq import ZAP_DOMAIN
 
 from carawaystep.adapters.zmq.cluster_codec import ClusterCodec
-from carawaystep.adapters.zmq.cluster_codec import MAX_MESSAGE_BYTES
 from carawaystep.adapters.zmq.connection_guard import ConnectionGuard
+from carawaystep.adapters.zmq.message_fragments import MAX_FRAME_BYTES
 from carawaystep.adapters.zmq.message_socket import MessageSocket
 from carawaystep.cluster.leader_port import LeaderPort
 
@@ -94,7 +94,7 @@
         socket: Socket[bytes] = Context.instance().socket(ROUTER)
         socket.setsockopt(LINGER, 0)
         socket.setsockopt(SNDHWM, _MAX_QUEUED_MESSAGES)
-        socket.setsockopt(MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(MAXMSGSIZE, MAX_FRAME_BYTES)
         socket.setsockopt(RCVHWM, _MAX_UNREAD_MESSAGES)
         socket.setsockopt(RCVBUF, _RECEIVE_BUFFER_BYTES)
         socket.setsockopt(BACKLOG, _LISTEN_BACKLOG)
@@ -122,7 +122,7 @@
             frames = await self._socket.receive()
             if frames is None:
                 raise ConnectionError(f"{self._address} was closed")
-            message = self._codec.decode(frames[-1])
+            message = self._codec.decode(frames[-1], frames[0])
             if message is not None and len(frames) == 2:
                 self._socket.recognize(frames[0])
                 return frames[0], cast("FromLeader", message)
@@ -134,7 +134,10 @@
         That is the case for a leader that is not connected or whose queue is
         full.
         """
-        return self._socket.send([leader, self._codec.encode(message)])
+        return all(
+            self._socket.send([leader, frame])
+            for frame in self._codec.encode(message)
+        )
 
     def close(self) -> None:
         """Close the socket."""
--- a/tests/adapters/zmq/test_cluster_channel.py
+++ b/tests/adapters/zmq/test_cluster_channel.py
@@ -16,6 +16,9 @@
 from carawaystep.adapters.zmq.cluster_server import ClusterServer
 from carawaystep.cluster.messages import LeaderHeartbeat
 from carawaystep.cluster.messages import MemberHeartbeat
+from carawaystep.cluster.messages import PublishedStates
+from carawaystep.intake.stranger_limit import StrangerLimit
+from carawaystep.workflow.workflow_state import WorkflowState
 from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
@@ -23,6 +26,11 @@
     from collections.abc import Callable
 
 _LIMIT_S = 5.0
+# What a peer of the zmq protocol with the mechanism NULL sends first.
+_GREETING = (
+    b"\xff" + b"\0" * 8 + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0")
+).ljust(64, b"\0")
+_READY = b"\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06DEALER"
 _CONNECT_S = 0.5
 _HEARTBEAT = LeaderHeartbeat(7, "edge-1", 0.0, 0.0)
 _ANSWER = MemberHeartbeat("edge-2", 7, 1.0, 0, False)
@@ -106,6 +114,25 @@
 
         self._run(check)
 
+    def test_long_messages_arrive(self) -> None:
+        """Guards against messages that are too long for one frame."""
+
+        async def check(
+            server: ClusterServer, channel: ClusterChannel
+        ) -> None:
+            states = {f"{n:016x}": WorkflowState.RUNNING for n in range(9000)}
+            long = LeaderHeartbeat(
+                7, "edge-1", 0.0, 0.0, published=PublishedStates(7, states)
+            )
+            # Nothing is sent before the connection is open.
+            await asyncio.sleep(_CONNECT_S)
+            for message in (long, _HEARTBEAT, long):
+                self.assertTrue(await channel.send(message))
+                _, received = await server.receive()
+                self.assertEqual(message, received)
+
+        self._run(check)
+
     def test_strangers_do_not_cut_off_a_leader(self) -> None:
         """Guards against strangers that keep or replace a connection."""
 
@@ -138,6 +165,25 @@
 
         self._run(check)
 
+    def test_long_frame_ends_a_connection_at_once(self) -> None:
+        """Guards against memory that grows before a stranger is closed.
+
+        The guard of the connections is without effect here.
+        """
+
+        async def check(server: ClusterServer, _: ClusterChannel) -> None:
+            port = int(server.address.rpartition(":")[2])
+            with patch.object(StrangerLimit, "expire", return_value=[]):
+                reader, writer = await asyncio.open_connection(
+                    LOOPBACK_HOST, port
+                )
+                length = (8 * 1024 * 1024).to_bytes(8, "big")
+                writer.write(_GREETING + _READY + b"\x02" + length)
+                await reader.read()
+                writer.close()
+
+        self._run(check)
+
     def test_strangers_are_closed_without_free_descriptors(self) -> None:
         """Guards against strangers that stay once they have taken all."""
 
--- a/tests/users_platform/test_crowds.py
+++ b/tests/users_platform/test_crowds.py
@@ -54,6 +54,7 @@
     b"\xff" + b"\0" * 8 + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0")
 ).ljust(64, b"\0")
 _ZMQ_READY = b"\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06DEALER"
+_ZMQ_FRAME = b"\x02" + (65_536).to_bytes(8, "big")
 _ZMQ_MESSAGE = b"\x02" + (8 * 1024 * 1024).to_bytes(8, "big")
 
 
@@ -267,6 +268,23 @@
         begin = _ZMQ_GREETING + _ZMQ_READY + _ZMQ_MESSAGE
         self._assert_withstands(Script((begin + _UNFINISHED * 4,)), _cluster)
 
+    def test_unfinished_frames_at_the_cluster_port(self) -> None:
+        """Guards against frames of legal size that never end."""
+        begin = _ZMQ_GREETING + _ZMQ_READY + _ZMQ_FRAME
+        self._assert_withstands(
+            Script((begin + _UNFINISHED[:65_000],)), _cluster
+        )
+
+    def test_messages_without_a_last_frame_at_the_cluster_port(self) -> None:
+        """Guards against messages of many frames that never end."""
+        frame = b"\x03" + (16_384).to_bytes(8, "big") + _UNFINISHED[:16_384]
+        self._assert_withstands(
+            Script(
+                (_ZMQ_GREETING + _ZMQ_READY, frame), pause_s=0.05, repeat=True
+            ),
+            _cluster,
+        )
+
 
 class CrowdOnLeaderTest(TestCase):
     """Three processes, of which the leader has a crowd."""
