Look up the stored runs of a new term once for all workers

Each worker that the first list of a term names searched all workflows for its runs, and each first report all workers for earlier lifetimes.

Stored runs are looked up once for all workers that a list adds, and lifetimes by the id of the worker. Besides, a step looks only through the workers that suited an earlier one of its image in the same pass.

The new test fails on the code before (600 look-ups in place of 20).

--- a/src/carawaystep/planner/candidate_ranking.py
+++ b/src/carawaystep/planner/candidate_ranking.py
@@ -47,6 +47,11 @@
                 self._entries.append((value, position, worker))
         heapify(self._entries)
 
+    @property
+    def workers(self) -> list[TrackedWorker]:
+        """Return the workers that are left, in no certain order."""
+        return [worker for _, _, worker in self._entries]
+
     def __bool__(self) -> bool:
         """Tell whether a worker is left."""
         return bool(self._entries)
--- a/src/carawaystep/planner/candidate_search.py
+++ b/src/carawaystep/planner/candidate_search.py
@@ -35,18 +35,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _WorkersWithRoom:
-    """Workers that had the resources for a step earlier in the pass.
+class _FoundWorkers:
+    """Workers that suited a step earlier in the pass.
 
     :param step: the step
     :param usable: workers among which they were searched
-    :param workers: those with the resources
+    :param workers: those that suited it
     """
 
     step: StepSpec
     usable: list[TrackedWorker]
     workers: list[TrackedWorker]
 
+    def serves(self, step: StepSpec, usable: list[TrackedWorker]) -> bool:
+        """Tell whether no other worker can suit a step.
+
+        :param step: a step with the same demands apart from its needs
+        """
+        return self.usable is usable and step.needs_at_least(self.step)
+
 
 class CandidateSearch:
     """Finds the workers for the tasks of steps, and runs to preempt.
@@ -69,7 +76,8 @@
         self._placement = placement
         self._ticket_cache = ticket_cache
         self._now = now
-        self._workers_by_group: dict[_StepGroup, _WorkersWithRoom] = {}
+        self._workers_by_group: dict[_StepGroup, _FoundWorkers] = {}
+        self._ranked_by_image: dict[tuple[object, ...], _FoundWorkers] = {}
         self._unmet_needs = UnmetNeeds()
         self._unmet_forced_needs = UnmetNeeds()
         self._unmet_preemptions = UnmetNeeds()
@@ -91,7 +99,7 @@
         group = (*_step_group(workflow, ref), step.image)
         workers: Iterable[TrackedWorker] = ()
         if not self._unmet_needs.covers(group, step):
-            workers = self._workers_with_room(workflow, ref, usable)
+            workers = self._workers_for_image(workflow, ref, usable)
         if step.max_per_worker:
             workers = [w for w in workers if may_take(step, ref, w)]
         ranking = CandidateRanking(
@@ -101,6 +109,10 @@
         )
         if not ranking and not step.max_per_worker:
             self._unmet_needs.add(group, step)
+        if group not in self._ranked_by_image and not step.max_per_worker:
+            self._ranked_by_image[group] = _FoundWorkers(
+                step, usable, ranking.workers
+            )
         return ranking
 
     def rank_for_task(
@@ -170,6 +182,26 @@
             self._unmet_preemptions.add(group, step)
         return []
 
+    def _workers_for_image(
+        self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
+    ) -> list[TrackedWorker]:
+        """Return the workers with room that may suit the image of a step.
+
+        Those that suited an earlier step of the same image are looked
+        through in place of all: no other can suit it later in the pass.
+        """
+        step = workflow.step(ref)
+        known = self._ranked_by_image.get(
+            (*_step_group(workflow, ref), step.image)
+        )
+        if known is None or not known.serves(step, usable):
+            return self._workers_with_room(workflow, ref, usable)
+        return [
+            worker
+            for worker in known.workers
+            if self._placement.has_room(step, worker)
+        ]
+
     def _workers_with_room(
         self, workflow: Workflow, ref: TaskRef, usable: list[TrackedWorker]
     ) -> list[TrackedWorker]:
@@ -181,21 +213,18 @@
         step = workflow.step(ref)
         group = _step_group(workflow, ref)
         known = self._workers_by_group.get(group)
-        narrowed = (
-            known is not None
-            and known.usable is usable
-            and step.needs_at_least(known.step)
-        )
-        workers: Iterable[TrackedWorker]
-        if known is not None and narrowed:
-            workers = known.workers
-        else:
-            workers = suitable_workers(workflow, ref, usable, self._now)
-        with_room = [w for w in workers if self._placement.has_room(step, w)]
-        if not narrowed:
-            self._workers_by_group[group] = _WorkersWithRoom(
-                step, usable, with_room
-            )
+        if known is not None and known.serves(step, usable):
+            return [
+                worker
+                for worker in known.workers
+                if self._placement.has_room(step, worker)
+            ]
+        with_room = [
+            worker
+            for worker in suitable_workers(workflow, ref, usable, self._now)
+            if self._placement.has_room(step, worker)
+        ]
+        self._workers_by_group[group] = _FoundWorkers(step, usable, with_room)
         return with_room
 
     def _rank(
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -8,6 +8,7 @@
 from carawaystep.fleet.tracked_worker import TrackedWorker
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
@@ -22,6 +23,8 @@
     from carawaystep.workflow.task_ref import TaskRef
     from carawaystep.workflow.workflow import Workflow
 
+    _StoredRun = tuple[Workflow, TaskRef]
+
 
 class WorkerRegistry:
     """Holds the workers by the key of their lifetime.
@@ -54,6 +57,8 @@
         self._earlier_leases = earlier_leases
         self._evacuated_zones = evacuated_zones
         self._workers: dict[WorkerKey, TrackedWorker] = {}
+        # Lifetimes that are among the workers, by worker id.
+        self._lifetimes: dict[str, list[WorkerKey]] = {}
         # Lifetime that sent the last report, by worker id; earlier lifetimes
         # of the worker have been dropped.
         self._last_reported_lifetimes: dict[str, WorkerKey] = {}
@@ -122,12 +127,14 @@
         """
         listed = {record.key: record for record in records}
         restarted = self._find_restarted(listed)
+        added = listed.keys() - self._workers.keys()
+        stored_runs = self._stored_runs(added)
         for key, record in listed.items():
             worker = self._workers.get(key)
             if worker is None:
                 if key in restarted:
                     self._record_restart(key, now)
-                self._add(record)
+                self._add(record, stored_runs.get(key, ()))
             else:
                 worker.update_record(record)
         removed = []
@@ -163,9 +170,9 @@
     def earlier_lifetimes(self, key: WorkerKey) -> list[TrackedWorker]:
         """Return the earlier lifetimes of a worker."""
         return [
-            worker
-            for earlier, worker in self._workers.items()
-            if _precedes(earlier, key)
+            self._workers[lifetime]
+            for lifetime in self._lifetimes.get(key.id, ())
+            if _precedes(lifetime, key)
         ]
 
     def remove(self, worker: TrackedWorker) -> None:
@@ -263,6 +270,10 @@
 
     def _delete(self, key: WorkerKey) -> None:
         del self._workers[key]
+        lifetimes = self._lifetimes[key.id]
+        lifetimes.remove(key)
+        if not lifetimes:
+            del self._lifetimes[key.id]
         self._unfenced.discard(key)
         self._usable_from.pop(key, None)
 
@@ -294,18 +305,36 @@
             now + self._limits.lost_after_unfenced_s
         )
 
-    def _add(self, record: WorkerRecord) -> None:
+    def _stored_runs(
+        self, keys: Collection[WorkerKey]
+    ) -> dict[WorkerKey, list[_StoredRun]]:
+        """Return the runs that are stored as placed on workers.
+
+        All workers are looked up at once, because a new term adds each of
+        them while it may have thousands of runs.
+
+        :param keys: workers that are about to be added
+        """
+        found: dict[WorkerKey, list[_StoredRun]] = {}
+        for workflow in self._workflows if keys else ():
+            for ref, task in workflow.placed_tasks():
+                if task.worker is not None and task.worker in keys:
+                    found.setdefault(task.worker, []).append((workflow, ref))
+        return found
+
+    def _add(
+        self, record: WorkerRecord, stored_runs: Iterable[_StoredRun]
+    ) -> None:
         worker = TrackedWorker(record)
         self._known[record.key.id] = record.key
         self._workers[record.key] = worker
+        self._lifetimes.setdefault(record.key.id, []).append(record.key)
         # Without an entry, the next report checks again for earlier lifetimes
         # to drop; the added worker may be one.
         self._last_reported_lifetimes.pop(record.key.id, None)
         self._unlisted.pop(record.key, None)
-        for workflow in self._workflows:
-            for ref, task in workflow.placed_tasks():
-                if task.worker == record.key:
-                    self._add_stored_run(worker, workflow, ref)
+        for workflow, ref in stored_runs:
+            self._add_stored_run(worker, workflow, ref)
 
     def _add_stored_run(
         self, worker: TrackedWorker, workflow: Workflow, ref: TaskRef
--- a/tests/planner/test_new_term.py
+++ b/tests/planner/test_new_term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from testtools import TestCase
 
@@ -143,6 +144,30 @@
 class RestoreTest(TestCase):
     """Stored workflows at the start of a term."""
 
+    def test_first_list_of_workers_looks_up_each_workflow_once(self) -> None:
+        """Guards against a leader that is replaced while it starts.
+
+        Its work grew with the product of workers and runs, and kept its
+        heartbeats back for longer than members wait.
+        """
+        names = [f"w{number}" for number in range(30)]
+        first = planner_with_workers(*names)
+        specs = [workflow_spec(ONE_TASK, id=f"{n:016x}") for n in range(20)]
+        for spec in specs:
+            first.admit(spec, False)
+        plan_and_take_starts(first)
+        planner = new_planner(10.0)
+        for spec in specs:
+            planner.restore(spec, first.workflows[spec.id].record())
+        placed_tasks = Workflow.placed_tasks
+        with patch.object(
+            Workflow, "placed_tasks", autospec=True, side_effect=placed_tasks
+        ) as looked_up:
+            planner.update_worker_list([worker_record(n) for n in names], 10.0)
+        self.assertEqual(len(specs), looked_up.call_count)
+        runs = [len(worker.runs) for worker in planner.workers.values()]
+        self.assertEqual(len(specs), sum(runs))
+
     def test_settled_workflow_is_known(self) -> None:
         """Guards against a repeated submission that runs again."""
         planner = new_planner()
