Log which lifetime each start and each lost run belongs to

Change: start.sent, worker.assigned, .released, .silent, .answered, .replaced and lease.passed; report.not_fenced names the lifetime.

--- a/src/carawaystep/fleet/worker_link.py
+++ b/src/carawaystep/fleet/worker_link.py
@@ -22,6 +22,13 @@
     failed call.
     """
 
+    @abstractmethod
+    def lease_deadline_ms(self) -> int | None:
+        """Return when a lease granted now ends, on the worker's clock.
+
+        None before the first report, when that clock is not known.
+        """
+
     @abstractmethod
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -62,6 +62,7 @@
         for key in self._workers.take_overdue_unlisted(now):
             self._requeue_unlisted(key)
         for worker in self._workers.without_lease(now, contact_times):
+            self._log_lease_passed(worker, now, contact_times)
             self._lose_all(worker, "lease-passed")
 
     def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
@@ -123,6 +124,22 @@
         successor.add(ref, tracked)
         self._stopper.stop_task(workflow, ref, "worker-restarted")
 
+    def _log_lease_passed(
+        self, worker: TrackedWorker, now: float, contact_times: ContactTimes
+    ) -> None:
+        if not worker.runs:
+            return
+        report_at = worker.last_report_at
+        contacts = contact_times(worker.key)
+        self._log.line(
+            "lease.passed",
+            worker.key.id,
+            born=worker.key.started_at_ms,
+            report_age_s=-1.0 if report_at is None else now - report_at,
+            contact_age_s=now - max(contacts) if contacts else -1.0,
+            runs=len(worker.runs),
+        )
+
     def _lose_all(self, worker: TrackedWorker, reason: str) -> None:
         for ref, tracked in list(worker.runs.items()):
             self.lose(worker, ref, tracked.run, reason)
--- a/src/carawaystep/planner/planner.py
+++ b/src/carawaystep/planner/planner.py
@@ -275,7 +275,11 @@
         :param fenced: whether the lifetime refuses calls to earlier ones
         """
         if not fenced:
-            self._log.line("report.not_fenced", report.worker.id)
+            self._log.line(
+                "report.not_fenced",
+                report.worker.id,
+                born=report.worker.started_at_ms,
+            )
             return
         self._workers.record_fenced(report.worker, now)
         self._lost_runs.drop_earlier_lifetimes(report.worker)
--- a/src/carawaystep/scheduler/member.py
+++ b/src/carawaystep/scheduler/member.py
@@ -300,9 +300,18 @@
             if key not in assigned:
                 del self._proxies[key]
                 self._proxy_tasks.pop(key).cancel()
+                self._ports.log.line(
+                    "worker.released", key.id, born=key.started_at_ms
+                )
         for key, worker in assigned.items():
             if key not in self._proxies:
                 self._open_proxy(worker)
+                self._ports.log.line(
+                    "worker.assigned",
+                    key.id,
+                    born=key.started_at_ms,
+                    token=worker.token,
+                )
 
     def _open_proxy(self, worker: AssignedWorker) -> None:
         lease_s = min(WORKER_LEASE_S, self._settings.max_lease_s)
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -86,8 +86,8 @@
         :param worker: lifetime and address of the worker
         :param link: link to the worker
         :param context: clock, term and grant of the member
-        :param log: receives an event for each start that has expired or is
-            for an evacuated availability zone
+        :param log: receives a line for each start, and for each change of
+            whether the worker answers
         """
         self._log = log
         self._worker = worker
@@ -99,6 +99,7 @@
         self._acknowledgement_received = asyncio.Event()
         self._first_report_received = asyncio.Event()
         self._orders: asyncio.Queue[_QueuedOrder] = asyncio.Queue()
+        self._opened_at = context.now
         self._answered_at = 0.0
         # Whether another lifetime of the worker sent the last report. Calls
         # name the worker's id, which a later lifetime may have too.
@@ -147,6 +148,7 @@
                 0.0 if prompt or not answered_recently else _REPORT_LONG_POLL_S
             )
             result = await self._fetch_report(answered_recently, wait_s)
+            self._log_contact(result)
             self._last_poll_failed = isinstance(result, Err)
             if isinstance(result, Err):
                 await self._handle_link_failure(result.err_value)
@@ -175,6 +177,29 @@
                 self._token, acknowledged, extend_lease, wait_s
             )
 
+    def _log_contact(self, result: Result[WorkerReport, LinkFailure]) -> None:
+        """Log that the worker is silent, answers again or has restarted."""
+        silent_s = self._context.now - max(self._answered_at, self._opened_at)
+        if isinstance(result, Err):
+            if not self._last_poll_failed:
+                self._log_worker(
+                    "worker.silent",
+                    silent_s=silent_s,
+                    detail=result.err_value.detail,
+                )
+            return
+        if self._last_poll_failed:
+            self._log_worker("worker.answered", silent_s=silent_s)
+        born = result.ok_value.worker.started_at_ms
+        if born != self._worker.key.started_at_ms and not self._replaced:
+            self._log_worker(
+                "worker.replaced", silent_s=silent_s, later_born=born
+            )
+
+    def _log_worker(self, event: str, **inputs: str | int | float) -> None:
+        key = self._worker.key
+        self._log.line(event, key.id, born=key.started_at_ms, **inputs)
+
     def _extension(self) -> AbstractContextManager[None]:
         return self._context.lease_extensions.call(self._worker.key.id)
 
@@ -224,17 +249,35 @@
             return OrderOutcome.NOT_SENT
         if self._replaced:
             return OrderOutcome.OTHER_LIFETIME
-        is_start = isinstance(order, StartOrder)
-        if is_start:
+        if isinstance(order, StartOrder):
             obstacle = self._find_obstacle(queued)
-            if obstacle is not None:
-                return obstacle
-        with self._extension() if is_start else nullcontext():
-            outcome = await self._link.execute_order(order, self._token)
+            return obstacle or await self._send_start(order)
+        outcome = await self._link.execute_order(order, self._token)
         if isinstance(order, StopOrder):
             self._prompt_reports_left = _PROMPT_REPORTS_AFTER_STOP
         return outcome
 
+    async def _send_start(self, order: StartOrder) -> OrderOutcome:
+        """Send a start, which extends the lease, and log it."""
+        sent_at = self._context.now
+        sample_age_s = sent_at - self._answered_at
+        deadline_ms = self._link.lease_deadline_ms() or 0
+        with self._extension():
+            outcome = await self._link.execute_order(order, self._token)
+        self._log.line(
+            "start.sent",
+            str(order.ref),
+            run=order.run,
+            worker=order.worker.id,
+            born=order.worker.started_at_ms,
+            token=self._token,
+            deadline_ms=deadline_ms,
+            sample_age_s=sample_age_s,
+            outcome=outcome,
+            seconds=self._context.now - sent_at,
+        )
+        return outcome
+
     def _find_obstacle(self, queued: _QueuedOrder) -> OrderOutcome | None:
         """Return why a start must not be sent now, None if it may be."""
         order = queued.numbered.order
--- a/tests/scheduler/simulation/simulated_worker_link.py
+++ b/tests/scheduler/simulation/simulated_worker_link.py
@@ -71,6 +71,11 @@
         self._clock_sample: tuple[float, float] | None = None
         self._calls: set[asyncio.Task[object]] = set()
 
+    def lease_deadline_ms(self) -> int | None:
+        """Return when a lease granted now ends, on the worker's clock."""
+        deadline = self._deadline()
+        return None if deadline is None else int(deadline * 1000)
+
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
--- a/tests/scheduler/test_worker_proxy.py
+++ b/tests/scheduler/test_worker_proxy.py
@@ -109,6 +109,9 @@
         self.polled_again = asyncio.Event()
         self.silent = False
 
+    def lease_deadline_ms(self) -> int | None:
+        return 6000
+
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
