Send starts and deadlines only on connections to the expected lifetime

Cause: calls to a worker name its id, which a later lifetime has too. When a worker has crashed, its connections are closed, and the next call opened a new one, which led to whatever process had the address. A restarted worker knows no fencing token and took the deadline, a time of the former lifetime's clock, for its own, so that its lease was cut to max_hold_ms (10 s) where the leader waits for 6 s. Change: HttpClient takes a check that runs once on each new connection before anything else is sent on it. An open connection cannot pass to another process; none is opened again in place any more. An order that finds another lifetime is known not to be sent.

--- a/src/carawaystep/adapters/http_client/http_client.py
+++ b/src/carawaystep/adapters/http_client/http_client.py
@@ -8,6 +8,9 @@
 from result import Err
 from result import Ok
 
+from carawaystep.adapters.http_client.http_failure import (
+    HttpConnectionRejected,
+)
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from carawaystep.adapters.http_client.http_failure import HttpOutcomeUnknown
 from carawaystep.adapters.http_client.http_request import HttpRequest
@@ -20,6 +23,9 @@
     from result import Result
 
     from carawaystep.adapters.http_client.body_timeout import BodyTimeout
+    from carawaystep.adapters.http_client.connection_check import (
+        ConnectionCheck,
+    )
     from carawaystep.adapters.http_client.http_failure import HttpFailure
     from carawaystep.adapters.http_client.http_response import HttpResponse
 
@@ -73,6 +79,7 @@
         headers: Mapping[str, str] | None = None,
         body: bytes | None = None,
         body_timeout: BodyTimeout | None = None,
+        check: ConnectionCheck | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
         """Send a request once and return its complete response.
 
@@ -84,8 +91,11 @@
         :param body: body, None for a request without one
         :param body_timeout: limits of a response that has begun, in place of
             ``timeout_s``; None if ``timeout_s`` covers the body too
+        :param check: check of the connection if none has succeeded on it;
+            None if the request may go to any process at the address
         :returns: the response, :class:`HttpNotSent` or
-            :class:`HttpOutcomeUnknown`
+            :class:`HttpOutcomeUnknown`; :class:`HttpConnectionRejected` if
+            the check failed
         """
         request = HttpRequest(method, self._url + path, headers or {}, body)
         deadline_at = asyncio.get_running_loop().time() + timeout_s
@@ -100,7 +110,7 @@
             )
         try:
             return await self._send(
-                request, ResponseDeadline(deadline_at, body_timeout)
+                request, ResponseDeadline(deadline_at, body_timeout), check
             )
         finally:
             self._end_call()
@@ -125,12 +135,16 @@
         self._call_may_begin.set()
 
     async def _send(
-        self, request: HttpRequest, deadline: ResponseDeadline
+        self,
+        request: HttpRequest,
+        deadline: ResponseDeadline,
+        check: ConnectionCheck | None,
     ) -> Result[HttpResponse, HttpFailure]:
         if self._closed:
             return Err(HttpNotSent(f"{request}: the client is closed"))
         connection = await self._acquire_connection()
         response: HttpResponse | None = None
+        request_begun = False
         try:
             async with asyncio.timeout_at(deadline.at) as timeout:
 
@@ -140,12 +154,16 @@
                     if deadline.at != timeout.when():
                         timeout.reschedule(deadline.at)
 
+                rejection = await self._check(connection, check)
+                if rejection is not None:
+                    return Err(rejection)
+                request_begun = True
                 response = await connection.send(request, record_progress)
         # aiosonic also raises exceptions of other libraries (ValueError,
         # IncompleteReadError, zlib.error); any of them is a failed call.
         except Exception as error:
             detail = f"{request}: {str(error) or type(error).__name__}"
-            if connection.maybe_sent:
+            if request_begun and connection.maybe_sent:
                 return Err(HttpOutcomeUnknown(detail))
             return Err(HttpNotSent(detail))
         finally:
@@ -154,6 +172,25 @@
             )
         return Ok(response)
 
+    async def _check(
+        self, connection: PooledConnection, check: ConnectionCheck | None
+    ) -> HttpConnectionRejected | None:
+        """Check a connection unless that was done before.
+
+        :raises Exception: of any type; the connection must then be closed
+        """
+        if check is None or connection.checked:
+            return None
+        request = HttpRequest(
+            check.method, self._url + check.path, check.headers, check.body
+        )
+        response = await connection.send(request, lambda: None)
+        if not check.accepts(response):
+            detail = f"{request}: another process or status {response.status}"
+            return HttpConnectionRejected(detail, response)
+        connection.checked = True
+        return None
+
     async def _acquire_connection(self) -> PooledConnection:
         self._close_expired_connections()
         while self._idle:
--- a/src/carawaystep/adapters/http_client/http_connection.py
+++ b/src/carawaystep/adapters/http_client/http_connection.py
@@ -26,6 +26,7 @@
         super().__init__(pool)
         self._maybe_sent = False
         self._broken = False
+        self._was_opened = False
 
     @property
     def maybe_sent(self) -> bool:
@@ -37,14 +38,22 @@
         self._maybe_sent = False
 
     async def connect(self, *args: Any, **kwargs: Any) -> None:
-        """Open the connection.
+        """Open the connection, which is not opened a second time.
 
         :raises ConnectionDisconnected: the request was already written, so
-            that a new connection would repeat it
+            that a new connection would repeat it; or an open connection was
+            closed, and a new one may lead to another process
         """
         if self._maybe_sent or self._broken:
             raise ConnectionDisconnected("connection closed without response")
+        if self._was_opened and not self._is_open:
+            raise ConnectionDisconnected("idle connection closed")
         await super().connect(*args, **kwargs)
+        self._was_opened = True
+
+    @property
+    def _is_open(self) -> bool:
+        return self.writer is not None and not self.writer.is_closing()
 
     def write(self, data: bytes) -> None:
         """Write data, after recording that bytes may have been sent."""
@@ -75,7 +84,7 @@
         request is written avoids an unknown outcome.
         """
         if self.reader is None:
-            return not self._broken
+            return not self._broken and not self._was_opened
         probe = asyncio.ensure_future(self.reader.read(1))
         try:
             for _ in range(_PROBE_ITERATIONS):
--- a/src/carawaystep/adapters/http_client/http_failure.py
+++ b/src/carawaystep/adapters/http_client/http_failure.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from carawaystep.adapters.http_client.http_response import HttpResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +24,16 @@
     """No byte of the request was written to a connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class HttpConnectionRejected(HttpNotSent):
+    """The check of a new connection failed, so that the request was not sent.
+
+    :param response: response to the check
+    """
+
+    response: HttpResponse
+
+
 @dataclass(frozen=True, slots=True)
 class HttpOutcomeUnknown(HttpFailure):
     """The server may have received and executed the request."""
--- a/src/carawaystep/adapters/http_client/pooled_connection.py
+++ b/src/carawaystep/adapters/http_client/pooled_connection.py
@@ -45,8 +45,11 @@
     def __init__(self) -> None:
         """Create the client; the first request opens the connection."""
         self._connection: HttpConnection | None = None
+        # Whether a check of this connection has succeeded.
+        self.checked = False
         self._idle_since_s = monotonic()
-        pool = PoolConfig(size=1)
+        # Without a limit, no connection is replaced by another one in place.
+        pool = PoolConfig(size=1, max_conn_requests=None)
         self._client = HTTPClient(
             connector=TCPConnector(
                 resolver=AddressResolver(),
--- a/tests/adapters/http_client/test_http_client.py
+++ b/tests/adapters/http_client/test_http_client.py
@@ -14,7 +14,11 @@
 
 from carawaystep.adapters.http_client import http_client
 from carawaystep.adapters.http_client.body_timeout import BodyTimeout
+from carawaystep.adapters.http_client.connection_check import ConnectionCheck
 from carawaystep.adapters.http_client.http_client import HttpClient
+from carawaystep.adapters.http_client.http_failure import (
+    HttpConnectionRejected,
+)
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from carawaystep.adapters.http_client.http_failure import HttpOutcomeUnknown
 from tests.adapters.http_client.scripted_server import CLOSE
@@ -23,6 +27,8 @@
 from tests.adapters.http_client.scripted_server import Step
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from result import Result
 
     from carawaystep.adapters.http_client.http_failure import HttpFailure
@@ -49,6 +55,21 @@
     return type(result.err_value)
 
 
+class _BodyCheck(ConnectionCheck):
+    """Accepts connections whose first response has the expected body."""
+
+    method = "GET"
+    path = "/check"
+    headers: Mapping[str, str] = {}
+    body = b""
+
+    def __init__(self, expected: bytes) -> None:
+        self._expected = expected
+
+    def accepts(self, response: HttpResponse) -> bool:
+        return response.body == self._expected
+
+
 class HttpClientTest(TestCase):
     """Tests that requests are sent once and responses are complete."""
 
@@ -330,6 +351,54 @@
         self.assertEqual([1, 1], connections)
         self.assertEqual(0, open_count)
 
+    def test_request_waits_for_the_check_of_a_new_connection(self) -> None:
+        """Guards against a request for a process that took an address over.
+
+        The second connection leads to another process, which would carry out
+        what was meant for the first one.
+        """
+
+        async def run() -> None:
+            scripts: list[list[Step]] = [
+                [response(b"first")],
+                [response(b"a")],
+                [response(b"b"), CLOSE],
+                [response(b"second")],
+            ]
+            async with ScriptedServer(*scripts) as server:
+                client = HttpClient(server.url, 1)
+                results = []
+                for _ in range(3):
+                    results.append(
+                        await client.request(
+                            "POST", "/x", 2.0, check=_BodyCheck(b"first")
+                        )
+                    )
+                    await asyncio.sleep(0.02)
+                self.assertEqual(
+                    [b"a", b"b", HttpConnectionRejected],
+                    [_result_kind(result) for result in results],
+                )
+                paths = [head.split()[1] for _, head, _ in server.requests]
+                self.assertEqual([b"/check", b"/x", b"/x", b"/check"], paths)
+                await client.close()
+
+        asyncio.run(run())
+
+    def test_unanswered_check_leaves_the_request_unsent(self) -> None:
+        """Guards against an unknown outcome of a request that was not sent."""
+
+        async def run() -> None:
+            async with ScriptedServer([5.0]) as server:
+                client = HttpClient(server.url, 1)
+                result = await client.request(
+                    "POST", "/x", 0.1, check=_BodyCheck(b"first")
+                )
+                self.assertEqual(HttpNotSent, _result_kind(result))
+                await client.close()
+
+        asyncio.run(run())
+
     def test_failed_connect_is_not_sent(self) -> None:
         """Guards against an unknown outcome when no byte was sent."""
 
--- a/tests/users_platform/test_worker_client.py
+++ b/tests/users_platform/test_worker_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -13,10 +14,15 @@
 from starlette.routing import Route
 from testtools import TestCase
 
+from carawaystep.adapters.http.uvicorn_server import UvicornServer
+from carawaystep.fleet.order import StartOrder
+from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.fleet.worker_key import WorkerKey
 from carawaystep.fleet.worker_report import WorkerReport
+from carawaystep.workflow.task_ref import TaskRef
 from carawaystep_platform.worker_client import WorkerClient
 from tests.adapters.http.bound_server import bind_server
+from tests.users_platform.worker_standin import WorkerStandin
 from tools.port_allocator import LOOPBACK_HOST
 
 if TYPE_CHECKING:
@@ -43,6 +49,25 @@
         await server.stop(0.0)
 
 
+async def _start_after_restart(standin: WorkerStandin) -> OrderOutcome:
+    """Send a start to a worker that has restarted since its last report."""
+    server = bind_server(standin.app())
+    await server.start()
+    client = WorkerClient(_KEY, f"{LOOPBACK_HOST}:{server.port}", 6.0)
+    try:
+        await client.fetch_report(1, 0, False, 0.0)
+        await server.stop(0.0)
+        standin.restart()
+        server = UvicornServer(standin.app(), LOOPBACK_HOST, server.port)
+        server.bind()
+        await server.start()
+        order = StartOrder(_KEY, TaskRef("5c0e7a21d94b36f8", 0, 0, 0), 1, "")
+        return await client.execute_order(order, 1)
+    finally:
+        await client.close()
+        await server.stop(0.0)
+
+
 class WorkerClientTest(TestCase):
     """Reports of a worker."""
 
@@ -71,3 +96,16 @@
             body = {"clock_ms": 1, "born": 7, "finished": ends}
             report = asyncio.run(_fetch_report(json.dumps(body)))
             self.assertEqual(truncated, report.unwrap().ends_truncated, count)
+
+    def test_start_for_a_crashed_lifetime_reaches_no_later_one(self) -> None:
+        """Guards against a lease with a deadline of another clock.
+
+        The worker crashed and was back under its id. A start on a new
+        connection reached the later lifetime, which knew no fencing token,
+        so that the run outlasted the leader's wait for its end.
+        """
+        standin = WorkerStandin("i-1", run_s=10.0)
+        outcome = asyncio.run(_start_after_restart(standin))
+        self.assertEqual([], standin.started)
+        self.assertLess(standin.lease_ends_at, time.monotonic())
+        self.assertEqual(OrderOutcome.OTHER_LIFETIME, outcome)
