Wait for the leases of an unseen lifetime before an unreported run is repeated

Change: a run that no report of its lifetime has listed is kept until the longest lease that workers accept has ended. Long-running tasks are not waited for longer: 12.6 s are more than the 12 s for which callers may miss them.

--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -62,8 +62,7 @@
         for key in self._workers.take_overdue_unlisted(now):
             self._requeue_unlisted(key)
         for worker in self._workers.without_lease(now, contact_times):
-            self._log_lease_passed(worker, now, contact_times)
-            self._lose_all(worker, "lease-passed")
+            self._lose_ended(worker, now, contact_times)
 
     def drop_earlier_lifetimes(self, key: WorkerKey) -> None:
         """Give up the runs of earlier lifetimes of a worker that reported.
@@ -124,10 +123,22 @@
         successor.add(ref, tracked)
         self._stopper.stop_task(workflow, ref, "worker-restarted")
 
-    def _log_lease_passed(
+    def _lose_ended(
         self, worker: TrackedWorker, now: float, contact_times: ContactTimes
     ) -> None:
-        if not worker.runs:
+        """Give up the runs of a worker without a lease that have ended.
+
+        :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
+        """
+        all_ended = self._workers.ended_unseen(worker, now, contact_times)
+        ended = [
+            (ref, tracked.run)
+            for ref, tracked in worker.runs.items()
+            if all_ended or self._is_on(ref, tracked)
+        ]
+        if not ended:
             return
         report_at = worker.last_report_at
         contacts = contact_times(worker.key)
@@ -137,12 +148,22 @@
             born=worker.key.started_at_ms,
             report_age_s=-1.0 if report_at is None else now - report_at,
             contact_age_s=now - max(contacts) if contacts else -1.0,
-            runs=len(worker.runs),
+            runs=len(ended),
+            kept=len(worker.runs) - len(ended),
         )
+        for ref, run in ended:
+            self.lose(worker, ref, run, "lease-passed")
 
-    def _lose_all(self, worker: TrackedWorker, reason: str) -> None:
-        for ref, tracked in list(worker.runs.items()):
-            self.lose(worker, ref, tracked.run, reason)
+    def _is_on(self, ref: TaskRef, tracked: TrackedRun) -> bool:
+        """Tell whether a run is on the lifetime that it was placed on.
+
+        Only a report shows that. Long-running tasks are not waited for any
+        longer, because they have to be back soon.
+        """
+        if tracked.step.long_running or tracked.inherited:
+            return True
+        workflow = self._registry.get(ref.workflow)
+        return workflow is None or workflow.has_been_reported(ref, tracked.run)
 
     def _requeue_unlisted(self, key: WorkerKey) -> None:
         for workflow in self._registry:
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -223,23 +223,55 @@
         return [
             worker
             for worker in self._workers.values()
-            if now > self._last_known_lease_end(worker)
-            and now > self._lease_end(worker, contact_times)
+            if now > (end := self._last_known_lease_end(worker))
+            and now
+            > self._lease_end(
+                worker.key, end, contact_times, self._limits.lost_after_s
+            )
         ]
 
+    def ended_unseen(
+        self, worker: TrackedWorker, now: float, contact_times: ContactTimes
+    ) -> bool:
+        """Tell whether even the leases of an unseen lifetime have ended.
+
+        A silent worker may have started again. Calls that were sent to the
+        lifetime that the leader knows may reach the later one, which takes
+        the longest lease from them.
+
+        :param now: current time, seconds of a monotonic clock
+        :param contact_times: when the members that call the workers were
+            last heard
+        """
+        if worker.last_report_at is None:
+            return True
+        lost_after_s = self._limits.lost_after_unfenced_s
+        end = worker.last_report_at + lost_after_s
+        return now > self._lease_end(
+            worker.key, end, contact_times, lost_after_s
+        )
+
     def _lease_end(
-        self, worker: TrackedWorker, contact_times: ContactTimes
+        self,
+        key: WorkerKey,
+        known_end: float,
+        contact_times: ContactTimes,
+        lost_after_s: float,
     ) -> float:
         """Return when a worker's lease has ended at the latest.
 
         A member that was last heard before may have extended it until its
         grant ended. One that was heard later had no answer of the worker
         before, because the leader would have the report.
+
+        :param known_end: end of the lease that the leader knows of
+        :param lost_after_s: time after a member's last sign of life after
+            which the leases that it may have extended have ended, seconds
         """
-        end = self._last_known_lease_end(worker)
-        for heard_at in sorted(contact_times(worker.key)):
+        end = known_end
+        for heard_at in sorted(contact_times(key)):
             if heard_at <= end:
-                end = max(end, heard_at + self._limits.lost_after_s)
+                end = max(end, heard_at + lost_after_s)
         return end
 
     def _last_known_lease_end(self, worker: TrackedWorker) -> float:
--- a/tests/planner/planners.py
+++ b/tests/planner/planners.py
@@ -82,6 +82,7 @@
     log: DecisionLog | None = None,
     order: WaitingOrder | None = None,
     reserve: WorkerReserve | None = None,
+    limits: PlannerLimits = LIMITS,
 ) -> Planner:
     """Return a planner without workflows and workers.
 
@@ -89,10 +90,11 @@
     :param order: order of waiting workflows, None for the default
     :param reserve: workers that long-running tasks leave, None for the
         default
+    :param limits: times after which a silent worker has no runs
     """
     interference = InterferenceModel()
     return Planner(
-        LIMITS,
+        limits,
         InterferenceAwarePlacement(interference),
         interference,
         log or RecordingLog(),
@@ -122,9 +124,11 @@
     )
 
 
-def planner_with_workers(*names: str) -> Planner:
+def planner_with_workers(
+    *names: str, limits: PlannerLimits = LIMITS
+) -> Planner:
     """Return a planner with empty workers that have reported."""
-    planner = new_planner()
+    planner = new_planner(limits=limits)
     planner.update_worker_list([worker_record(name) for name in names], 0.0)
     for name in names:
         planner.handle_report(report(name), 0.0)
--- a/tests/planner/test_restarted_workers.py
+++ b/tests/planner/test_restarted_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from testtools import TestCase
 
@@ -21,6 +22,9 @@
 from tests.planner.planners import worker_record
 from tests.workflow.workflows import workflow_spec
 
+if TYPE_CHECKING:
+    from carawaystep.workflow.step_spec import StepSpec
+
 _LIMITS = replace(LIMITS, longest_lease_s=10.0)
 _FIRST = WorkerKey("w1", 1)
 _SECOND = WorkerKey("w1", 2)
@@ -113,3 +117,40 @@
         self.assertEqual([], plan_and_take_starts(planner, 0.6))
         planner.handle_report(report(name, started_at_ms=2), 0.7)
         self.assertEqual(1, len(plan_and_take_starts(planner, 0.7)))
+
+
+class UnseenRestartTest(TestCase):
+    """A silent worker whose restart no report or row has shown."""
+
+    def _lost_at(self, step: StepSpec, reported: bool) -> float:
+        """Return when a run on a silent worker is given up, in seconds.
+
+        The worker was heard last at 0 s.
+        """
+        planner = planner_with_workers("w1", limits=_LIMITS)
+        planner.admit(workflow_spec(step), False)
+        (start,) = plan_and_take_starts(planner)
+        listed = [running(start)] if reported else []
+        planner.handle_report(report("w1", listed), 0.0)
+        now = 0.0
+        while planner.workers[_FIRST].runs:
+            now += 0.1
+            planner.requeue_lost_runs(now, no_contacts)
+        return now
+
+    def test_unreported_run_may_be_on_an_unseen_lifetime(self) -> None:
+        """Guards against a second run beside one under a foreign lease.
+
+        The worker crashed after its last report, and a start that was meant
+        for the crashed lifetime gave the next one the longest lease.
+        """
+        self.assertGreater(self._lost_at(ONE_TASK, reported=False), 12.0)
+
+    def test_reported_run_ends_with_its_lease(self) -> None:
+        """Guards against tasks that wait longer than any lease lasts."""
+        self.assertLess(self._lost_at(ONE_TASK, reported=True), 8.2)
+
+    def test_long_running_task_is_back_soon(self) -> None:
+        """Guards against long-running tasks that are away for over 12 s."""
+        step = replace(ONE_TASK, long_running=True)
+        self.assertLess(self._lost_at(step, reported=False), 8.2)
