--- a/src/carawaystep/scheduler/leader_term.py
+++ b/src/carawaystep/scheduler/leader_term.py
@@ -7,16 +7,7 @@
 from typing import TYPE_CHECKING
 
 from carawaystep.cluster.messages import Acknowledge
-from carawaystep.cluster.messages import AdviceReply
-from carawaystep.cluster.messages import CallReply
-from carawaystep.cluster.messages import Cancel
-from carawaystep.cluster.messages import LeaseAges
-from carawaystep.cluster.messages import OrderResult
-from carawaystep.cluster.messages import QueryState
-from carawaystep.cluster.messages import Report
-from carawaystep.cluster.messages import ReportPollRejected
 from carawaystep.cluster.messages import Resignation
-from carawaystep.cluster.messages import Submit
 from carawaystep.leadership.leadership import LEADER_LEASE_S
 from carawaystep.leadership.predecessors import Predecessors
 from carawaystep.leadership.silence_limit import SilenceLimit
@@ -36,6 +27,7 @@
 from carawaystep.scheduler.lease_limits import planner_limits
 from carawaystep.scheduler.lifetime_tokens import LifetimeTokens
 from carawaystep.scheduler.member_calls import MemberCalls
+from carawaystep.scheduler.member_messages import MemberMessages
 from carawaystep.scheduler.member_sessions import MemberSessions
 from carawaystep.scheduler.order_dispatcher import OrderDispatcher
 from carawaystep.scheduler.room_publisher import RoomPublisher
@@ -171,13 +163,21 @@
             ports.clock,
         )
         self._calls = MemberCalls(self._planner, self, self._plan_requested)
+        self._member_messages = MemberMessages(
+            self,
+            self._planner,
+            self._assignments,
+            self._order_dispatcher,
+            self._advice_dispatcher,
+            self._calls,
+            self._plan_requested,
+        )
         self._room_publisher = RoomPublisher(
             self._planner, self._sessions, self._calls.admission, ports
         )
         self._term_check_requested = asyncio.Event()
         # Grants are given once the term has been confirmed after the election.
         self._term_check_requested.set()
-        self._loaded = False
         self._stopping = False
         self._resigned = asyncio.Event()
         self._step_timer = StepTimer(ports.clock, ports.log, settings.name)
@@ -299,7 +299,7 @@
         revisions = await self._repository.load(self._planner)
         self._interference.restore(await self._interference_repository.load())
         self._publish_restored_states()
-        self._loaded = True
+        self._member_messages.admit_all()
         return revisions
 
     async def _load_voters(self) -> None:
@@ -319,47 +319,8 @@
     async def handle_message(
         self, session: MemberSession, message: Message
     ) -> None:
-        """Handle a message from a member.
-
-        Until the stored state is read, calls are answered with "not stored":
-        the member then uses the store itself.
-        """
-        if isinstance(message, LeaseAges):
-            if message.term == self._term:
-                self._assignments.record_lease_ages(
-                    session.record.address, message, self.now
-                )
-            return
-        if not self._loaded:
-            if isinstance(message, Submit | Cancel | QueryState):
-                await session.send(CallReply(message.call, False))
-            return
-        if isinstance(message, Report):
-            if message.term == self._term:
-                self._planner.handle_report(
-                    message.report, self.now, message.fenced
-                )
-                self._plan_requested.set()
-        elif isinstance(message, OrderResult):
-            if message.term == self._term:
-                self._order_dispatcher.apply_result(
-                    message.number, message.outcome, self.now
-                )
-        elif isinstance(message, Submit):
-            await self._calls.submit(session, message, self.now)
-        elif isinstance(message, Cancel):
-            await self._calls.cancel(session, message)
-        elif isinstance(message, QueryState):
-            await self._calls.query(session, message)
-        elif isinstance(message, AdviceReply):
-            self._advice_dispatcher.record_answer(session.record.name)
-            if message.term == self._term:
-                self._planner.handle_advice(
-                    message.request, message.tickets, self.now
-                )
-                self._plan_requested.set()
-        elif isinstance(message, ReportPollRejected) and message.fenced:
-            self.request_term_check()
+        """Handle a message from a member."""
+        await self._member_messages.handle(session, message, self.now)
 
     async def _save_interference(self) -> None:
         saved: list[tuple[str, str, float]] = []
