--- a/src/carawaystep/adapters/http_client/connection_check.py
+++ b/src/carawaystep/adapters/http_client/connection_check.py
@@ -7,8 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
+    from carawaystep.adapters.http_client.http_request import HttpRequest
     from carawaystep.adapters.http_client.http_response import HttpResponse
 
 
@@ -21,24 +20,9 @@
 
     @property
     @abstractmethod
-    def method(self) -> str:
-        """Return the HTTP method of the request."""
-
-    @property
-    @abstractmethod
-    def path(self) -> str:
-        """Return the path of the request, already percent-encoded."""
-
-    @property
-    @abstractmethod
-    def headers(self) -> Mapping[str, str]:
-        """Return the headers in addition to those of the client."""
-
-    @property
-    @abstractmethod
-    def body(self) -> bytes:
-        """Return the body of the request."""
+    def request(self) -> HttpRequest:
+        """Return the request."""
 
     @abstractmethod
     def accepts(self, response: HttpResponse) -> bool:
-        """Tell whether requests may be sent on the connection."""
+        """Tell whether further requests may be sent on the connection."""
--- a/src/carawaystep/adapters/http_client/http_client.py
+++ b/src/carawaystep/adapters/http_client/http_client.py
@@ -86,7 +86,7 @@
         :param method: HTTP method
         :param path: path and query, already percent-encoded
         :param timeout_s: timeout of the whole call in seconds, including the
-            wait for a free connection
+            wait for a free connection; after a check it begins anew
         :param headers: headers in addition to those that the client sets
         :param body: body, None for a request without one
         :param body_timeout: limits of a response that has begun, in place of
@@ -98,7 +98,8 @@
             the check failed
         """
         request = HttpRequest(method, self._url + path, headers or {}, body)
-        deadline_at = asyncio.get_running_loop().time() + timeout_s
+        loop = asyncio.get_running_loop()
+        deadline_at = loop.time() + timeout_s
         try:
             async with asyncio.timeout_at(deadline_at):
                 await self._begin_call()
@@ -109,9 +110,17 @@
                 )
             )
         try:
-            return await self._send(
-                request, ResponseDeadline(deadline_at, body_timeout), check
-            )
+            if self._closed:
+                return Err(HttpNotSent(f"{request}: the client is closed"))
+            connection = await self._acquire_connection()
+            if check is not None and not connection.checked:
+                checked = await self._check(connection, check, deadline_at)
+                if isinstance(checked, Err):
+                    return checked
+                connection = checked.ok_value
+                deadline_at = loop.time() + timeout_s
+            deadline = ResponseDeadline(deadline_at, body_timeout)
+            return await self._send(connection, request, deadline)
         finally:
             self._end_call()
 
@@ -134,17 +143,48 @@
         self._active_calls -= 1
         self._call_may_begin.set()
 
+    async def _check(
+        self,
+        connection: PooledConnection,
+        check: ConnectionCheck,
+        deadline_at: float,
+    ) -> Result[PooledConnection, HttpFailure]:
+        """Check a connection and return the one for the next request.
+
+        That is another one if the server closes each connection after its
+        response.
+        """
+        result = await self._send(
+            connection,
+            check.request,
+            ResponseDeadline(deadline_at, None),
+            release=False,
+        )
+        if isinstance(result, Err):
+            return Err(HttpNotSent(result.err_value.detail))
+        response = result.ok_value
+        if not check.accepts(response):
+            self._release_connection(connection, response_complete=False)
+            detail = f"{check.request}: rejected, status {response.status}"
+            return Err(HttpConnectionRejected(detail, response))
+        if connection.closes_after_response:
+            self._release_connection(connection, response_complete=False)
+            connection = self._open_connection()
+        connection.mark_checked()
+        return Ok(connection)
+
     async def _send(
         self,
+        connection: PooledConnection,
         request: HttpRequest,
         deadline: ResponseDeadline,
-        check: ConnectionCheck | None,
+        release: bool = True,
     ) -> Result[HttpResponse, HttpFailure]:
-        if self._closed:
-            return Err(HttpNotSent(f"{request}: the client is closed"))
-        connection = await self._acquire_connection()
+        """Send a request on a connection, which is closed if that fails.
+
+        :param release: whether the connection is free afterwards
+        """
         response: HttpResponse | None = None
-        request_begun = False
         try:
             async with asyncio.timeout_at(deadline.at) as timeout:
 
@@ -154,43 +194,21 @@
                     if deadline.at != timeout.when():
                         timeout.reschedule(deadline.at)
 
-                rejection = await self._check(connection, check)
-                if rejection is not None:
-                    return Err(rejection)
-                request_begun = True
                 response = await connection.send(request, record_progress)
         # aiosonic also raises exceptions of other libraries (ValueError,
         # IncompleteReadError, zlib.error); any of them is a failed call.
         except Exception as error:
             detail = f"{request}: {str(error) or type(error).__name__}"
-            if request_begun and connection.maybe_sent:
+            if connection.maybe_sent:
                 return Err(HttpOutcomeUnknown(detail))
             return Err(HttpNotSent(detail))
         finally:
-            self._release_connection(
-                connection, response_complete=response is not None
-            )
+            if release or response is None:
+                self._release_connection(
+                    connection, response_complete=response is not None
+                )
         return Ok(response)
 
-    async def _check(
-        self, connection: PooledConnection, check: ConnectionCheck | None
-    ) -> HttpConnectionRejected | None:
-        """Check a connection unless that was done before.
-
-        :raises Exception: of any type; the connection must then be closed
-        """
-        if check is None or connection.checked:
-            return None
-        request = HttpRequest(
-            check.method, self._url + check.path, check.headers, check.body
-        )
-        response = await connection.send(request, lambda: None)
-        if not check.accepts(response):
-            detail = f"{request}: another process or status {response.status}"
-            return HttpConnectionRejected(detail, response)
-        connection.checked = True
-        return None
-
     async def _acquire_connection(self) -> PooledConnection:
         self._close_expired_connections()
         while self._idle:
@@ -206,6 +224,9 @@
                     )
             if reusable:
                 return connection
+        return self._open_connection()
+
+    def _open_connection(self) -> PooledConnection:
         connection = PooledConnection()
         self._in_use.add(connection)
         return connection
--- a/src/carawaystep/adapters/http_client/http_connection.py
+++ b/src/carawaystep/adapters/http_client/http_connection.py
@@ -27,6 +27,8 @@
         self._maybe_sent = False
         self._broken = False
         self._was_opened = False
+        # Whether a check of this connection has succeeded.
+        self.checked = False
 
     @property
     def maybe_sent(self) -> bool:
--- a/src/carawaystep/adapters/http_client/pooled_connection.py
+++ b/src/carawaystep/adapters/http_client/pooled_connection.py
@@ -45,8 +45,6 @@
     def __init__(self) -> None:
         """Create the client; the first request opens the connection."""
         self._connection: HttpConnection | None = None
-        # Whether a check of this connection has succeeded.
-        self.checked = False
         self._idle_since_s = monotonic()
         # Without a limit, no connection is replaced by another one in place.
         pool = PoolConfig(size=1, max_conn_requests=None)
@@ -66,11 +64,26 @@
         """Return whether bytes of the current request may have been sent."""
         return self._connection is not None and self._connection.maybe_sent
 
+    @property
+    def checked(self) -> bool:
+        """Return whether a check of the open connection has succeeded."""
+        return self._connection is not None and self._connection.checked
+
+    @property
+    def closes_after_response(self) -> bool:
+        """Return whether the server closes it after the last response."""
+        return self._connection is not None and not self._connection.keep
+
     @property
     def idle_s(self) -> float:
         """Return the seconds since the last complete response."""
         return monotonic() - self._idle_since_s
 
+    def mark_checked(self) -> None:
+        """Record that a check of the open connection has succeeded."""
+        if self._connection is not None:
+            self._connection.checked = True
+
     async def is_reusable(self) -> bool:
         """Return whether the kept-alive connection can carry a request."""
         if self._connection is None or not self._connection.keep:
--- a/tests/adapters/http_client/test_http_client.py
+++ b/tests/adapters/http_client/test_http_client.py
@@ -21,14 +21,13 @@
 )
 from carawaystep.adapters.http_client.http_failure import HttpNotSent
 from carawaystep.adapters.http_client.http_failure import HttpOutcomeUnknown
+from carawaystep.adapters.http_client.http_request import HttpRequest
 from tests.adapters.http_client.scripted_server import CLOSE
 from tests.adapters.http_client.scripted_server import response
 from tests.adapters.http_client.scripted_server import ScriptedServer
 from tests.adapters.http_client.scripted_server import Step
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from result import Result
 
     from carawaystep.adapters.http_client.http_failure import HttpFailure
@@ -58,14 +57,14 @@
 class _BodyCheck(ConnectionCheck):
     """Accepts connections whose first response has the expected body."""
 
-    method = "GET"
-    path = "/check"
-    headers: Mapping[str, str] = {}
-    body = b""
-
-    def __init__(self, expected: bytes) -> None:
+    def __init__(self, url: str, expected: bytes) -> None:
+        self._url = url
         self._expected = expected
 
+    @property
+    def request(self) -> HttpRequest:
+        return HttpRequest("GET", self._url + "/check", {}, None)
+
     def accepts(self, response: HttpResponse) -> bool:
         return response.body == self._expected
 
@@ -371,7 +370,10 @@
                 for _ in range(3):
                     results.append(
                         await client.request(
-                            "POST", "/x", 2.0, check=_BodyCheck(b"first")
+                            "POST",
+                            "/x",
+                            2.0,
+                            check=_BodyCheck(server.url, b"first"),
                         )
                     )
                     await asyncio.sleep(0.02)
@@ -392,13 +394,49 @@
             async with ScriptedServer([5.0]) as server:
                 client = HttpClient(server.url, 1)
                 result = await client.request(
-                    "POST", "/x", 0.1, check=_BodyCheck(b"first")
+                    "POST", "/x", 0.1, check=_BodyCheck(server.url, b"first")
                 )
                 self.assertEqual(HttpNotSent, _result_kind(result))
                 await client.close()
 
         asyncio.run(run())
 
+    def test_server_that_closes_each_connection_is_checked_too(self) -> None:
+        """Guards against a server that gets checks and no requests."""
+
+        async def run() -> None:
+            scripts: list[list[Step]] = [
+                [response(b"first", Connection="close"), CLOSE],
+                [response(b"a", Connection="close"), CLOSE],
+            ]
+            async with ScriptedServer(*scripts) as server:
+                client = HttpClient(server.url, 1)
+                result = await client.request(
+                    "POST", "/x", 2.0, check=_BodyCheck(server.url, b"first")
+                )
+                self.assertEqual(b"a", _result_kind(result))
+                await client.close()
+
+        asyncio.run(run())
+
+    def test_check_leaves_the_request_its_full_time(self) -> None:
+        """Guards against calls to a slow server that never fit."""
+
+        async def run() -> None:
+            scripts: list[list[Step]] = [
+                [0.3, response(b"first")],
+                [0.3, response(b"a")],
+            ]
+            async with ScriptedServer(*scripts) as server:
+                client = HttpClient(server.url, 1)
+                result = await client.request(
+                    "POST", "/x", 0.5, check=_BodyCheck(server.url, b"first")
+                )
+                self.assertEqual(b"a", _result_kind(result))
+                await client.close()
+
+        asyncio.run(run())
+
     def test_failed_connect_is_not_sent(self) -> None:
         """Guards against an unknown outcome when no byte was sent."""
 
