--- a/src/carawaystep/planner/lost_runs.py
+++ b/src/carawaystep/planner/lost_runs.py
@@ -132,11 +132,16 @@
         :param contact_times: when the members that call the workers were
             last heard
         """
-        all_ended = self._workers.ended_unseen(worker, now, contact_times)
+        all_ended = self._workers.is_without_unseen_lease(
+            worker, now, contact_times
+        )
         ended = [
             (ref, tracked.run)
             for ref, tracked in worker.runs.items()
-            if all_ended or self._is_on(ref, tracked)
+            if all_ended
+            or not self._may_be_on_unseen_lifetime(ref, tracked)
+            # Kept for longer, it would be away for too long.
+            or tracked.step.long_running
         ]
         if not ended:
             return
@@ -154,16 +159,17 @@
         for ref, run in ended:
             self.lose(worker, ref, run, "lease-passed")
 
-    def _is_on(self, ref: TaskRef, tracked: TrackedRun) -> bool:
-        """Tell whether a run is on the lifetime that it was placed on.
+    def _may_be_on_unseen_lifetime(
+        self, ref: TaskRef, tracked: TrackedRun
+    ) -> bool:
+        """Tell whether a start of this term may be on a later lifetime.
 
-        Only a report shows that. Long-running tasks are not waited for any
-        longer, because they have to be back soon.
+        Only a report shows that a run is on the lifetime it was meant for.
         """
-        if tracked.step.long_running or tracked.inherited:
-            return True
         workflow = self._registry.get(ref.workflow)
-        return workflow is None or workflow.has_been_reported(ref, tracked.run)
+        if workflow is None or tracked.inherited:
+            return False
+        return not workflow.has_been_reported(ref, tracked.run)
 
     def _requeue_unlisted(self, key: WorkerKey) -> None:
         for workflow in self._registry:
--- a/src/carawaystep/planner/worker_registry.py
+++ b/src/carawaystep/planner/worker_registry.py
@@ -223,17 +223,14 @@
         return [
             worker
             for worker in self._workers.values()
-            if now > (end := self._last_known_lease_end(worker))
-            and now
-            > self._lease_end(
-                worker.key, end, contact_times, self._limits.lost_after_s
-            )
+            if now > self._last_known_lease_end(worker)
+            and now > self._extended_lease_end(worker, contact_times)
         ]
 
-    def ended_unseen(
+    def is_without_unseen_lease(
         self, worker: TrackedWorker, now: float, contact_times: ContactTimes
     ) -> bool:
-        """Tell whether even the leases of an unseen lifetime have ended.
+        """Tell whether the lease of an unseen lifetime must have expired.
 
         A silent worker may have started again. Calls that were sent to the
         lifetime that the leader knows may reach the later one, which takes
@@ -251,6 +248,16 @@
             worker.key, end, contact_times, lost_after_s
         )
 
+    def _extended_lease_end(
+        self, worker: TrackedWorker, contact_times: ContactTimes
+    ) -> float:
+        return self._lease_end(
+            worker.key,
+            self._last_known_lease_end(worker),
+            contact_times,
+            self._limits.lost_after_s,
+        )
+
     def _lease_end(
         self,
         key: WorkerKey,
@@ -258,7 +265,7 @@
         contact_times: ContactTimes,
         lost_after_s: float,
     ) -> float:
-        """Return when a worker's lease has ended at the latest.
+        """Return when a worker's lease has ended, whoever extended it.
 
         A member that was last heard before may have extended it until its
         grant ended. One that was heard later had no answer of the worker
--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from contextlib import nullcontext
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -18,7 +19,7 @@
 from carawaystep.leadership.leadership import GRANT_S
 
 if TYPE_CHECKING:
-    from contextlib import AbstractContextManager
+    from collections.abc import Iterator
 
     from result import Result
 
@@ -100,6 +101,8 @@
         self._first_report_received = asyncio.Event()
         self._orders: asyncio.Queue[_QueuedOrder] = asyncio.Queue()
         self._opened_at = context.now
+        # Last call that extended the lease, when it ended.
+        self._extended_at = 0.0
         self._answered_at = 0.0
         # Whether another lifetime of the worker sent the last report. Calls
         # name the worker's id, which a later lifetime may have too.
@@ -185,6 +188,7 @@
                 self._log_worker(
                     "worker.silent",
                     silent_s=silent_s,
+                    extension_age_s=self._context.now - self._extended_at,
                     detail=result.err_value.detail,
                 )
             return
@@ -200,8 +204,14 @@
         key = self._worker.key
         self._log.line(event, key.id, born=key.started_at_ms, **inputs)
 
-    def _extension(self) -> AbstractContextManager[None]:
-        return self._context.lease_extensions.call(self._worker.key.id)
+    @contextmanager
+    def _extension(self) -> Iterator[None]:
+        """Enclose a call that extends the lease."""
+        try:
+            with self._context.lease_extensions.call(self._worker.key.id):
+                yield
+        finally:
+            self._extended_at = self._context.now
 
     def _has_answered_recently(self) -> bool:
         """Tell whether the worker's leases may be extended."""
@@ -262,20 +272,24 @@
         sent_at = self._context.now
         sample_age_s = sent_at - self._answered_at
         deadline_ms = self._link.lease_deadline_ms() or 0
-        with self._extension():
-            outcome = await self._link.execute_order(order, self._token)
-        self._log.line(
-            "start.sent",
-            str(order.ref),
-            run=order.run,
-            worker=order.worker.id,
-            born=order.worker.started_at_ms,
-            token=self._token,
-            deadline_ms=deadline_ms,
-            sample_age_s=sample_age_s,
-            outcome=outcome,
-            seconds=self._context.now - sent_at,
-        )
+        # Stays unknown when the leader takes the worker away meanwhile.
+        outcome = OrderOutcome.UNKNOWN
+        try:
+            with self._extension():
+                outcome = await self._link.execute_order(order, self._token)
+        finally:
+            self._log.line(
+                "start.tried",
+                str(order.ref),
+                run=order.run,
+                worker=order.worker.id,
+                born=order.worker.started_at_ms,
+                token=self._token,
+                deadline_ms=deadline_ms,
+                sample_age_s=sample_age_s,
+                outcome=outcome,
+                seconds=self._context.now - sent_at,
+            )
         return outcome
 
     def _find_obstacle(self, queued: _QueuedOrder) -> OrderOutcome | None:
