Simulate connections to workers, and restarts that nobody sees

Cause: a call of the simulation reached whatever lifetime of a worker was present, and a restarted worker was always listed at once.

Change: a connection leads to the lifetime that was present when its first call arrived, and a crash closes it. The simulated link, which stands for the platform's client, sends deadlines, acknowledgements and orders only after the expected lifetime has answered a report on the connection; a start has the deadline and the time limit from before that check. One connection stands for all of a client, because they are closed together. A fault at the end of each calm phase restarts two workers within 0.3 s under load, cuts them off 0 to 1 s later for 8 to 12 s and lists them only then. Runs that start on them last longer than a lease. The variant start-on-unchecked-connections leaves out the check of starts.

All checks are as they were.

--- a/tests/scheduler/simulation/fault_driver.py
+++ b/tests/scheduler/simulation/fault_driver.py
@@ -28,14 +28,18 @@
 # leader, and the time within which most commits end.
 _LEADER_FAULT_RATE = 0.03
 _MAX_LEADER_FAULT_DELAY_S = 0.08
+# Workers that start again at the same time without being seen.
+_UNSEEN_RESTARTS = 2
 
 
 class FaultDriver:
     """Injects faults, which may overlap, in phases with calm between them.
 
-    Some faults hit the leader shortly after a call, when the change that
-    the call asks for is being stored. ``on_busy_node`` is called with a node
-    that shall get several calls at once.
+    Each calm phase ends with workers that start again without being seen,
+    because other faults keep starts from reaching them. Some faults hit the
+    leader shortly after a call, when the change that the call asks for is
+    being stored. ``on_busy_node`` is called with a node that shall get
+    several calls at once.
     """
 
     def __init__(
@@ -77,6 +81,9 @@
             while self._tasks:
                 await asyncio.wait(list(self._tasks))
             await asyncio.sleep(_CALM_PHASE_S)
+            if loop.time() < until:
+                with self._calm.fault():
+                    await self._restart_workers_unseen()
 
     def fail_leader(self) -> None:
         """Let a fault of the leader follow a call or its confirmation."""
@@ -388,6 +395,34 @@
         else:
             await self._last(5.0)
         fleet.restart(name)
+        fleet.list_worker(name)
+
+    async def _restart_workers_unseen(self) -> None:
+        """Restart workers under load and cut them off soon after.
+
+        Their rows in the store are renewed when they are in touch again.
+        """
+        fleet = self._environment.fleet
+        names = self._random.sample(list(fleet.workers), _UNSEEN_RESTARTS)
+        self._begin("workers-restarted-unseen", " ".join(names))
+        for name in names:
+            fleet.crash(name)
+        await asyncio.sleep(self._random.uniform(0.05, 0.3))
+        for name in names:
+            fleet.restart(name)
+        fleet.long_run_workers.update(names)
+        for node in self._nodes:
+            self.on_busy_node(node)
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        nodes = [node.name for node in self._nodes]
+        links = [(name, node) for name in names for node in nodes]
+        if self._random.random() < 0.5:
+            links += [(node, name) for name, node in links]
+        with self._cut(" ".join(names), links):
+            await asyncio.sleep(self._random.uniform(8.0, 12.0))
+        fleet.long_run_workers.clear()
+        for name in names:
+            fleet.list_worker(name)
 
     async def _unlist_worker(self) -> None:
         name = self._choose_worker()
--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 from carawaystep.availability_zone.evacuated_zones import EvacuatedZones
+from carawaystep.fleet.order import StartOrder
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.earlier_leases import EarlierLeases
 from carawaystep.scheduler import member
@@ -22,6 +23,9 @@
 from tests.scheduler.simulation.lack_of_room import lack_of_room
 from tests.scheduler.simulation.lack_of_room import refuse_what_is_admitted
 from tests.scheduler.simulation.simulated_store import SimulatedStore
+from tests.scheduler.simulation.simulated_worker_link import (
+    SimulatedWorkerLink,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -32,9 +36,12 @@
     from carawaystep.availability_zone.evacuation_request import (
         EvacuationRequest,
     )
+    from carawaystep.fleet.order import Order
+    from carawaystep.fleet.order_outcome import OrderOutcome
     from carawaystep.scheduler.waiting_calls import WaitingCall
     from carawaystep.store.operation import Operation
     from carawaystep.workflow.workflow_state import WorkflowState
+    from tests.scheduler.simulation.worker_connection import WorkerConnection
 
 
 def _confirm_by_any_commit() -> AbstractContextManager[object]:
@@ -171,6 +178,23 @@
     )
 
 
+def _start_on_unchecked_connections() -> AbstractContextManager[object]:
+    """Send starts to whatever lifetime a connection leads to."""
+    check = SimulatedWorkerLink._check
+
+    async def check_others(
+        link: SimulatedWorkerLink,
+        connection: WorkerConnection,
+        order: Order,
+        token: int,
+    ) -> OrderOutcome | None:
+        if isinstance(order, StartOrder):
+            return None
+        return await check(link, connection, order, token)
+
+    return patch.object(SimulatedWorkerLink, "_check", check_others)
+
+
 _VARIANTS = {
     "none": nullcontext,
     "confirm-by-any-commit": _confirm_by_any_commit,
@@ -184,6 +208,7 @@
     "grant-without-majority": _grant_without_majority,
     "take-changes-for-all-rows": _take_changes_for_all_rows,
     "plan-in-evacuated-zones": _plan_in_evacuated_zones,
+    "start-on-unchecked-connections": _start_on_unchecked_connections,
     "lack-of-room": lack_of_room,
     "refuse-what-is-admitted": refuse_what_is_admitted,
 }
--- a/tests/scheduler/simulation/simulated_fleet.py
+++ b/tests/scheduler/simulation/simulated_fleet.py
@@ -42,7 +42,8 @@
     ``on_start`` is called with the worker, the order, whether the worker
     carried the order out late and the node that sent it, after each start;
     ``on_end_acknowledged`` with each end that a worker forgets because it is
-    acknowledged while the lease lasts that the worker had at the end.
+    acknowledged while the lease lasts that the worker had at the end. All
+    runs that start on ``long_run_workers`` may outlast a lease.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.on_start = lambda worker, order, late, node: None
         self.on_end_acknowledged: Callable[[EndedRun], None]
         self.on_end_acknowledged = lambda ended: None
+        self.long_run_workers: set[str] = set()
         self._started_at = dict.fromkeys(names, 0.0)
         self._ended = {name: asyncio.Event() for name in names}
         for name in names:
@@ -141,7 +143,7 @@
         run = SimulatedRun(
             order.run,
             0,
-            now + self._draw_run_s(),
+            now + self._draw_run_s(name),
             RunEnd.FAILED
             if self._random.random() < _FAILURE_RATE
             else RunEnd.DONE,
@@ -152,8 +154,9 @@
         self.on_start(worker, order, late, node)
         return True
 
-    def _draw_run_s(self) -> float:
-        if self._random.random() < _LONG_RUN_RATE:
+    def _draw_run_s(self, name: str) -> float:
+        is_long = name in self.long_run_workers
+        if is_long or self._random.random() < _LONG_RUN_RATE:
             return self._random.uniform(_MIN_LONG_RUN_S, _MAX_LONG_RUN_S)
         return self._random.uniform(_MIN_RUN_S, _MAX_RUN_S)
 
@@ -162,10 +165,9 @@
         self.workers[name].crash()
 
     def restart(self, name: str) -> None:
-        """Start a new lifetime of a worker under its id, and list it."""
+        """Start a new lifetime of a worker under its id."""
         self.workers[name].restart()
         self._started_at[name] = asyncio.get_running_loop().time()
-        self.list_worker(name)
 
     def list_worker(self, name: str) -> None:
         """Add a worker to the list."""
--- a/tests/scheduler/simulation/simulated_ports.py
+++ b/tests/scheduler/simulation/simulated_ports.py
@@ -134,7 +134,7 @@
     ) -> WorkerLink:
         """Return a new link to a worker."""
         return SimulatedWorkerLink(
-            key.id,
+            key,
             lease_s,
             self._environment.fleet,
             self._environment.network,
--- a/tests/scheduler/simulation/simulated_worker_link.py
+++ b/tests/scheduler/simulation/simulated_worker_link.py
@@ -15,6 +15,7 @@
 from carawaystep.fleet.order import StopOrder
 from carawaystep.fleet.order_outcome import OrderOutcome
 from carawaystep.fleet.worker_link import WorkerLink
+from tests.scheduler.simulation.worker_connection import WorkerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -23,6 +24,7 @@
     from result import Result
 
     from carawaystep.fleet.order import Order
+    from carawaystep.fleet.worker_key import WorkerKey
     from carawaystep.fleet.worker_report import WorkerReport
     from tests.scheduler.simulation.order_faults import OrderFaults
     from tests.scheduler.simulation.simulated_fleet import SimulatedFleet
@@ -38,11 +40,15 @@
 
 
 class SimulatedWorkerLink(WorkerLink):
-    """Calls the present lifetime of a worker, as an address does."""
+    """Calls the present lifetime of a worker, as an address does.
+
+    Deadlines, acknowledgements and orders are sent only on connections on
+    which the expected lifetime has answered a report.
+    """
 
     def __init__(
         self,
-        name: str,
+        key: WorkerKey,
         lease_s: float,
         fleet: SimulatedFleet,
         network: SimulatedNetwork,
@@ -52,7 +58,7 @@
     ) -> None:
         """Create a link.
 
-        :param name: id of the worker
+        :param key: expected lifetime of the worker
         :param lease_s: duration of a lease
         :param fleet: the workers
         :param network: links between the process and the worker
@@ -60,7 +66,8 @@
         :param process: the calling process
         :param random: source of all random decisions
         """
-        self._name = name
+        self._key = key
+        self._name = name = key.id
         self._lease_s = lease_s
         self._fleet = fleet
         self._network = network
@@ -70,12 +77,18 @@
         # The worker's clock and the local time at the last report.
         self._clock_sample: tuple[float, float] | None = None
         self._calls: set[asyncio.Task[object]] = set()
+        self._connection = WorkerConnection(fleet.workers[name])
 
     async def fetch_report(
         self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
     ) -> Result[WorkerReport, LinkFailure]:
         """Return the worker's report."""
-        report = self._report(token, acknowledged, extend_lease, wait_s)
+        connection = self._connect()
+        if not connection.leads_to(self._key):
+            acknowledged, extend_lease = 0, False
+        report = self._report(
+            connection, token, acknowledged, extend_lease, wait_s
+        )
         answer = await self._call(report, _CALL_TIMEOUT_S + wait_s)
         if answer is None:
             return Err(LinkFailure("no answer"))
@@ -83,21 +96,55 @@
             return Err(answer)
         report, clock = answer
         self._clock_sample = (clock, asyncio.get_running_loop().time())
+        connection.record_report()
         return Ok(report)
 
     async def execute_order(self, order: Order, token: int) -> OrderOutcome:
-        """Send an order once."""
+        """Send an order once, on a connection that has been checked."""
+        # The caller's conditions for an order hold now: neither its deadline
+        # nor the time by which it is sent may depend on a later time.
         deadline = self._deadline()
         if deadline is None and isinstance(order, StartOrder):
             return OrderOutcome.NOT_SENT
+        connection = self._connect()
+        obstacle = await self._check(connection, order, token)
+        if obstacle is not None:
+            return obstacle
         outcome = await self._call(
-            self._execute(order, token, deadline), _CALL_TIMEOUT_S
+            self._execute(connection, order, token, deadline), _CALL_TIMEOUT_S
         )
         return outcome or OrderOutcome.UNKNOWN
 
     async def close(self) -> None:
         """Close nothing."""
 
+    def _connect(self) -> WorkerConnection:
+        """Return the connection, or a new one if it is closed."""
+        if not self._connection.is_new and not self._connection.is_open:
+            worker = self._fleet.workers[self._name]
+            self._connection = WorkerConnection(worker)
+        return self._connection
+
+    async def _check(
+        self, connection: WorkerConnection, order: Order, token: int
+    ) -> OrderOutcome | None:
+        """Ask for a report on a connection that has carried none.
+
+        :returns: why the order must not be sent, None if it may be
+        """
+        if not connection.is_checked:
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            report = self._report(connection, token, 0, False, 0.0)
+            answer = await self._call(report, _CALL_TIMEOUT_S)
+            is_late = loop.time() - began_at > _CALL_TIMEOUT_S
+            if answer is None or isinstance(answer, LinkFailure) or is_late:
+                return OrderOutcome.NOT_SENT
+            connection.record_report()
+        if connection.leads_to(self._key):
+            return None
+        return OrderOutcome.OTHER_LIFETIME
+
     async def _call(
         self, work: Coroutine[None, None, Value], timeout_s: float
     ) -> Value | None:
@@ -117,13 +164,16 @@
             return None
 
     async def _report(
-        self, token: int, acknowledged: int, extend_lease: bool, wait_s: float
+        self,
+        connection: WorkerConnection,
+        token: int,
+        acknowledged: int,
+        extend_lease: bool,
+        wait_s: float,
     ) -> tuple[WorkerReport, float] | LinkFailure:
         """Return the worker's report and the time of its clock."""
         await self._travel(self._process.node, self._name)
-        worker = self._fleet.workers[self._name]
-        lifetime = worker.started_at_ms
-        if not worker.running:
+        if not connection.deliver():
             return LinkFailure("refused")
         loop = asyncio.get_running_loop()
         extend = extend_lease and self._clock_sample is not None
@@ -131,7 +181,7 @@
         if self._fleet.report(self._name, token, acknowledged, extend) is None:
             return LinkFailure("fenced", fenced=True)
         await self._fleet.wait_for_end(self._name, wait_s)
-        if not worker.running or worker.started_at_ms != lifetime:
+        if not connection.is_open:
             await asyncio.sleep(_NEVER_S)
         report = self._fleet.report(self._name, token, 0, False)
         if report is None:
@@ -141,17 +191,21 @@
         return report, clock
 
     async def _execute(
-        self, order: Order, token: int, deadline: float | None
+        self,
+        connection: WorkerConnection,
+        order: Order,
+        token: int,
+        deadline: float | None,
     ) -> OrderOutcome:
         await self._travel(self._process.node, self._name)
-        worker = self._fleet.workers[self._name]
-        if not worker.running:
-            return OrderOutcome.NOT_SENT
+        if not connection.deliver():
+            if connection.is_new:
+                return OrderOutcome.NOT_SENT
+            return OrderOutcome.UNKNOWN
         late = self._name in self._faults.late_workers
         if late:
-            lifetime = worker.started_at_ms
             await asyncio.sleep(self._random.uniform(0, _MAX_LATE_S))
-            if worker.started_at_ms != lifetime or not worker.running:
+            if not connection.is_open:
                 await asyncio.sleep(_NEVER_S)
         outcome = self._apply(order, token, deadline, late)
         if self._random.random() < self._faults.lost_answer_rate:
--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -80,7 +80,7 @@
         The faulty member numbers its calls from 1 after each start.
         """
         self._assert_found(
-            "number-calls-from-one", 11, "is accepted and not stored"
+            "number-calls-from-one", 17, "is accepted and not stored"
         )
 
     def test_state_without_its_update_is_detected(self) -> None:
@@ -95,7 +95,7 @@
 
         The faulty leader stores only the first callers of each worker.
         """
-        self._assert_found("store-first-callers-only", 1, "and runs on")
+        self._assert_found("store-first-callers-only", 22, "and runs on")
 
     def test_forgotten_former_caller_is_detected(self) -> None:
         """Guards against runs in which no former member calls a worker.
@@ -125,6 +125,16 @@
         """
         self._assert_found("grant-without-majority", 201, "and runs on")
 
+    def test_start_on_an_unseen_lifetime_is_detected(self) -> None:
+        """Guards against runs in which no start reaches a restarted worker.
+
+        The faulty member sends starts on connections on which no report was
+        answered.
+        """
+        self._assert_found(
+            "start-on-unchecked-connections", 8, "and runs on", seconds=60
+        )
+
     def test_promises_hold_while_room_lacks(self) -> None:
         """Guards against a refused workflow that runs after all."""
         results, errors = self._run(1, "lack-of-room")
@@ -138,10 +148,15 @@
         )
 
     def _assert_found(
-        self, variant: str, seed: int, violation: str, *options: str
+        self,
+        variant: str,
+        seed: int,
+        violation: str,
+        *options: str,
+        seconds: int = _SECONDS,
     ) -> None:
         """Check that one run finds the fault of a variant."""
-        results, errors = self._run(seed, variant, *options)
+        results, errors = self._run(seed, variant, *options, seconds=seconds)
         self.assertGreater(results[0]["violations"], 0, variant)
         self.assertIn(violation, errors)
 
