--- a/tests/scheduler/simulation/faulty_variants.py
+++ b/tests/scheduler/simulation/faulty_variants.py
@@ -12,6 +12,7 @@
 from carawaystep.fleet.order import StartOrder
 from carawaystep.planner.cancellations import Cancellations
 from carawaystep.planner.earlier_leases import EarlierLeases
+from carawaystep.planner.lost_runs import LostRuns
 from carawaystep.scheduler import member
 from carawaystep.scheduler import tables
 from carawaystep.scheduler.caller_repository import CallerRepository
@@ -178,8 +179,13 @@
     )
 
 
-def _start_on_unchecked_connections() -> AbstractContextManager[object]:
-    """Send starts to whatever lifetime a connection leads to."""
+@contextmanager
+def _start_on_unchecked_connections() -> Iterator[None]:
+    """Send starts to whatever lifetime a connection leads to.
+
+    The leader does not allow for it: it waits for the leases of the lifetime
+    that it knows only.
+    """
     check = SimulatedWorkerLink._check
 
     async def check_others(
@@ -192,7 +198,15 @@
             return None
         return await check(link, connection, order, token)
 
-    return patch.object(SimulatedWorkerLink, "_check", check_others)
+    with (
+        patch.object(SimulatedWorkerLink, "_check", check_others),
+        patch.object(
+            LostRuns,
+            "_may_be_on_unseen_lifetime",
+            lambda lost_runs, ref, tracked: False,
+        ),
+    ):
+        yield
 
 
 _VARIANTS = {
