--- a/tests/users_platform/process_deployment.py
+++ b/tests/users_platform/process_deployment.py
@@ -43,6 +43,7 @@
         ports: PortAllocator,
         store_address: str,
         limits: dict[str, int],
+        bounds: dict[str, int] | None = None,
     ) -> None:
         """Start the process.
 
@@ -51,7 +52,9 @@
         :param ports: allocator of its ports
         :param store_address: IP address and port of the store
         :param limits: section of its settings
+        :param bounds: section of its settings, None for the defaults
         """
+        self.name = name
         self.front_port = ports.reserve()
         self.ready_port = ports.reserve()
         self.cluster_port = ports.reserve()
@@ -69,8 +72,8 @@
             f'ready = "{LOOPBACK_HOST}:{self.ready_port}"\n'
             "[platform]\n"
             f'address = "{store_address}"\n'
-            "[limits]\n"
-            + "".join(f"{key} = {value}\n" for key, value in limits.items())
+            + _section("limits", limits)
+            + _section("bounds", bounds or {})
         )
         self._log_path = directory / f"{name}.log"
         with self._log_path.open("wb") as log:
@@ -180,6 +183,11 @@
         return total
 
 
+def _section(name: str, values: dict[str, int]) -> str:
+    lines = [f"{key} = {value}\n" for key, value in values.items()]
+    return "".join([f"[{name}]\n", *lines])
+
+
 class ProcessDeployment:
     """Processes of the system, a store and a worker."""
 
--- /dev/null
+++ b/tests/users_platform/restarts/__init__.py
@@ -0,0 +1,1 @@
+"""Plays in which workers start again and are then cut off."""
--- a/tests/users_platform/store_standin.py
+++ b/tests/users_platform/store_standin.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right
 from collections import Counter
 from collections import defaultdict
 import json
+from operator import itemgetter
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -284,10 +286,11 @@
         )
 
     def _rows_since(self, table: str, after: int) -> list[dict[str, Any]]:
+        first = bisect_right(self._history, after, key=itemgetter(0))
         return [
             self._row_body(row_id, value, version)
-            for version, row_id, value in self._history
-            if row_id[0] == table and version > after
+            for version, row_id, value in self._history[first:]
+            if row_id[0] == table
         ]
 
     def _current_version(self, row_id: RowId) -> int:
