Log why a leader was elected

leader.elected named neither the reason of the campaign nor the state of the store as the candidate saw it, so that a leader that was replaced because the store had not confirmed its term could not be told from a silent one. It now has the reason, the age of the confirmation that the former leader gave last, and for how long the leader row could be read since a read last failed.

--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from carawaystep.leadership.campaign_reason import CampaignReason
 from carawaystep.leadership.silence_limit import MAX_SILENCE_LIMIT_S
 from carawaystep.leadership.silence_limit import MIN_SILENCE_LIMIT_S
 
@@ -80,6 +81,15 @@
         """Return the name of the highest known term's leader."""
         return self._leader
 
+    @property
+    def confirmation_age_s(self) -> float:
+        """Return the age that the leader last gave for its confirmation.
+
+        :returns: seconds since the store had confirmed its term, 0 after an
+            own campaign
+        """
+        return self._confirmation_age_s
+
     def record_heartbeat(
         self,
         term: int,
@@ -176,23 +186,30 @@
         )
 
     def should_campaign(self, now: float) -> bool:
-        """Tell whether this process should try to be elected.
+        """Tell whether this process should try to be elected."""
+        return self.campaign_reason(now) is not None
+
+    def campaign_reason(self, now: float) -> CampaignReason | None:
+        """Return why this process should try to be elected, None if not.
 
         It should when the leader has resigned, its heartbeats are missing or
         the store has not confirmed its term for too long.
         """
         if now < self._campaign_postponed_until:
-            return False
-        if self._leader_resigned:
-            return now - self._waiting_since > self._campaign_delay_s
+            return None
         since_heartbeat_s = now - self._waiting_since
+        if self._leader_resigned:
+            waited = since_heartbeat_s > self._campaign_delay_s
+            return CampaignReason.RESIGNED if waited else None
         limit_s = self._silence_limit_s(now) + self._campaign_delay_s
         if since_heartbeat_s > limit_s:
-            return True
-        return (
+            return CampaignReason.SILENT
+        if (
             self._confirmation_age_s
             > _MAX_CONFIRMATION_AGE_S + self._campaign_delay_s
-        )
+        ):
+            return CampaignReason.UNCONFIRMED
+        return None
 
     def excuse_delay(self, late_s: float) -> None:
         """Leave a delay of this process out of the leader's silence.
--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -55,6 +56,8 @@
         self._version = -1
         self._version_seen_at = 0.0
         self._read_duration_s = 0.0
+        # First answered read after the last failed one, 0 if none has failed.
+        self._readable_since = 0.0
         self._last_term = 0
 
     async def read_leader_row(self) -> Row | None:
@@ -69,8 +72,10 @@
         if isinstance(read, Err):
             self._store_health.record_failure(read.err_value.detail, now)
             self._version = -1
+            self._readable_since = inf
             return None
         self._store_health.record_answer(now)
+        self._readable_since = min(self._readable_since, now)
         row = read.ok_value
         version = 0 if row is None else row.version
         if version != self._version:
@@ -108,12 +113,16 @@
         return None
 
     def _record_election(self, term: int, record: LeaderRecord) -> Election:
+        now = self._ports.clock.now()
         self._last_term = term
         self._ports.log.line(
             "leader.elected",
             self._record.name,
             term=term,
             earlier=self._leadership.term,
+            reason=self._leadership.campaign_reason(now) or "",
+            confirmation_age_s=self._leadership.confirmation_age_s,
+            row_readable_s=now - self._readable_since,
         )
         return Election(
             term, record.predecessors, record.predecessors_need_majority
--- a/tests/scheduler/test_candidate.py
+++ b/tests/scheduler/test_candidate.py
@@ -149,6 +149,15 @@
         )
         self.assertIsNone(self._campaign())
 
+    def test_reason_of_an_election_is_logged(self) -> None:
+        """Guards against elections whose cause no log tells."""
+        self.leadership.record_heartbeat(20, "edge-2", 0.0, 2.5, 99.9)
+        self._store_leader("edge-2", 20)
+        self.assertEqual(50, self._campaign())
+        fields = self.ports.log.fields["leader.elected"]
+        self.assertEqual("unconfirmed", fields["reason"])
+        self.assertEqual(2.5, fields["confirmation_age_s"])
+
     def test_no_campaign_right_after_a_store_outage(self) -> None:
         """Guards against deposing a working leader after a partition.
 
