Give a leader time to confirm its term once the leader row is back

When the table of the leader row was away for all and another table was not, the store did not count as lost, and the first process that could read the row again deposed the leader within 0.1 s, before it could confirm its term.

The grace period after an outage now also counts from the first answered read of the row itself. Where only the leader is turned away by the store, other processes have read the row all along and replace it as before.

--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -191,12 +191,16 @@
         if self._version == self._leadership.term:
             # A heartbeat may have arrived during the read. If this process
             # was partitioned itself, heartbeats arrive again shortly after
-            # the store answers again, so it first waits until the store has
-            # been available for _ANNOUNCE_GRACE_S.
+            # the store answers again; and if the leader row was away for
+            # all, the leader confirms its term once the row is back. Other
+            # tables may have answered all the while.
+            available_s = min(
+                self._store_health.seconds_available(now),
+                now - self._readable_since,
+            )
             return (
                 not self._leadership.should_campaign(now)
-                or self._store_health.seconds_available(now)
-                < _ANNOUNCE_GRACE_S
+                or available_s < _ANNOUNCE_GRACE_S
             )
         leader = self._parse_leader(row)
         if leader is None or leader.name == self._record.name:
--- a/tests/scheduler/test_candidate.py
+++ b/tests/scheduler/test_candidate.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from result import Err
 from result import Ok
 from testtools import TestCase
 
@@ -16,12 +17,16 @@
 from carawaystep.scheduler.store_health import StoreHealth
 from carawaystep.store.row import Row
 from carawaystep.store.table_commit import TableCommit
+from carawaystep.store.table_failure import TableRefused
 from tests.planner.planners import RecordingLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from result import Result
+
     from carawaystep.store.operation import PutRow
+    from carawaystep.store.table_failure import TableFailure
 
 
 class _Clock:
@@ -40,12 +45,17 @@
 
     def __init__(self) -> None:
         self.row: Row | None = None
+        self.readable = True
         self.on_read: Callable[[], None] = lambda: None
         self.commit_revision = 50
         self.written: list[object] = []
 
-    async def get(self, table: str, key: str) -> Ok[Row | None]:
+    async def get(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
         self.on_read()
+        if not self.readable:
+            return Err(TableRefused("the table is away"))
         return Ok(self.row)
 
     async def transact(self, operations: list[PutRow]) -> Ok[TableCommit]:
@@ -171,6 +181,29 @@
         self.ports.clock.time_s = 101.0
         self.assertEqual(50, self._campaign())
 
+    def test_no_campaign_right_after_the_leader_row_was_away(self) -> None:
+        """Guards against deposing a leader whose table was away for all.
+
+        Other tables of the store have answered meanwhile, so that the store
+        does not count as lost. The leader confirms its term as soon as the
+        row can be read again.
+        """
+        self._store_leader("edge-2", 20)
+        self.leadership.record_heartbeat(20, "edge-2", 0.0, 2.5, 99.9)
+        self.ports.store.readable = False
+        self.store_health.record_answer(99.9)
+        self.assertIsNone(self._campaign())
+        self.ports.store.readable = True
+        self.assertIsNone(self._campaign())
+        self.ports.clock.time_s += 0.9
+        self.assertEqual(50, self._campaign())
+
+    def test_leader_that_alone_misses_the_store_is_replaced(self) -> None:
+        """Guards against waiting where only the leader is turned away."""
+        self._store_leader("edge-2", 20)
+        self.leadership.record_heartbeat(20, "edge-2", 0.0, 2.5, 99.9)
+        self.assertEqual(50, self._campaign())
+
     def _store_leader_with_predecessor(self) -> None:
         """Store a leader that is followed from 90.0 s on."""
         value = {
