Count the age of a confirmation between heartbeats

The age was only known at heartbeats, which all processes get at once, so that one of them ended the delays of all, and a slow machine was often elected beside fast ones.

The time since the last heartbeat now counts, up to one interval.

--- a/src/carawaystep/leadership/leadership.py
+++ b/src/carawaystep/leadership/leadership.py
@@ -26,6 +26,9 @@
 # the store.
 _MAX_CONFIRMATION_AGE_S = 1.5
 
+# Interval at which the leader sends heartbeats.
+HEARTBEAT_INTERVAL_S = 0.25
+
 # Slow machines wait longer, so that a fast one is elected. The stagger, which
 # depends on the name, keeps equal machines from campaigning at once.
 _CAMPAIGN_DELAY_ONE_CORE_S = 0.2
@@ -204,10 +207,12 @@
         limit_s = self._silence_limit_s(now) + self._campaign_delay_s
         if since_heartbeat_s > limit_s:
             return CampaignReason.SILENT
-        if (
-            self._confirmation_age_s
-            > _MAX_CONFIRMATION_AGE_S + self._campaign_delay_s
-        ):
+        # All processes get the heartbeats at the same time. Without the time
+        # since then, one of them would end the delays of all.
+        age_s = self._confirmation_age_s + min(
+            max(0.0, since_heartbeat_s), HEARTBEAT_INTERVAL_S
+        )
+        if age_s > _MAX_CONFIRMATION_AGE_S + self._campaign_delay_s:
             return CampaignReason.UNCONFIRMED
         return None
 
--- a/src/carawaystep/scheduler/member_session.py
+++ b/src/carawaystep/scheduler/member_session.py
@@ -10,6 +10,7 @@
 from carawaystep.cluster.messages import LeaderHeartbeat
 from carawaystep.cluster.messages import MemberHeartbeat
 from carawaystep.cluster.messages import PublishedStates
+from carawaystep.leadership.leadership import HEARTBEAT_INTERVAL_S
 from carawaystep.scheduler.interval_timer import IntervalTimer
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from carawaystep.scheduler.leader_context import LeaderContext
     from carawaystep.workflow.workflow_state import WorkflowState
 
-_HEARTBEAT_INTERVAL_S = 0.25
 # Retry interval of the heartbeat while the connection is not open yet.
 _CONNECT_RETRY_INTERVAL_S = 0.03
 # A member without a heartbeat for this long is assigned no workers.
@@ -206,7 +206,7 @@
                 self._record_silence()
                 await self._channel.reconnect()
             late_s = await timer.wait(
-                _HEARTBEAT_INTERVAL_S if sent else _CONNECT_RETRY_INTERVAL_S
+                HEARTBEAT_INTERVAL_S if sent else _CONNECT_RETRY_INTERVAL_S
             )
             if late_s:
                 # Heartbeats that came meanwhile have not been read yet.
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -94,6 +94,32 @@
         self.assertFalse(unconfirmed.should_campaign(10.7))
         self.assertTrue(unconfirmed.should_campaign(11.2))
 
+    def test_fast_machine_campaigns_first_when_unconfirmed(self) -> None:
+        """Guards against a slow machine that leads while fast ones wait.
+
+        All hear the same heartbeats, every 0.25 s. The first with a
+        confirmation that is too old used to end the delays of all.
+        """
+        for confirmed_at in (9.0, 9.05, 9.1, 9.15, 9.2):
+            fast = Leadership("edge-k", 2.15, 0.0)
+            slow = Leadership("edge-o", 0.516, 0.0)
+            first_campaigns: dict[Leadership, float] = {}
+            for tick in range(1000, 1400):
+                now = tick / 100
+                heartbeat_at = now // 0.25 * 0.25
+                for leadership in (fast, slow):
+                    leadership.record_heartbeat(
+                        5,
+                        "edge-2",
+                        heartbeat_at,
+                        heartbeat_at - confirmed_at,
+                        heartbeat_at,
+                    )
+                    if leadership.should_campaign(now):
+                        first_campaigns.setdefault(leadership, now)
+            ahead_s = first_campaigns[slow] - first_campaigns[fast]
+            self.assertGreater(ahead_s, 0.05, confirmed_at)
+
     def test_resignation_starts_a_campaign_before_the_timeout(self) -> None:
         """Guards against a gap of seconds without a leader.
 
