--- a/src/carawaystep/scheduler/candidate.py
+++ b/src/carawaystep/scheduler/candidate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -55,6 +56,8 @@
         self._version = -1
         self._version_seen_at = 0.0
         self._read_duration_s = 0.0
+        # First answered read after the last failed one, 0 if none has failed.
+        self._readable_since = 0.0
         self._last_term = 0
 
     async def read_leader_row(self) -> Row | None:
@@ -69,8 +72,10 @@
         if isinstance(read, Err):
             self._store_health.record_failure(read.err_value.detail, now)
             self._version = -1
+            self._readable_since = inf
             return None
         self._store_health.record_answer(now)
+        self._readable_since = min(self._readable_since, now)
         row = read.ok_value
         version = 0 if row is None else row.version
         if version != self._version:
@@ -108,12 +113,16 @@
         return None
 
     def _record_election(self, term: int, record: LeaderRecord) -> Election:
+        now = self._ports.clock.now()
         self._last_term = term
         self._ports.log.line(
             "leader.elected",
             self._record.name,
             term=term,
             earlier=self._leadership.term,
+            reason=self._leadership.campaign_reason(now) or "",
+            confirmation_age_s=self._leadership.confirmation_age_s,
+            row_readable_s=now - self._readable_since,
         )
         return Election(
             term, record.predecessors, record.predecessors_need_majority
@@ -182,12 +191,16 @@
         if self._version == self._leadership.term:
             # A heartbeat may have arrived during the read. If this process
             # was partitioned itself, heartbeats arrive again shortly after
-            # the store answers again, so it first waits until the store has
-            # been available for _ANNOUNCE_GRACE_S.
+            # the store answers again; and if the leader row was away for
+            # all, the leader confirms its term once the row is back. Other
+            # tables may have answered all the while.
+            available_s = min(
+                self._store_health.seconds_available(now),
+                now - self._readable_since,
+            )
             return (
                 not self._leadership.should_campaign(now)
-                or self._store_health.seconds_available(now)
-                < _ANNOUNCE_GRACE_S
+                or available_s < _ANNOUNCE_GRACE_S
             )
         leader = self._parse_leader(row)
         if leader is None or leader.name == self._record.name:
