--- a/tests/scheduler/test_simulation.py
+++ b/tests/scheduler/test_simulation.py
@@ -95,7 +95,7 @@
 
         The faulty leader stores only the first callers of each worker.
         """
-        self._assert_found("store-first-callers-only", 22, "and runs on")
+        self._assert_found("store-first-callers-only", 17, "and runs on")
 
     def test_forgotten_former_caller_is_detected(self) -> None:
         """Guards against runs in which no former member calls a worker.
@@ -132,7 +132,7 @@
         answered.
         """
         self._assert_found(
-            "start-on-unchecked-connections", 8, "and runs on", seconds=60
+            "start-on-unchecked-connections", 4, "and runs on", seconds=60
         )
 
     def test_promises_hold_while_room_lacks(self) -> None:
