--- a/src/carawaystep/adapters/http_client/http_client.py
+++ b/src/carawaystep/adapters/http_client/http_client.py
@@ -169,7 +169,7 @@
             return Err(HttpConnectionRejected(detail, response))
         if connection.closes_after_response:
             self._release_connection(connection, response_complete=False)
-            connection = self._open_connection()
+            return Ok(self._open_connection())
         connection.mark_checked()
         return Ok(connection)
 
