--- a/src/carawaystep/scheduler/worker_proxy.py
+++ b/src/carawaystep/scheduler/worker_proxy.py
@@ -101,7 +101,7 @@
         self._first_report_received = asyncio.Event()
         self._orders: asyncio.Queue[_QueuedOrder] = asyncio.Queue()
         self._opened_at = context.now
-        # Last call that extended the lease, when it ended.
+        # When the last call that extended the lease ended, 0 before one.
         self._extended_at = 0.0
         self._answered_at = 0.0
         # Whether another lifetime of the worker sent the last report. Calls
@@ -182,13 +182,15 @@
 
     def _log_contact(self, result: Result[WorkerReport, LinkFailure]) -> None:
         """Log that the worker is silent, answers again or has restarted."""
-        silent_s = self._context.now - max(self._answered_at, self._opened_at)
+        now = self._context.now
+        silent_s = now - max(self._answered_at, self._opened_at)
         if isinstance(result, Err):
             if not self._last_poll_failed:
+                extended_at = self._extended_at
                 self._log_worker(
                     "worker.silent",
                     silent_s=silent_s,
-                    extension_age_s=self._context.now - self._extended_at,
+                    extension_age_s=now - extended_at if extended_at else -1.0,
                     detail=result.err_value.detail,
                 )
             return
